--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+SCENARIO ?= steady
+SEED ?= 1
+SECONDS_ = $(if $(SECONDS),--seconds $(SECONDS))
+POLICY_ = $(if $(POLICY),--policy $(POLICY))
+FIRM_ = $(if $(FIRM),--firm $(FIRM))
+REPORT_ = $(if $(REPORT),--report $(REPORT))
+SKIP ?=
+
+.PHONY: try test bench lint spin
+
+# Serves the whole path in one process, on stand-ins, and prints a table.
+try:
+	cargo build --release --workspace
+	RUST_LOG=warn target/release/lentilcart-bench try
+
+# Runs every test; installs the package `spin` if it is missing.
+test: spin
+	cargo build --workspace
+	cargo test --workspace -- $(SKIP)
+	spec/check
+
+# Runs one scenario of the bench against each policy.
+bench:
+	cargo build --release --workspace
+	RUST_LOG=warn target/release/lentilcart-bench bench --scenario $(SCENARIO) --seed $(SEED) \
+		$(SECONDS_) $(POLICY_) $(FIRM_) $(REPORT_)
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets -- -D warnings
+	RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps
+
+spin:
+	@command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin)
--- /dev/null
+++ b/lentilcart_bench/src/cluster/firm.rs
@@ -0,0 +1,74 @@
+use lentilcart::state::Class;
+use lentilcart_util::Micros;
+
+/// A service of a firm, at the size of today.
+#[derive(Debug, Clone, Copy)]
+pub struct FirmService {
+    /// Name.
+    pub name: &'static str,
+    /// Number of servers.
+    pub servers: usize,
+    /// Class of its requests.
+    pub class: Class,
+    /// Priority of its requests.
+    pub priority: u8,
+    /// Mean work of a request that is no straggler.
+    pub work: Micros,
+}
+
+/// A firm's deployment, at the size of today.
+#[derive(Debug, Clone, Copy)]
+pub struct Firm {
+    /// Name.
+    pub name: &'static str,
+    /// Data centres.
+    pub centers: [&'static str; 4],
+    /// One-way latency between data centres.
+    pub one_way: Micros,
+    /// Services.
+    pub services: [FirmService; 3],
+}
+
+const MEAN_WORK: Micros = Micros::from_millis(20);
+
+const fn service(name: &'static str, servers: usize, class: Class, priority: u8) -> FirmService {
+    FirmService {
+        name,
+        servers,
+        class,
+        priority,
+        work: MEAN_WORK,
+    }
+}
+
+/// Traviesas del Norte Repuestos, region norte.
+pub const TRAVIESAS: Firm = Firm {
+    name: "traviesas",
+    centers: ["bilbao", "santander", "oviedo", "pamplona"],
+    one_way: Micros(1500),
+    services: [
+        service("catalogue", 16, Class::Idempotent, 3),
+        service("reservations", 8, Class::Once, 7),
+        service("checkout", 8, Class::Once, 8),
+    ],
+};
+
+/// Žarnica Lab, region si-central.
+pub const ZARNICA: Firm = Firm {
+    name: "zarnica",
+    centers: ["a", "b", "c", "d"],
+    one_way: Micros(500),
+    services: [
+        service("pairing", 12, Class::Idempotent, 5),
+        service("fitting-lists", 10, Class::Once, 6),
+        service("sample-orders", 8, Class::Once, 7),
+    ],
+};
+
+/// Returns the firm of a name.
+#[must_use]
+pub fn get_firm(name: &str) -> Option<Firm> {
+    [TRAVIESAS, ZARNICA]
+        .into_iter()
+        .find(|firm| firm.name == name)
+}
--- /dev/null
+++ b/lentilcart_bench/src/report/plot.rs
@@ -0,0 +1,59 @@
+use std::error::Error;
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use crate::scenario::Row;
+
+const SIZE: (u32, u32) = (1000, 480);
+const LABEL_PIXELS: u32 = 60;
+
+/// Draws the 99th percentile of short requests of the first service for each variant, beside the
+/// reference.
+///
+/// # Errors
+///
+/// Fails where the file cannot be written.
+pub fn plot(rows: &[Row], file: &Path) -> Result<(), Box<dyn Error>> {
+    let Some(first) = rows.first() else {
+        return Ok(());
+    };
+    let rows: Vec<&Row> = rows
+        .iter()
+        .filter(|row| row.service == first.service)
+        .collect();
+    let most = rows
+        .iter()
+        .map(|row| row.short_p99_ms)
+        .fold(first.bound_short_p99_ms, f64::max);
+    let area = SVGBackend::new(file, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let title = format!(
+        "{} {} {}: short p99, ms",
+        first.firm, first.scenario, first.service
+    );
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 20))
+        .margin(10)
+        .x_label_area_size(LABEL_PIXELS)
+        .y_label_area_size(LABEL_PIXELS)
+        .build_cartesian_2d(-0.5..rows.len() as f64 - 0.5, 0.0..most * 1.1)?;
+    let names: Vec<String> = rows.iter().map(|row| row.policy.clone()).collect();
+    let label = |x: &f64| names.get(x.round() as usize).cloned().unwrap_or_default();
+    chart
+        .configure_mesh()
+        .x_labels(rows.len())
+        .x_label_formatter(&label)
+        .draw()?;
+    chart.draw_series(rows.iter().enumerate().map(|(index, row)| {
+        let x = index as f64;
+        Rectangle::new([(x - 0.3, 0.0), (x + 0.3, row.short_p99_ms)], BLUE.filled())
+    }))?;
+    let reference = rows
+        .iter()
+        .enumerate()
+        .map(|(index, row)| (index as f64, row.bound_short_p99_ms));
+    chart.draw_series(LineSeries::new(reference, &RED))?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/lentilcart_bench/tests/testsuite/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the whole system as separate processes.
+
+mod bad_input;
+mod cluster;
+mod load;
+mod scenarios;
+mod script;
+mod whole_path;
--- /dev/null
+++ b/lentilcart_route/src/lib.rs
@@ -0,0 +1,31 @@
+//! Routing decisions of lentilcart: which server gets a request, when it waits, and when it is
+//! refused, retried or hedged.
+//!
+//! A [`Pool`] holds what one entry knows of a service's servers. It does no I/O, reads no clock
+//! and draws no randomness of its own: time and seed are arguments, so that the same code can be
+//! embedded, replayed and run in the daemon.
+//!
+//! # Examples
+//!
+//! ```
+//! use lentilcart_route::{Job, Outcome, Pool, PoolConfig, ServerConfig, Step};
+//! use lentilcart_util::Micros;
+//!
+//! let mut pool = Pool::new(PoolConfig::default(), 1);
+//! let server = ServerConfig::new("10.0.0.7:80".parse().unwrap(), 1);
+//! pool.set_servers(Micros::ZERO, &[server]);
+//! let steps = pool.offer(Micros::ZERO, Job::new(1, Micros::ZERO, Micros::from_millis(100)));
+//! assert!(matches!(steps[..], [Step::Start { job: 1, server: 0 }]));
+//! pool.settle(Micros::from_millis(5), 1, 0, Outcome::answered(None));
+//! ```
+
+mod limits;
+mod policy;
+mod pool;
+mod queue;
+
+pub use self::limits::{Bucket, EjectLimits, Hedger, LoadBudget, RetryLimits};
+pub use self::policy::{Choice, POLICIES, Policy, get_policy, get_policy_names};
+pub use self::pool::{
+    Job, Outcome, Phase, Pool, PoolConfig, Refusal, Row, RowView, ServerConfig, Share, Step,
+};
--- /dev/null
+++ b/lentilcart_route/src/policy/rules.rs
@@ -0,0 +1,83 @@
+use lentilcart_util::Micros;
+
+use super::choice::Choice;
+
+const PROBE_LIFE: Micros = Micros::from_millis(1000);
+const HOT_QUANTILE: f64 = 0.84;
+const OVERDUE_FACTOR: f64 = 3.0;
+const OVERDUE_WEIGHT: f64 = 0.4;
+const BORROWED_WEIGHT: f64 = 1.0;
+
+pub(super) fn random(choice: &mut Choice<'_>) -> usize {
+    choice.any()
+}
+
+pub(super) fn round_robin(choice: &mut Choice<'_>) -> usize {
+    choice.open[choice.turn as usize % choice.open.len()]
+}
+
+/// Fewest outstanding requests of this entry.
+pub(super) fn least(choice: &mut Choice<'_>) -> usize {
+    choice.lowest(|c, index| c.load(index, 0))
+}
+
+/// Fewest outstanding requests; one that runs far longer than the mean marks a slow server.
+pub(super) fn least_overdue(choice: &mut Choice<'_>) -> usize {
+    choice.lowest(|c, index| {
+        let overdue = c.rows[index].get_oldest(c.now).0 as f64 > c.mean * OVERDUE_FACTOR;
+        c.load(index, 0) + OVERDUE_WEIGHT * f64::from(u8::from(overdue))
+    })
+}
+
+/// Fewest outstanding requests of all entries, as far as their digests tell.
+pub(super) fn least_with_peers(choice: &mut Choice<'_>) -> usize {
+    choice.lowest(|c, index| c.load(index, c.rows[index].get_peers(c.now)))
+}
+
+/// Own slots first, then the slots of other entries.
+pub(super) fn own_slots(choice: &mut Choice<'_>) -> usize {
+    choice.lowest(|c, index| {
+        let row = &c.rows[index];
+        let borrowed = row.get_outstanding() >= row.get_owned(index, c.share);
+        c.load(index, 0) + BORROWED_WEIGHT * f64::from(u8::from(borrowed))
+    })
+}
+
+/// The less loaded of two random servers, after Mitzenmacher, 2001.
+pub(super) fn two_choices(choice: &mut Choice<'_>) -> usize {
+    let (a, b) = (choice.any(), choice.any());
+    if choice.load(a, 0) <= choice.load(b, 0) {
+        a
+    } else {
+        b
+    }
+}
+
+/// The hot/cold rule of Prequal (Wydrowski et al., NSDI 2024): among the probed servers, those
+/// with the most requests in flight are hot; the cold one with the lowest latency wins, or, where
+/// all are hot, the one with the fewest requests in flight.
+pub(super) fn probe_pool(choice: &mut Choice<'_>) -> usize {
+    let measure = |index: &usize| {
+        let probe = choice.rows[*index].get_probe(choice.now, PROBE_LIFE);
+        probe.map(|(load, latency)| {
+            (
+                *index,
+                load + choice.rows[*index].get_outstanding(),
+                latency,
+            )
+        })
+    };
+    let probes: Vec<(usize, u32, Micros)> = choice.open.iter().filter_map(measure).collect();
+    let mut loads: Vec<u32> = probes.iter().map(|(_, load, _)| *load).collect();
+    loads.sort_unstable();
+    let rank = (loads.len() as f64 * HOT_QUANTILE) as usize;
+    match loads.get(rank.min(loads.len().saturating_sub(1))) {
+        None => choice.any(),
+        Some(hot) => {
+            let cold = probes.iter().filter(|(_, load, _)| load < hot);
+            let cold = cold.min_by_key(|(_, load, latency)| (*latency, *load));
+            let best = cold.or_else(|| probes.iter().min_by_key(|(_, load, _)| *load));
+            best.map_or(choice.open[0], |(index, ..)| *index)
+        }
+    }
+}
--- /dev/null
+++ b/lentilcart_route/src/pool/config.rs
@@ -0,0 +1,84 @@
+use std::net::SocketAddr;
+
+use lentilcart_util::{Micros, Name, common};
+
+use crate::limits::{EjectLimits, LoadBudget, RetryLimits};
+use crate::policy::{POLICIES, Policy};
+
+/// Settings of a pool.
+#[derive(Debug, Clone)]
+pub struct PoolConfig {
+    /// Rule that chooses a server.
+    pub policy: &'static Policy,
+    /// Data centre of this entry; its servers win ties.
+    pub data_center: Name,
+    /// Requests beyond its slots that a server may be given.
+    pub overcommit: u32,
+    /// Connections to each server that this entry may hold.
+    pub connections: u32,
+    /// Longest wait in the queue as a share of the deadline.
+    pub wait: f64,
+    /// Time over which a new server comes to its full share.
+    pub ramp: Micros,
+    /// Budget of load measurement.
+    pub load: LoadBudget,
+    /// Limits of retries and hedges.
+    pub retry: RetryLimits,
+    /// Limits of ejection.
+    pub eject: EjectLimits,
+}
+
+impl Default for PoolConfig {
+    fn default() -> Self {
+        Self {
+            policy: &POLICIES[0],
+            data_center: Name::default(),
+            overcommit: 0,
+            connections: 40,
+            wait: 0.5,
+            ramp: Micros::ZERO,
+            load: LoadBudget::default(),
+            retry: RetryLimits::default(),
+            eject: EjectLimits::default(),
+        }
+    }
+}
+
+/// Settings of a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerConfig {
+    /// Address that identifies the server.
+    pub address: SocketAddr,
+    /// Data centre of the server.
+    pub data_center: Name,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+impl ServerConfig {
+    /// Creates the settings of a server in no named data centre.
+    #[must_use]
+    pub fn new(address: SocketAddr, slots: u32) -> Self {
+        Self {
+            address,
+            data_center: Name::default(),
+            slots,
+        }
+    }
+}
+
+common! { value,
+    /// This entry's place among the entries that dispatch for a service.
+    pub struct Share {
+        /// Place, counted from 0.
+        pub index: u32,
+        /// Number of entries.
+        pub count: u32,
+    }
+}
+
+impl Default for Share {
+    fn default() -> Self {
+        Self { index: 0, count: 1 }
+    }
+}
--- /dev/null
+++ b/lentilcart_route/src/pool/job.rs
@@ -0,0 +1,89 @@
+use lentilcart_util::{Micros, common};
+
+/// A request that needs a server.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Number that the caller chose, unique in the pool.
+    pub id: u64,
+    /// Priority from 0 to 9; a higher one is served first.
+    pub priority: u8,
+    /// Whether the request runs at most once; such a request is not used to try a doubtful server.
+    pub once: bool,
+    /// When the request arrived.
+    pub arrived: Micros,
+    /// When its answer must be complete.
+    pub deadline: Micros,
+    /// Servers that it was sent to already.
+    pub tried: Vec<usize>,
+}
+
+impl Job {
+    /// Creates an idempotent request of the lowest priority.
+    #[must_use]
+    pub fn new(id: u64, arrived: Micros, deadline: Micros) -> Self {
+        Self {
+            id,
+            priority: 0,
+            once: false,
+            arrived,
+            deadline,
+            tried: Vec::new(),
+        }
+    }
+}
+
+common! { value,
+    /// Why a request was refused. None of them was run.
+    #[non_exhaustive]
+    pub enum Refusal {
+        /// It could not be answered before its deadline.
+        Overload,
+        /// The service has no server that may be used.
+        NoServer,
+    }
+}
+
+common! { value,
+    /// A decision on a request.
+    pub enum Step {
+        /// Send it to this server.
+        Start {
+            /// Request.
+            job: u64,
+            /// Row of the server.
+            server: usize,
+        },
+        /// Refuse it; it was not run.
+        Refuse {
+            /// Request.
+            job: u64,
+            /// Reason.
+            reason: Refusal,
+        },
+    }
+}
+
+common! { value,
+    /// What became of an attempt.
+    pub enum Outcome {
+        /// The server answered; holds the load that it reported, in requests.
+        Answered {
+            /// Requests running or waiting at the server, by its own report.
+            load: Option<u32>,
+        },
+        /// The server failed, or answered with a failure.
+        Failed,
+        /// The server said that it is leaving and did not run the request.
+        Leaving,
+        /// The attempt was cancelled and says nothing of the server.
+        Cancelled,
+    }
+}
+
+impl Outcome {
+    /// Creates the outcome of an answered attempt.
+    #[must_use]
+    pub const fn answered(load: Option<u32>) -> Self {
+        Self::Answered { load }
+    }
+}
--- /dev/null
+++ b/lentilcart_route/src/pool/row.rs
@@ -0,0 +1,196 @@
+use lentilcart_util::{Map, Micros, Name};
+
+use super::{Phase, PoolConfig, ServerConfig, Share};
+use crate::limits::Bucket;
+
+const LATENCY_WEIGHT: f64 = 0.1;
+const DIGEST_LIFE: Micros = Micros::from_millis(250);
+const REPORT_HALF_LIFE: Micros = Micros::from_millis(20);
+const LIMIT_DECREASE: f64 = 0.9;
+const LIMIT_INCREASE: f64 = 0.1;
+const PROBE_BURST: f64 = 2.0;
+
+/// Bytes of a probe, its answer and their headers, as charged before the answer is known.
+pub(crate) const PROBE_BYTES: f64 = 300.0;
+
+/// What an entry knows of one server.
+#[derive(Debug)]
+pub struct Row {
+    pub(crate) config: ServerConfig,
+    pub(crate) phase: Phase,
+    /// Whether the ticket still names the server.
+    pub(crate) listed: bool,
+    /// Requests of this entry under way there, with their start.
+    pub(crate) attempts: Vec<(u64, Micros)>,
+    /// Requests of other entries under way there, with the age of that knowledge.
+    pub(crate) peers: Map<Name, (u32, Micros)>,
+    /// Load by the server's own report.
+    pub(crate) report: Option<(u32, Micros)>,
+    /// Load and latency by the last probe.
+    pub(crate) probe: Option<(u32, Micros, Micros)>,
+    pub(crate) latency: f64,
+    pub(crate) limit: f64,
+    pub(crate) failures: u32,
+    pub(crate) ejections: u32,
+    pub(crate) answered: u64,
+    pub(crate) failed: u64,
+    pub(crate) heard: Option<Micros>,
+    pub(crate) probes: Bucket,
+    pub(crate) bytes: Bucket,
+}
+
+/// What an operator is shown of one server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RowView {
+    /// Settings of the server.
+    pub config: ServerConfig,
+    /// Whether and how far it is used.
+    pub phase: Phase,
+    /// Requests of this entry under way there.
+    pub outstanding: u32,
+    /// Mean latency in microseconds.
+    pub latency: f64,
+    /// Answers since the entry knows the server.
+    pub answered: u64,
+    /// Failures since the entry knows the server.
+    pub failed: u64,
+    /// When the server last answered.
+    pub heard: Option<Micros>,
+    /// Load by its own report, and when that came.
+    pub report: Option<(u32, Micros)>,
+}
+
+impl Row {
+    pub(crate) fn new(config: ServerConfig, phase: Phase, now: Micros) -> Self {
+        Self {
+            limit: f64::from(config.slots),
+            config,
+            phase,
+            listed: true,
+            attempts: Vec::new(),
+            peers: Map::default(),
+            report: None,
+            probe: None,
+            latency: 0.0,
+            failures: 0,
+            ejections: 0,
+            answered: 0,
+            failed: 0,
+            heard: None,
+            probes: Bucket::new(0.0, PROBE_BURST, now),
+            bytes: Bucket::new(0.0, PROBE_BURST * PROBE_BYTES, now),
+        }
+    }
+
+    /// Returns the requests of this entry under way at the server.
+    #[must_use]
+    pub fn get_outstanding(&self) -> u32 {
+        self.attempts.len() as u32
+    }
+
+    /// Returns the requests of other entries under way there, as far as their digests are fresh.
+    #[must_use]
+    pub fn get_peers(&self, now: Micros) -> u32 {
+        let fresh = self
+            .peers
+            .values()
+            .filter(|(_, at)| now - *at < DIGEST_LIFE);
+        fresh.map(|(count, _)| count).sum()
+    }
+
+    /// Returns the load by the server's own report, which halves every 20 ms as it ages.
+    #[must_use]
+    pub fn get_report(&self, now: Micros) -> f64 {
+        self.report.map_or(0.0, |(load, at)| {
+            let age = (now - at).0 as f64 / REPORT_HALF_LIFE.0 as f64;
+            f64::from(load) * 0.5_f64.powf(age)
+        })
+    }
+
+    /// Returns the load and latency of a probe younger than `life`.
+    #[must_use]
+    pub fn get_probe(&self, now: Micros, life: Micros) -> Option<(u32, Micros)> {
+        let probe = self.probe.filter(|(_, _, at)| now - *at < life);
+        probe.map(|(load, latency, _)| (load, latency))
+    }
+
+    /// Returns the server's settings.
+    #[must_use]
+    pub fn get_config(&self) -> &ServerConfig {
+        &self.config
+    }
+
+    /// Returns how long the oldest request of this entry has been under way.
+    #[must_use]
+    pub fn get_oldest(&self, now: Micros) -> Micros {
+        let ages = self.attempts.iter().map(|(_, started)| now - *started);
+        ages.max().unwrap_or_default()
+    }
+
+    /// Returns the number of the server's slots that fall to a share.
+    #[must_use]
+    pub fn get_owned(&self, index: usize, share: Share) -> u32 {
+        let slots = self.config.slots;
+        let first = index as u32 * slots;
+        let mine = |slot: &u32| slot % share.count.max(1) == share.index;
+        (first..first + slots).filter(mine).count() as u32
+    }
+
+    /// Returns how many requests of this entry the server may have at once.
+    #[must_use]
+    pub fn get_limit(&self, now: Micros, config: &PoolConfig) -> u32 {
+        let full = match (config.policy.late, self.limit) {
+            (true, limit) => limit.round().max(1.0) as u32 + config.overcommit,
+            (false, _) => config.connections,
+        };
+        let limit = match self.phase {
+            _ if !self.listed => 0,
+            Phase::Serving => full,
+            Phase::Ramping { since } => {
+                let part = (now - since).0 as f64 / config.ramp.0.max(1) as f64;
+                ((f64::from(full) * part) as u32).clamp(1, full)
+            }
+            Phase::Probation => 1,
+            Phase::Ejected { .. } | Phase::Leaving => 0,
+        };
+        limit.min(config.connections)
+    }
+
+    /// Removes an attempt and returns how long it took.
+    pub(crate) fn finish(&mut self, now: Micros, job: u64) -> Option<Micros> {
+        let at = self.attempts.iter().position(|(id, _)| *id == job)?;
+        let (_, started) = self.attempts.swap_remove(at);
+        Some(now - started)
+    }
+
+    /// Records an answer, and follows the server's real slots: the limit falls while the server
+    /// reports more requests than it has slots, and grows back otherwise.
+    pub(crate) fn answer(&mut self, now: Micros, took: Micros, load: Option<u32>) {
+        self.answered += 1;
+        self.failures = 0;
+        self.heard = Some(now);
+        self.latency = match self.latency {
+            0.0 => took.0 as f64,
+            mean => mean + LATENCY_WEIGHT * (took.0 as f64 - mean),
+        };
+        let slots = f64::from(self.config.slots);
+        self.limit = match load {
+            Some(load) if load > self.config.slots => (self.limit * LIMIT_DECREASE).max(1.0),
+            _ => (self.limit + LIMIT_INCREASE).min(slots),
+        };
+        self.report = load.map(|load| (load, now)).or(self.report);
+    }
+
+    pub(crate) fn view(&self) -> RowView {
+        RowView {
+            config: self.config.clone(),
+            phase: self.phase,
+            outstanding: self.get_outstanding(),
+            latency: self.latency,
+            answered: self.answered,
+            failed: self.failed,
+            heard: self.heard,
+            report: self.report,
+        }
+    }
+}
--- /dev/null
+++ b/lentilcart_state/src/lib.rs
@@ -0,0 +1,26 @@
+//! What lentilcart's entries agree on: change tickets, claims of idempotency keys and membership.
+//!
+//! Nothing here does I/O. Each protocol is a state machine that emits an [`Ask`] for the platform's
+//! key-value service and takes its [`Reply`], so that the same code runs in the daemon, in the
+//! command line, under property tests and beside the specifications in `spec/`.
+
+mod accept;
+mod claim;
+mod error;
+mod member;
+mod parse;
+mod platform;
+mod ticket;
+
+pub use self::accept::{
+    Accepted, Compact, Conflict, Follow, HEAD, Head, InForce, Next, Numbered, Submit, Touched,
+    diff, number_key, ticket_key,
+};
+pub use self::claim::{Claim, ClaimShard, ClaimState, Digest, Op, Verdict};
+pub use self::error::{Fault, StateError, TicketError};
+pub use self::member::{Member, Members, rendezvous};
+pub use self::parse::parse;
+pub use self::platform::{Ask, Reply, Versioned};
+pub use self::ticket::{
+    Class, EjectLimits, LoadBudget, RetryLimits, Route, Server, Service, Ticket,
+};
--- /dev/null
+++ b/lentilcart_state/src/member/rendezvous.rs
@@ -0,0 +1,30 @@
+use lentilcart_util::Name;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Returns the `count` members that a key ranks highest, the first one first.
+///
+/// A member that comes or goes moves only the keys that it ranks highest for. The method is
+/// rendezvous hashing by Thaler and Ravishankar, 1998.
+///
+/// # Examples
+///
+/// ```
+/// use lentilcart_state::rendezvous;
+/// use lentilcart_util::Name;
+///
+/// let entries = ["e1", "e2", "e3"].map(Name::from);
+/// assert_eq!(rendezvous("catalogue", entries.iter(), 2).len(), 2);
+/// ```
+pub fn rendezvous<'a>(
+    key: &str,
+    members: impl Iterator<Item = &'a Name>,
+    count: usize,
+) -> Vec<&'a Name> {
+    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+    let mut ranked: Vec<_> = members
+        .map(|m| (xxh3_64_with_seed(m.as_bytes(), seed), m))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.truncate(count);
+    ranked.into_iter().map(|(_, m)| m).collect()
+}
--- /dev/null
+++ b/lentilcart_state/src/parse/mod.rs
@@ -0,0 +1,6 @@
+//! Reading of ticket files, which reports every fault at once.
+
+mod reader;
+mod ticket;
+
+pub use self::ticket::parse;
--- /dev/null
+++ b/lentilcart_state/src/ticket/mod.rs
@@ -0,0 +1,13 @@
+//! Change tickets: the whole new state of every service that they touch.
+
+mod class;
+
+mod route;
+mod server;
+mod service;
+
+pub use self::class::Class;
+pub use self::route::Route;
+pub use self::server::Server;
+pub use self::service::{Service, Ticket};
+pub use lentilcart_route::{EjectLimits, LoadBudget, RetryLimits};
--- /dev/null
+++ b/lentilcart_state/src/ticket/service.rs
@@ -0,0 +1,64 @@
+use lentilcart_util::{Micros, Name, Span, common};
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+
+use super::{EjectLimits, LoadBudget, RetryLimits, Route, Server};
+
+/// The whole state of a service.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// Name, unique among services.
+    pub name: Name,
+    /// Firm that the service belongs to.
+    pub tenant: Name,
+    /// Routing policy.
+    pub policy: Name,
+    /// Entries that dispatch for the service; 0 lets every entry dispatch.
+    pub homes: u32,
+    /// Requests beyond its slots that a server may be given.
+    pub overcommit: u32,
+    /// Connections to each server, all entries together.
+    pub connections: u32,
+    /// Longest wait in an entry's queue, as a share of the deadline.
+    pub wait: f64,
+    /// Time over which a new server comes to its full share.
+    #[serde_as(as = "Span")]
+    pub ramp: Micros,
+    /// Time for which an idempotency key is kept.
+    #[serde_as(as = "Span")]
+    pub keep: Micros,
+    /// Statuses by which a server says that a request was not run.
+    pub not_run: Vec<u16>,
+    /// Budget of load measurement.
+    pub load: LoadBudget,
+    /// Limits of retries and hedges.
+    pub retry: RetryLimits,
+    /// Limits of ejection.
+    pub eject: EjectLimits,
+    /// Routes, at least one.
+    pub routes: Vec<Route>,
+    /// Servers.
+    pub servers: Vec<Server>,
+}
+
+common! { message,
+    /// A change ticket.
+    pub struct Ticket {
+        /// Number of the ticket that this one was written against.
+        pub base: u64,
+        /// Operator's remark.
+        pub note: String,
+        /// Whole state of the services that the ticket sets.
+        pub services: Vec<Service>,
+        /// Services that the ticket removes.
+        pub removed: Vec<Name>,
+    }
+}
+
+impl Ticket {
+    /// Returns the names of all services that the ticket sets or removes.
+    pub fn get_touched(&self) -> impl Iterator<Item = &Name> {
+        self.services.iter().map(|s| &s.name).chain(&self.removed)
+    }
+}
--- /dev/null
+++ b/lentilcart_util/src/units/mod.rs
@@ -0,0 +1,7 @@
+//! Quantities with units.
+
+mod micros;
+mod span;
+
+pub use self::micros::Micros;
+pub use self::span::Span;
--- /dev/null
+++ b/lentilcart_util/src/value/mod.rs
@@ -0,0 +1,5 @@
+//! Identifiers.
+
+mod name;
+
+pub use self::name::Name;
--- /dev/null
+++ b/src/entry/attempt.rs
@@ -0,0 +1,268 @@
+use std::sync::Arc;
+
+use futures::future::{Either, select};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use lentilcart_route::{Job, Outcome};
+use lentilcart_state::{Class, Route, Service};
+use lentilcart_util::Micros;
+use tokio::time::{Instant, timeout_at};
+
+use super::desk::{Desk, Lease};
+use super::entry::Entry;
+use super::failure::Failure;
+use super::payload::Payload;
+use crate::http::{
+    ATTEMPT, DEADLINE_MS, End, HttpBody, LEAVING, LOAD, SendError, empty, number_of, set,
+};
+
+const MAX_ATTEMPTS: u32 = 4;
+
+/// A caller's request, ready to be sent to a server or another entry.
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) payload: Payload,
+    pub(crate) route: Route,
+    pub(crate) service: Arc<Service>,
+    pub(crate) arrived: Micros,
+    pub(crate) deadline: Micros,
+}
+
+/// What became of one attempt.
+enum Tried {
+    /// The server answered.
+    Answer(Response<HttpBody>),
+    /// The server answered with a failure, which another server may not.
+    Failure(Response<HttpBody>),
+    /// The request was not run; holds the body if no byte of it was sent.
+    NotRun(String, Option<HttpBody>),
+    /// The request may have run.
+    Cut(String),
+}
+
+impl Call {
+    pub(crate) fn is_once(&self) -> bool {
+        self.route.class == Class::Once
+    }
+
+    /// Returns the request for one attempt, if the body can be sent once more.
+    pub(crate) fn next_request(&mut self, attempt: u32, now: Micros) -> Option<Request<HttpBody>> {
+        let body = self.payload.next()?;
+        let mut request = Request::new(body);
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let left = (self.deadline - now).0 / 1000;
+        let name = HeaderName::from_static(DEADLINE_MS);
+        request.headers_mut().insert(name, HeaderValue::from(left));
+        if attempt > 0 {
+            let name = HeaderName::from_static(ATTEMPT);
+            request
+                .headers_mut()
+                .insert(name, HeaderValue::from(attempt));
+        }
+        Some(request)
+    }
+
+    fn job(&self, entry: &Entry, tried: &[usize]) -> Job {
+        Job {
+            id: entry.next_serial(),
+            priority: self.route.priority,
+            once: self.is_once(),
+            arrived: self.arrived,
+            deadline: self.deadline,
+            tried: tried.to_vec(),
+        }
+    }
+}
+
+/// Sends a request to a server of its service, and again where that is allowed.
+pub(crate) async fn dispatch(
+    entry: &Arc<Entry>,
+    desk: &Arc<Desk>,
+    call: &mut Call,
+) -> Result<Response<HttpBody>, Failure> {
+    let deadline = Instant::from_std(entry.clock.at(call.deadline));
+    let upstream = number_of(&call.headers, ATTEMPT).unwrap_or(0);
+    let mut tried = Vec::new();
+    let mut sent = false;
+    for attempt in 0..MAX_ATTEMPTS {
+        let job = call.job(entry, &tried);
+        let Ok(acquired) = timeout_at(deadline, desk.acquire(job)).await else {
+            return Err(Failure::Deadline(sent));
+        };
+        let lease = acquired.map_err(|refusal| {
+            if sent {
+                Failure::Cut("no other server could take it".to_owned())
+            } else {
+                Failure::Refused(refusal)
+            }
+        })?;
+        tried.push(lease.server);
+        let request = call.next_request(upstream + attempt, entry.clock.now());
+        let Some(request) = request else {
+            return Err(Failure::NotRun("its body cannot be sent again".to_owned()));
+        };
+        let ended = timeout_at(deadline, run(entry, desk, call, lease, request, &tried)).await;
+        let Ok(ended) = ended else {
+            return Err(Failure::Deadline(true));
+        };
+        // A request that is itself a retry is not multiplied by retries of this layer.
+        let last = attempt + 1 == MAX_ATTEMPTS || upstream > 0;
+        let may_retry = |call: &Call| !last && (call.payload.is_kept() || !call.is_once());
+        match ended {
+            Tried::Answer(answer) => return Ok(answer),
+            Tried::Failure(answer) => {
+                sent = true;
+                if !may_retry(call) || !call.payload.is_kept() || !retry(desk) {
+                    return Ok(answer);
+                }
+            }
+            Tried::NotRun(reason, unsent) => {
+                if let Some(unsent) = unsent {
+                    call.payload.put_back(unsent);
+                }
+                match (last || !retry(desk), sent) {
+                    (true, true) => return Err(Failure::Cut(reason)),
+                    (true, false) => return Err(Failure::NotRun(reason)),
+                    (false, _) => {}
+                }
+            }
+            Tried::Cut(reason) => {
+                sent = true;
+                if call.is_once() || !call.payload.is_kept() || last || !retry(desk) {
+                    return Err(Failure::Cut(reason));
+                }
+            }
+        }
+    }
+    Err(Failure::NotRun("every attempt failed".to_owned()))
+}
+
+fn retry(desk: &Desk) -> bool {
+    desk.with(|pool, _| pool.retry())
+}
+
+/// Runs an attempt, and a hedge of it where the class and the budget allow one.
+async fn run(
+    entry: &Arc<Entry>,
+    desk: &Arc<Desk>,
+    call: &mut Call,
+    lease: Lease,
+    request: Request<HttpBody>,
+    tried: &[usize],
+) -> Tried {
+    let delay = if call.is_once() || !call.payload.is_kept() {
+        None
+    } else {
+        desk.look(lentilcart_route::Pool::get_hedge_delay)
+    };
+    let service = call.service.clone();
+    let first = Box::pin(attempt(entry, &service, lease, request));
+    let Some(delay) = delay else {
+        return first.await;
+    };
+    let timer = Box::pin(tokio::time::sleep(delay.into()));
+    let first = match select(first, timer).await {
+        Either::Left((ended, _)) => return ended,
+        Either::Right(((), first)) => first,
+    };
+    let job = call.job(entry, tried);
+    let Some(lease) = desk.hedge(&job) else {
+        return first.await;
+    };
+    let Some(request) = call.next_request(1, entry.clock.now()) else {
+        return first.await;
+    };
+    entry.stats.add_hedge();
+    let second = Box::pin(attempt(entry, &service, lease, request));
+    let (ended, won) = match select(first, second).await {
+        Either::Left((ended @ Tried::Answer(_), _)) => (ended, false),
+        Either::Left((_, second)) => (second.await, true),
+        Either::Right((ended @ Tried::Answer(_), _)) => (ended, true),
+        Either::Right((_, first)) => (first.await, false),
+    };
+    if won {
+        entry.stats.add_hedge_won();
+    }
+    desk.with(|pool, _| pool.settle_hedge(won));
+    ended
+}
+
+/// Sends a request to the server of a lease. The lease ends when the answer has been read.
+async fn attempt(
+    entry: &Arc<Entry>,
+    service: &Service,
+    lease: Lease,
+    request: Request<HttpBody>,
+) -> Tried {
+    let reply = match entry.dialer.send(lease.address, request).await {
+        Ok(reply) => reply,
+        Err(SendError::NotSent(reason, request)) => {
+            lease.end(Outcome::Failed);
+            return Tried::NotRun(reason, Some(request.into_body()));
+        }
+        Err(SendError::Cut(reason)) => {
+            lease.end(Outcome::Failed);
+            return Tried::Cut(reason);
+        }
+    };
+    let status = reply.answer.status();
+    let headers = reply.answer.headers();
+    let leaving = headers.contains_key(LEAVING);
+    let load = number_of(headers, LOAD);
+    let address = lease.address;
+    if leaving {
+        entry.set_leaving(address, true, true);
+    }
+    if service.not_run.contains(&status.as_u16()) {
+        lease.end(if leaving {
+            Outcome::Leaving
+        } else {
+            Outcome::Failed
+        });
+        drain(entry, reply);
+        return Tried::NotRun(format!("server {address} answered {status}"), None);
+    }
+    let is_failure = status.is_server_error() && status != StatusCode::NOT_IMPLEMENTED;
+    let answer = reply.into_streamed(move |end| {
+        lease.end(match end {
+            End::Complete if !is_failure => Outcome::answered(load),
+            End::Complete | End::Failed => Outcome::Failed,
+            End::Abandoned => Outcome::Cancelled,
+        });
+    });
+    if is_failure {
+        Tried::Failure(answer)
+    } else {
+        Tried::Answer(answer)
+    }
+}
+
+/// Reads an answer that nobody wants, so that its connection can be used again.
+fn drain(entry: &Entry, reply: crate::http::Reply) {
+    let answer = reply.into_streamed(|_| ());
+    entry.tasks.spawn(async move {
+        http_body_util::BodyExt::collect(answer.into_body())
+            .await
+            .ok();
+    });
+}
+
+impl Call {
+    /// Returns a request without a body that could be sent, for checks.
+    pub(crate) fn is_sendable(&self) -> bool {
+        Request::builder()
+            .method(&self.method)
+            .uri(&self.uri)
+            .body(empty())
+            .is_ok()
+    }
+
+    /// Sets a header of every attempt.
+    pub(crate) fn set_header(&mut self, name: &'static str, value: &str) {
+        set(&mut self.headers, name, value);
+    }
+}
--- /dev/null
+++ b/src/entry/desk.rs
@@ -0,0 +1,177 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use lentilcart_route::{Job, Outcome, Pool, Refusal, Step};
+use lentilcart_util::{Map, Micros, Name};
+use tokio::sync::oneshot;
+
+use crate::util::Clock;
+
+type Decision = Result<usize, Refusal>;
+
+/// A service's pool, and the tasks that wait for its decisions.
+#[derive(Debug)]
+pub(crate) struct Desk {
+    pub(crate) service: Name,
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    pool: Pool,
+    waiting: Map<u64, oneshot::Sender<Decision>>,
+}
+
+/// An attempt under way at a server; ends as cancelled when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    desk: Arc<Desk>,
+    job: u64,
+    pub(crate) server: usize,
+    pub(crate) address: SocketAddr,
+    ended: bool,
+}
+
+struct Waiting {
+    desk: Arc<Desk>,
+    job: u64,
+    decision: oneshot::Receiver<Decision>,
+}
+
+impl Desk {
+    pub(crate) fn new(service: Name, pool: Pool, clock: Clock) -> Self {
+        let state = Mutex::new(State {
+            pool,
+            waiting: Map::default(),
+        });
+        Self {
+            service,
+            clock,
+            state,
+        }
+    }
+
+    /// Waits until the pool gives a request a server, or refuses it.
+    pub(crate) async fn acquire(self: &Arc<Self>, job: Job) -> Result<Lease, Refusal> {
+        let id = job.id;
+        let mut waiting = {
+            let (sender, decision) = oneshot::channel();
+            let mut state = self.lock();
+            state.waiting.insert(id, sender);
+            let steps = state.pool.offer(self.clock.now(), job);
+            state.apply(self.clock.now(), steps);
+            Waiting {
+                desk: self.clone(),
+                job: id,
+                decision,
+            }
+        };
+        let decision = (&mut waiting.decision)
+            .await
+            .unwrap_or(Err(Refusal::NoServer));
+        std::mem::drop(waiting);
+        Ok(self.lease(id, decision?))
+    }
+
+    /// Asks for a server for a hedge of a request; returns `None` where the budget or the load
+    /// forbids it.
+    pub(crate) fn hedge(self: &Arc<Self>, job: &Job) -> Option<Lease> {
+        let server = self.lock().pool.hedge(self.clock.now(), job)?;
+        Some(self.lease(job.id, server))
+    }
+
+    pub(crate) fn tick(&self) {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        let steps = state.pool.tick(now);
+        state.apply(now, steps);
+    }
+
+    /// Runs a function on the pool and carries out what follows from it.
+    pub(crate) fn with<T>(&self, run: impl FnOnce(&mut Pool, Micros) -> T) -> T {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        let result = run(&mut state.pool, now);
+        let steps = state.pool.tick(now);
+        state.apply(now, steps);
+        result
+    }
+
+    /// Runs a function that only looks at the pool.
+    pub(crate) fn look<T>(&self, run: impl FnOnce(&Pool) -> T) -> T {
+        run(&self.lock().pool)
+    }
+
+    fn lease(self: &Arc<Self>, job: u64, server: usize) -> Lease {
+        let address = self.look(|pool| pool.get_row(server).map(|row| row.get_config().address));
+        let address = address.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)));
+        Lease {
+            desk: self.clone(),
+            job,
+            server,
+            address,
+            ended: false,
+        }
+    }
+
+    fn settle(&self, job: u64, server: usize, outcome: Outcome) {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        let steps = state.pool.settle(now, job, server, outcome);
+        state.apply(now, steps);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no panic under lock")
+    }
+}
+
+impl State {
+    /// Tells the waiting tasks what was decided; a start that nobody waits for is cancelled.
+    fn apply(&mut self, now: Micros, mut steps: Vec<Step>) {
+        while let Some(step) = steps.pop() {
+            let (job, decision) = match step {
+                Step::Start { job, server } => (job, Ok(server)),
+                Step::Refuse { job, reason } => (job, Err(reason)),
+            };
+            let told = self
+                .waiting
+                .remove(&job)
+                .is_some_and(|s| s.send(decision).is_ok());
+            if let (false, Ok(server)) = (told, decision) {
+                steps.extend(self.pool.settle(now, job, server, Outcome::Cancelled));
+            }
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut state = self.desk.lock();
+        let now = self.desk.clock.now();
+        state.waiting.remove(&self.job);
+        if !state.pool.withdraw(self.job)
+            && let Ok(Ok(server)) = self.decision.try_recv()
+        {
+            let steps = state.pool.settle(now, self.job, server, Outcome::Cancelled);
+            state.apply(now, steps);
+        }
+    }
+}
+
+impl Lease {
+    /// Ends the attempt.
+    pub(crate) fn end(mut self, outcome: Outcome) {
+        self.ended = true;
+        self.desk.settle(self.job, self.server, outcome);
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.desk.settle(self.job, self.server, Outcome::Cancelled);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/entry.rs
@@ -0,0 +1,448 @@
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use lentilcart_route::{Pool, PoolConfig, ServerConfig, get_policy};
+use lentilcart_state::{InForce, Member, Members, Numbered, Service};
+use lentilcart_util::{Map, Micros, Name};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::claims::Claims;
+use super::desk::Desk;
+use super::router::Router;
+use super::stats::Stats;
+use crate::http::Dialer;
+use crate::peer::{Beat, Digest, Message};
+use crate::platform::{Hosts, Platform, Role};
+use crate::settings::Settings;
+use crate::util::{Clock, unix_millis};
+
+const HISTORY: usize = 64;
+const LEAVING_NEWS: Micros = Micros::from_millis(1000);
+const WANT_EVERY: Micros = Micros::from_millis(50);
+const WATCHERS: usize = 2;
+const STALE: Micros = Micros::from_millis(1000);
+
+/// What the tickets in force mean for requests.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    pub(crate) state: InForce,
+    pub(crate) router: Router,
+    pub(crate) desks: Map<Name, Arc<Desk>>,
+}
+
+/// Everything that the tasks of a daemon share.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) platform: Platform,
+    pub(crate) dialer: Dialer,
+    pub(crate) claims: Claims,
+    pub(crate) stats: Stats,
+    pub(crate) tasks: TaskTracker,
+    /// Cancelled when the daemon has nothing left to serve.
+    pub(crate) stop: CancellationToken,
+    /// Changes whenever peers should hear of it at once.
+    pub(crate) changed: watch::Sender<u64>,
+    /// Whether new work may start; false for a moment after a pause.
+    pub(crate) awake: watch::Sender<bool>,
+    pub(crate) leaving: AtomicBool,
+    view: ArcSwap<View>,
+    members: Mutex<Members>,
+    spread: Mutex<Spread>,
+    installing: Mutex<()>,
+    serial: AtomicU64,
+    seed: u64,
+}
+
+/// What is needed to spread tickets and news.
+#[derive(Debug, Default)]
+struct Spread {
+    history: Vec<Numbered>,
+    confirmed: Option<Micros>,
+    wanted: Option<Micros>,
+    leaving: Map<SocketAddr, Micros>,
+}
+
+impl Entry {
+    pub(crate) fn new(settings: Settings, platform: Platform, tasks: TaskTracker) -> Self {
+        let own = Member {
+            data_center: settings.data_center.clone(),
+            peer: settings.peer_public,
+            heard: None,
+            leaving: false,
+            number: 0,
+        };
+        let members = Members::new(settings.name.clone(), own, settings.silence.into());
+        let seed = unix_millis() ^ u64::from(std::process::id()) << 40;
+        Self {
+            clock: Clock::start(),
+            platform,
+            dialer: Dialer::new(settings.source, tasks.clone()),
+            claims: Claims::new(settings.claim_every),
+            stats: Stats::default(),
+            tasks,
+            stop: CancellationToken::new(),
+            changed: watch::Sender::new(0),
+            awake: watch::Sender::new(true),
+            leaving: AtomicBool::new(false),
+            view: ArcSwap::default(),
+            members: Mutex::new(members),
+            spread: Mutex::default(),
+            installing: Mutex::default(),
+            serial: AtomicU64::new(seed << 20),
+            settings,
+            seed,
+        }
+    }
+
+    /// Returns a number that no other request of this process has.
+    pub(crate) fn next_serial(&self) -> u64 {
+        self.serial.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns a text that no other attempt of any entry has.
+    pub(crate) fn next_attempt(&self) -> Name {
+        format!("{}.{:x}", self.settings.name, self.next_serial()).into()
+    }
+
+    pub(crate) fn get_view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.members().leave();
+        self.announce();
+    }
+
+    /// Sends every peer a heartbeat now.
+    pub(crate) fn announce(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    pub(crate) fn members(&self) -> MutexGuard<'_, Members> {
+        self.members.lock().expect("no panic under lock")
+    }
+
+    fn spread(&self) -> MutexGuard<'_, Spread> {
+        self.spread.lock().expect("no panic under lock")
+    }
+}
+
+/// Tickets.
+impl Entry {
+    /// Takes tickets that follow the one in force; returns whether any was applied.
+    pub(crate) fn apply(&self, tickets: &[Numbered]) -> bool {
+        let _installing = self.installing.lock().expect("no panic under lock");
+        let mut state = self.get_view().state.clone();
+        let applied: Vec<&Numbered> = tickets.iter().filter(|next| state.apply(next)).collect();
+        let is_any = !applied.is_empty();
+        if is_any {
+            {
+                let mut spread = self.spread();
+                spread.history.extend(applied.into_iter().cloned());
+                let excess = spread.history.len().saturating_sub(HISTORY);
+                spread.history.drain(..excess);
+            }
+            self.install(state);
+        }
+        is_any
+    }
+
+    /// Takes a whole state if its number is higher.
+    pub(crate) fn replace(&self, state: InForce) -> bool {
+        let _installing = self.installing.lock().expect("no panic under lock");
+        let mut own = self.get_view().state.clone();
+        let newer = own.replace(state);
+        if newer {
+            self.spread().history.clear();
+            self.install(own);
+        }
+        newer
+    }
+
+    /// Puts a state in force. The caller holds the lock `installing`.
+    fn install(&self, state: InForce) {
+        let old = self.get_view();
+        let mut desks = Map::default();
+        for (name, (_, service)) in &state.services {
+            let known = old.desks.get(name).cloned();
+            let desk = known.unwrap_or_else(|| {
+                let pool = Pool::new(self.pool_config(service), self.seed);
+                Arc::new(Desk::new(name.clone(), pool, self.clock))
+            });
+            let before = old
+                .state
+                .services
+                .get(name)
+                .map(|(touched, _)| touched.number);
+            let touched = state.services.get(name).map(|(touched, _)| touched.number);
+            if before != touched {
+                desk.with(|pool, now| {
+                    pool.set_config(self.pool_config(service));
+                    pool.set_servers(now, &servers_of(service));
+                });
+            }
+            desks.insert(name.clone(), desk);
+        }
+        let (number, id) = (state.number, state.id.clone());
+        self.view.store(Arc::new(View {
+            router: Router::new(&state),
+            state,
+            desks,
+        }));
+        log::info!(number, id:% = id; "ticket in force");
+        metrics::gauge!("lentilcart_ticket_number").set(number as f64);
+        self.announce();
+    }
+
+    fn pool_config(&self, service: &Service) -> PoolConfig {
+        PoolConfig {
+            policy: get_policy(&service.policy).unwrap_or(&lentilcart_route::POLICIES[0]),
+            data_center: self.settings.data_center.clone(),
+            overcommit: service.overcommit,
+            connections: (service.connections / service.load.entries.max(1)).max(1),
+            wait: service.wait,
+            ramp: service.ramp,
+            load: service.load,
+            retry: service.retry,
+            eject: service.eject,
+        }
+    }
+
+    /// Records that the platform answered, or that another entry lately heard from it.
+    pub(crate) fn confirm(&self, at: Micros) {
+        let mut spread = self.spread();
+        spread.confirmed = spread.confirmed.max(Some(at));
+    }
+
+    /// Returns how long ago the platform confirmed the number in force, to any entry known here.
+    pub(crate) fn get_confirmed_age(&self) -> Option<Micros> {
+        self.spread().confirmed.map(|at| self.clock.now() - at)
+    }
+
+    /// Returns whether this entry watches the platform: few do, and the others join them while
+    /// those cannot reach it.
+    pub(crate) fn is_watcher(&self) -> bool {
+        let stale = self.get_confirmed_age().is_none_or(|age| age > STALE);
+        let members = self.members();
+        stale
+            || members
+                .get_homes("platform", WATCHERS, self.clock.now())
+                .contains(&self.settings.name)
+    }
+}
+
+/// Other entries.
+impl Entry {
+    /// Returns the peer addresses to hold a link to.
+    pub(crate) fn get_peer_addresses(&self) -> Vec<SocketAddr> {
+        let members = self.members();
+        let others = members
+            .iter()
+            .filter(|(name, _)| **name != self.settings.name);
+        let mut addresses: Vec<SocketAddr> = others.map(|(_, row)| row.peer).collect();
+        addresses.extend(&self.settings.seeds);
+        addresses.retain(|address| *address != self.settings.peer_public);
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
+    /// Returns the entries that dispatch for a service, the first choice first; empty where every
+    /// entry does.
+    pub(crate) fn get_homes(&self, service: &Service) -> Vec<Name> {
+        match service.homes {
+            0 => Vec::new(),
+            count => self
+                .members()
+                .get_homes(&service.name, count as usize, self.clock.now()),
+        }
+    }
+
+    pub(crate) fn is_live(&self, name: &Name) -> bool {
+        self.members().is_live(name, self.clock.now())
+    }
+
+    pub(crate) fn get_peer(&self, name: &Name) -> Option<SocketAddr> {
+        self.members().get(name).map(|row| row.peer)
+    }
+
+    pub(crate) fn lose_peer(&self, name: &Name) {
+        self.members().forget(name);
+        if let Some(address) = self.get_peer(name) {
+            self.dialer.forget(address);
+        }
+    }
+
+    pub(crate) fn get_beat(&self) -> Beat {
+        let view = self.get_view();
+        let now = self.clock.now();
+        let mut spread = self.spread();
+        spread.leaving.retain(|_, at| now - *at < LEAVING_NEWS);
+        let digesting = view
+            .desks
+            .values()
+            .filter(|desk| desk.look(|pool| pool.get_config().policy.digests));
+        let digest = |desk: &Arc<Desk>| Digest {
+            service: desk.service.clone(),
+            counts: desk.look(|pool| pool.get_digest().collect()),
+        };
+        Beat {
+            name: self.settings.name.clone(),
+            data_center: self.settings.data_center.clone(),
+            peer: self.settings.peer_public,
+            number: view.state.number,
+            confirmed: spread.confirmed.map(|at| (now - at).0 / 1000),
+            leaving: self.is_leaving(),
+            servers: spread.leaving.keys().copied().collect(),
+            digests: digesting.map(digest).collect(),
+        }
+    }
+
+    /// Takes a message from another entry and returns the answer, if one is due.
+    pub(crate) fn take_message(&self, message: Message) -> Option<Message> {
+        match message {
+            Message::Beat(beat) => self.take_beat(&beat),
+            Message::Want(number) => Some(self.get_tickets(number)),
+            Message::Tickets(tickets) => {
+                self.spread().wanted = None;
+                self.apply(&tickets);
+                self.awake.send_replace(true);
+                None
+            }
+            Message::State(state) => {
+                self.spread().wanted = None;
+                self.replace(*state);
+                self.awake.send_replace(true);
+                None
+            }
+        }
+    }
+
+    fn take_beat(&self, beat: &Beat) -> Option<Message> {
+        let now = self.clock.now();
+        {
+            let mut members = self.members();
+            members.list(&beat.name, &beat.data_center, beat.peer, beat.leaving);
+            members.hear(&beat.name, now, beat.number, beat.leaving);
+        }
+        if let Some(age) = beat.confirmed {
+            self.confirm(now - Micros::from_millis(age));
+        }
+        for address in &beat.servers {
+            self.set_leaving(*address, true, false);
+        }
+        let view = self.get_view();
+        for digest in &beat.digests {
+            if let Some(desk) = view.desks.get(&digest.service) {
+                desk.with(|pool, now| pool.learn(now, &beat.name, digest.counts.iter().copied()));
+            }
+        }
+        let asleep = !*self.awake.borrow();
+        (beat.number > view.state.number || asleep)
+            .then(|| self.want(now))
+            .flatten()
+    }
+
+    fn want(&self, now: Micros) -> Option<Message> {
+        let number = self.get_view().state.number;
+        let mut spread = self.spread();
+        let due = spread.wanted.is_none_or(|at| now - at > WANT_EVERY);
+        due.then(|| {
+            spread.wanted = Some(now);
+            Message::Want(number)
+        })
+    }
+
+    fn get_tickets(&self, after: u64) -> Message {
+        let state = &self.get_view().state;
+        let next: Vec<Numbered> = self
+            .spread()
+            .history
+            .iter()
+            .filter(|t| t.number > after)
+            .cloned()
+            .collect();
+        let contiguous = next.first().is_some_and(|t| t.number == after + 1);
+        match after >= state.number {
+            true => Message::Tickets(Vec::new()),
+            false if contiguous => Message::Tickets(next),
+            false => Message::State(Box::new(state.clone())),
+        }
+    }
+}
+
+/// Hosts and servers.
+impl Entry {
+    /// Takes the platform's host list.
+    pub(crate) fn take_hosts(&self, list: &Hosts) {
+        let now = self.clock.now();
+        let entries = list.hosts.iter().filter(|host| host.role == Role::Entry);
+        let entries: Vec<_> = entries.filter_map(|h| Some((h, h.peer?))).collect();
+        {
+            let mut members = self.members();
+            for (host, peer) in &entries {
+                members.list(&host.name, &host.data_center, *peer, host.leaving);
+            }
+            let gone = |name: &&Name| !entries.iter().any(|(host, _)| host.name == **name);
+            let names: Vec<Name> = members
+                .iter()
+                .map(|(name, _)| name)
+                .filter(gone)
+                .cloned()
+                .collect();
+            for name in &names {
+                members.unlist(name, now);
+            }
+        }
+        for host in list.hosts.iter().filter(|host| host.role == Role::Server) {
+            self.set_leaving(host.address, host.leaving, true);
+        }
+    }
+
+    /// Marks a server as leaving or staying in every service, and tells the other entries.
+    ///
+    /// Only the host list brings a server back.
+    pub(crate) fn set_leaving(&self, address: SocketAddr, leaving: bool, spread: bool) {
+        let mut changed = false;
+        for desk in self.get_view().desks.values() {
+            changed |= desk.with(|pool, now| match pool.get_index(address) {
+                Some(index) => pool.set_leaving(now, index, leaving),
+                None => false,
+            });
+        }
+        if changed && leaving && spread {
+            self.spread().leaving.insert(address, self.clock.now());
+            self.announce();
+        }
+    }
+
+    /// Waits, after a pause, until the number in force is confirmed, for a bounded time.
+    pub(crate) async fn wait_awake(&self, limit: Duration) {
+        if !*self.awake.borrow() {
+            let mut awake = self.awake.subscribe();
+            let confirmed = awake.wait_for(|awake| *awake);
+            tokio::time::timeout(limit, confirmed).await.ok();
+        }
+    }
+}
+
+fn servers_of(service: &Service) -> Vec<ServerConfig> {
+    let row = |server: &lentilcart_state::Server| ServerConfig {
+        address: server.address,
+        data_center: server.data_center.clone(),
+        slots: server.slots,
+    };
+    service.servers.iter().map(row).collect()
+}
--- /dev/null
+++ b/src/entry/run.rs
@@ -0,0 +1,132 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::control::{follow, watch_head, watch_hosts};
+use super::entry::Entry;
+use super::serve::{serve_caller, serve_peer};
+use super::tick::tick;
+use crate::error::DaemonError;
+use crate::http::{Limits, listen};
+use crate::ops::serve_operator;
+use crate::peer::keep_links;
+use crate::platform::Platform;
+use crate::settings::Settings;
+
+const BACKLOG: u32 = 4096;
+
+/// A running entry daemon.
+#[derive(Debug)]
+pub struct Running {
+    entry: Arc<Entry>,
+    stop_callers: CancellationToken,
+    callers: TaskTracker,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// Starts an entry daemon.
+///
+/// # Errors
+///
+/// Fails where a listener cannot be opened.
+pub async fn start(settings: Settings, platform: Platform) -> Result<Running, DaemonError> {
+    let callers = TaskTracker::new();
+    let background = TaskTracker::new();
+    let caller_listener = bind("callers", settings.callers)?;
+    let peer_listener = bind("peer", settings.peer)?;
+    let ops_listener = bind("ops", settings.ops)?;
+    let limits = Limits {
+        header_bytes: settings.header_bytes,
+        header_wait: settings.header_wait,
+        connections: settings.connections,
+    };
+    let entry = Arc::new(Entry::new(settings, platform, background.clone()));
+    let stop_callers = CancellationToken::new();
+    let (c, p, o) = (entry.clone(), entry.clone(), entry.clone());
+    let serve_caller = move |remote, request| serve_caller(c.clone(), remote, request);
+    let serve_peer = move |remote, request| serve_peer(p.clone(), remote, request);
+    let serve_operator = move |_, request| serve_operator(o.clone(), request);
+    let (stop, tracker) = (stop_callers.clone(), callers.clone());
+    let stopped = entry.stop.clone();
+    let tasks = vec![
+        tokio::spawn(listen(caller_listener, limits, stop, tracker, serve_caller)),
+        tokio::spawn(listen(
+            peer_listener,
+            limits,
+            stopped.clone(),
+            background.clone(),
+            serve_peer,
+        )),
+        tokio::spawn(listen(
+            ops_listener,
+            limits,
+            stopped,
+            background,
+            serve_operator,
+        )),
+        tokio::spawn(keep_links(entry.clone())),
+        tokio::spawn(watch_head(entry.clone())),
+        tokio::spawn(watch_hosts(entry.clone())),
+        tokio::spawn(tick(entry.clone())),
+    ];
+    // A first attempt, so that the daemon does not wait to learn who watches.
+    let first = entry.clone();
+    entry.tasks.spawn(async move { follow(&first, None).await });
+    log::info!(callers:% = entry.settings.callers; "started");
+    Ok(Running {
+        entry,
+        stop_callers,
+        callers,
+        tasks,
+    })
+}
+
+impl Running {
+    /// Stops without cutting off a request: tells the other entries and the platform's balancer,
+    /// waits, closes the listener of callers, lets requests in flight finish, and joins all tasks.
+    ///
+    /// Returns whether every request finished within the drain time.
+    pub async fn stop(self) -> bool {
+        let settings = &self.entry.settings;
+        log::info!("leaving");
+        self.entry.leave();
+        tokio::time::sleep(settings.lame_duck).await;
+        self.stop_callers.cancel();
+        self.callers.close();
+        let drained = async {
+            self.callers.wait().await;
+            while self.entry.stats.get_in_flight() > 0 {
+                tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            }
+        };
+        let complete = tokio::time::timeout(settings.drain, drained).await.is_ok();
+        self.entry.stop.cancel();
+        self.entry.dialer.close();
+        for task in self.tasks {
+            task.await.ok();
+        }
+        self.entry.tasks.close();
+        tokio::time::timeout(settings.platform_wait, self.entry.tasks.wait())
+            .await
+            .ok();
+        log::info!(complete; "stopped");
+        complete
+    }
+}
+
+fn bind(setting: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    let open = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().map_err(|error| DaemonError::Listen(setting, address, error))
+}
--- /dev/null
+++ b/src/http/dialer.rs
@@ -0,0 +1,170 @@
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
+
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use lentilcart_util::Map;
+use quick_error::quick_error;
+use tokio_util::task::TaskTracker;
+
+use super::body::{End, HttpBody, Tail, stream};
+use super::source::connect;
+
+const STALE_ATTEMPTS: usize = 3;
+
+quick_error! {
+    /// Why a request got no answer.
+    #[derive(Debug)]
+    #[non_exhaustive]
+    pub enum SendError {
+        /// No byte of the request was sent; it can be sent elsewhere.
+        NotSent(reason: String, request: Box<Request<HttpBody>>) {
+            display("not sent: {reason}")
+        }
+        /// The request was sent, at least in part, and no answer came.
+        Cut(reason: String) {
+            display("sent, but not answered: {reason}")
+        }
+    }
+}
+
+type Idle = Mutex<Map<SocketAddr, Vec<SendRequest<HttpBody>>>>;
+
+/// Sends requests over kept HTTP/1.1 connections, each to one address at a time.
+///
+/// A connection is kept only after its answer was read to the end; one whose answer was abandoned
+/// is closed, which also tells the other side to cancel.
+#[derive(Debug)]
+pub struct Dialer {
+    source: IpAddr,
+    idle: Arc<Idle>,
+    tasks: TaskTracker,
+}
+
+/// An answer and the connection that it came over.
+pub struct Reply {
+    /// The answer.
+    pub answer: Response<Incoming>,
+    address: SocketAddr,
+    sender: SendRequest<HttpBody>,
+    idle: Arc<Idle>,
+}
+
+impl Dialer {
+    /// Creates a dialer that connects from a local address.
+    #[must_use]
+    pub fn new(source: IpAddr, tasks: TaskTracker) -> Self {
+        Self {
+            source,
+            idle: Arc::default(),
+            tasks,
+        }
+    }
+
+    /// Sends a request.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the request may have reached the other side.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<HttpBody>,
+    ) -> Result<Reply, SendError> {
+        for _ in 0..STALE_ATTEMPTS {
+            let mut sender = match self.take_idle(address).await {
+                Some(sender) => sender,
+                None => match self.open(address).await {
+                    Ok(sender) => sender,
+                    Err(reason) => return Err(SendError::NotSent(reason, Box::new(request))),
+                },
+            };
+            match sender.try_send_request(request).await {
+                Ok(answer) => {
+                    return Ok(Reply {
+                        answer,
+                        address,
+                        sender,
+                        idle: self.idle.clone(),
+                    });
+                }
+                Err(mut failure) => match failure.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(SendError::Cut(failure.error().to_string())),
+                },
+            }
+        }
+        Err(SendError::NotSent(
+            "every connection was closed".to_owned(),
+            Box::new(request),
+        ))
+    }
+
+    /// Closes the connections that are not in use.
+    pub fn close(&self) {
+        self.idle.lock().expect("no panic under lock").clear();
+    }
+
+    /// Closes the kept connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle
+            .lock()
+            .expect("no panic under lock")
+            .remove(&address);
+    }
+
+    async fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<HttpBody>> {
+        loop {
+            let mut sender = {
+                let mut idle = self.idle.lock().expect("no panic under lock");
+                idle.get_mut(&address)?.pop()?
+            };
+            if !sender.is_closed() && sender.ready().await.is_ok() {
+                return Some(sender);
+            }
+        }
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<SendRequest<HttpBody>, String> {
+        let stream = connect(self.source, address)
+            .await
+            .map_err(|e| e.to_string())?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|e| e.to_string())?;
+        self.tasks.spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(address:% = address; "connection ended: {error}");
+            }
+        });
+        Ok(sender)
+    }
+}
+
+impl Reply {
+    /// Turns the answer into one whose body returns the connection when it has been read, and
+    /// then calls a function with how it ended.
+    pub fn into_streamed(
+        self,
+        at_end: impl FnOnce(End) + Send + Unpin + 'static,
+    ) -> Response<HttpBody> {
+        let Self {
+            answer,
+            address,
+            sender,
+            idle,
+        } = self;
+        let mut sender = Some(sender);
+        answer.map(|body| {
+            let keep = move |end: End| {
+                if let (End::Complete, Some(sender)) = (end, sender.take()) {
+                    let mut idle = idle.lock().expect("no panic under lock");
+                    idle.entry(address).or_default().push(sender);
+                }
+                at_end(end);
+            };
+            stream(Tail::new(body, keep))
+        })
+    }
+}
--- /dev/null
+++ b/src/http/listener.rs
@@ -0,0 +1,103 @@
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::body::HttpBody;
+
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Limits of a listener.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Bytes of a request's header section.
+    pub header_bytes: usize,
+    /// Time in which a header section must arrive.
+    pub header_wait: Duration,
+    /// Connections open at once.
+    pub connections: usize,
+}
+
+/// Serves HTTP/1.1 and HTTP/2 on a listener until `stop`, then lets requests in flight finish.
+///
+/// Connections are spawned on `tasks`, which the caller joins.
+pub async fn listen<S, F>(
+    listener: TcpListener,
+    limits: Limits,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+    serve: S,
+) where
+    S: Fn(SocketAddr, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<HttpBody>> + Send + 'static,
+{
+    let open = Arc::new(Semaphore::new(limits.connections));
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_wait)
+        .max_buf_size(limits.header_bytes.max(8192));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(limits.header_bytes as u32)
+        .max_concurrent_streams(1000);
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = accept(&listener, &open) => accepted,
+        };
+        let Some((stream, remote, permit)) = accepted else {
+            continue;
+        };
+        let (builder, stop, serve) = (builder.clone(), stop.clone(), serve.clone());
+        tasks.spawn(async move {
+            let service = service_fn(move |request| {
+                let answer = serve(remote, request);
+                async move { Ok::<_, std::convert::Infallible>(answer.await) }
+            });
+            let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
+            tokio::pin!(connection);
+            let ended = tokio::select! {
+                ended = connection.as_mut() => ended,
+                () = stop.cancelled() => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(error) = ended {
+                log::debug!(remote:% = remote; "connection ended: {error}");
+            }
+            drop(permit);
+        });
+    }
+}
+
+async fn accept(
+    listener: &TcpListener,
+    open: &Arc<Semaphore>,
+) -> Option<(TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit)> {
+    let permit = open.clone().acquire_owned().await.ok()?;
+    match listener.accept().await {
+        Ok((stream, remote)) => {
+            stream.set_nodelay(true).ok();
+            Some((stream, remote, permit))
+        }
+        Err(error) => {
+            log::warn!("cannot accept a connection: {error}");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,23 @@
+//! lentilcart: a load balancer for servers whose load shifts in milliseconds.
+//!
+//! The library holds everything that the daemon `lentilcartd` and the command line `lentilcart`
+//! do; the two binaries only read settings and call it. The decisions live in
+//! [`route`], what the entries agree on lives in [`state`].
+
+pub mod cli;
+pub mod entry;
+mod error;
+mod http;
+pub mod ops;
+mod peer;
+pub mod platform;
+mod settings;
+mod util;
+
+pub use lentilcart_route as route;
+pub use lentilcart_state as state;
+
+pub use self::error::{DaemonError, SettingsError};
+pub use self::http::{BoxError, Dialer, HttpBody, SendError, full};
+pub use self::settings::{Settings, options_help};
+pub use self::util::{Clock, init_logs};
--- /dev/null
+++ b/src/peer/exchange.rs
@@ -0,0 +1,124 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::{SinkExt, StreamExt};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, SEC_WEBSOCKET_ACCEPT, SEC_WEBSOCKET_KEY, UPGRADE};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use lentilcart_util::Name;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite;
+use tokio_tungstenite::tungstenite::handshake::derive_accept_key;
+use tokio_tungstenite::tungstenite::protocol::Role;
+
+use super::message::{Message, decode, encode};
+use crate::entry::Entry;
+use crate::http::{HttpBody, empty};
+
+/// Runs a link until it fails, the other side is silent, or the entry stops.
+///
+/// The side that dialled sends heartbeats; both sides answer requests for tickets.
+pub(crate) async fn exchange<S>(entry: Arc<Entry>, mut link: WebSocketStream<S>, dialled: bool)
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let mut changed = entry.changed.subscribe();
+    let mut timer = tokio::time::interval(entry.settings.heartbeat);
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut peer: Option<Name> = None;
+    if !dialled && !send(&entry, &mut link, &Message::Beat(entry.get_beat())).await {
+        return;
+    }
+    loop {
+        let sent = tokio::select! {
+            () = entry.stop.cancelled() => return,
+            incoming = receive(&mut link) => match incoming {
+                Some(message) => {
+                    peer = name_of(&message).or(peer);
+                    match entry.take_message(message) {
+                        Some(answer) => send(&entry, &mut link, &answer).await,
+                        None => true,
+                    }
+                }
+                None => break,
+            },
+            _ = timer.tick(), if dialled => {
+                send(&entry, &mut link, &Message::Beat(entry.get_beat())).await
+            }
+            _ = changed.changed(), if dialled => {
+                send(&entry, &mut link, &Message::Beat(entry.get_beat())).await
+            }
+        };
+        if !sent {
+            break;
+        }
+    }
+    if let (false, Some(name)) = (dialled, peer) {
+        entry.lose_peer(&name);
+    }
+}
+
+/// Takes a link that another entry opens by an upgrade of an HTTP request.
+pub(crate) fn serve_link(entry: &Arc<Entry>, mut request: Request<Incoming>) -> Response<HttpBody> {
+    let key = request.headers().get(SEC_WEBSOCKET_KEY);
+    let accept = key.map(|key| derive_accept_key(key.as_bytes()));
+    let upgrade = hyper::upgrade::on(&mut request);
+    let entry = entry.clone();
+    let tasks = entry.tasks.clone();
+    tasks.spawn(async move {
+        match upgrade.await {
+            Ok(upgraded) => {
+                let io = TokioIo::new(upgraded);
+                let link = WebSocketStream::from_raw_socket(io, Role::Server, None).await;
+                exchange(entry, link, false).await;
+            }
+            Err(error) => log::warn!("cannot open a peer link: {error}"),
+        }
+    });
+    Response::builder()
+        .status(StatusCode::SWITCHING_PROTOCOLS)
+        .header(CONNECTION, "Upgrade")
+        .header(UPGRADE, "websocket")
+        .header(SEC_WEBSOCKET_ACCEPT, accept.unwrap_or_default())
+        .body(empty())
+        .expect("the parts are valid")
+}
+
+async fn send<S>(entry: &Entry, link: &mut WebSocketStream<S>, message: &Message) -> bool
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let bytes = encode(message);
+    entry.stats.add_control_bytes(bytes.len());
+    let patience: Duration = entry.settings.silence * 4;
+    let sent = link.send(tungstenite::Message::Binary(bytes.into()));
+    matches!(tokio::time::timeout(patience, sent).await, Ok(Ok(())))
+}
+
+async fn receive<S>(link: &mut WebSocketStream<S>) -> Option<Message>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    loop {
+        match link.next().await? {
+            Ok(tungstenite::Message::Binary(bytes)) => match decode(&bytes) {
+                Ok(message) => return Some(message),
+                Err(error) => {
+                    log::warn!("unreadable message from another entry: {error}");
+                    return None;
+                }
+            },
+            Ok(tungstenite::Message::Close(_)) | Err(_) => return None,
+            Ok(_) => {}
+        }
+    }
+}
+
+fn name_of(message: &Message) -> Option<Name> {
+    match message {
+        Message::Beat(beat) => Some(beat.name.clone()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/platform/http.rs
@@ -0,0 +1,195 @@
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use http_body_util::BodyExt;
+use hyper::{Method, Request, StatusCode};
+use lentilcart_state::{Ask, Reply, Versioned};
+use lentilcart_util::Name;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use tokio_util::task::TaskTracker;
+
+use super::model::{Hosts, Watched};
+use super::platform::{Calls, Platform};
+use crate::http::{Dialer, full};
+
+const WATCH_SLACK: Duration = Duration::from_secs(2);
+
+struct Client {
+    dialer: Dialer,
+    address: SocketAddr,
+    timeout: Duration,
+    calls: Arc<Calls>,
+}
+
+/// Reads the platform's address, such as `http://10.0.0.1:2379`.
+///
+/// # Errors
+///
+/// Fails with what is allowed.
+pub fn parse_address(text: &str) -> Result<SocketAddr, String> {
+    let address = text
+        .strip_prefix("http://")
+        .unwrap_or(text)
+        .trim_end_matches('/');
+    address.parse().map_err(|_| {
+        "expected an IP address and a port, such as \"http://10.0.0.1:2379\"".to_owned()
+    })
+}
+
+/// Creates a client of the platform at an address. Nothing is sent until the first call.
+#[must_use]
+pub fn dial(
+    address: SocketAddr,
+    source: IpAddr,
+    timeout: Duration,
+    tasks: TaskTracker,
+) -> Platform {
+    let calls = Arc::<Calls>::default();
+    let dialer = Dialer::new(source, tasks);
+    let client = Arc::new(Client {
+        dialer,
+        address,
+        timeout,
+        calls: calls.clone(),
+    });
+    let [asks, watches, leases, lists] = [(); 4].map(|()| client.clone());
+    Platform {
+        ask: Box::new(move |ask| {
+            let client = asks.clone();
+            async move { client.ask(ask).await }.boxed()
+        }),
+        watch: Box::new(move |(key, version, wait)| {
+            let client = watches.clone();
+            async move { client.watch(key, version, wait).await }.boxed()
+        }),
+        lease: Box::new(move |(name, holder, length)| {
+            let client = leases.clone();
+            async move { client.lease(name, holder, length).await }.boxed()
+        }),
+        hosts: Box::new(move |(version, wait)| {
+            let client = lists.clone();
+            async move { client.hosts(version, wait).await }.boxed()
+        }),
+        calls,
+    }
+}
+
+impl Client {
+    async fn ask(&self, ask: Ask) -> Reply {
+        let (method, key, body) = match ask {
+            Ask::Get { key } => (Method::GET, key, Bytes::new()),
+            Ask::Swap { key, expect, value } => {
+                let body = json!({ "expect": expect, "value": value }).to_string();
+                (Method::PUT, key, body.into())
+            }
+        };
+        let is_get = method == Method::GET;
+        let counter = if is_get {
+            &self.calls.gets
+        } else {
+            &self.calls.swaps
+        };
+        let path = format!("/kv/{key}");
+        let answer = self.call(counter, method, &path, body, self.timeout).await;
+        let reply = match answer {
+            Err(reason) => Err(reason),
+            Ok((StatusCode::OK, body)) if is_get => read(&body).map(|v| Reply::Value(Some(v))),
+            Ok((StatusCode::NOT_FOUND, _)) if is_get => Ok(Reply::Value(None)),
+            Ok((StatusCode::OK, body)) => read(&body).map(Reply::Swapped),
+            Ok((StatusCode::CONFLICT, body)) => read(&body).map(Reply::Refused),
+            Ok((status, _)) => Err(format!("status {status}")),
+        };
+        reply.unwrap_or_else(Reply::Lost)
+    }
+
+    async fn watch(&self, key: Name, version: u64, wait: Duration) -> Watched<Versioned> {
+        let path = format!(
+            "/watch/{key}?version={version}&wait_ms={}",
+            wait.as_millis()
+        );
+        self.wait(&path, wait).await
+    }
+
+    async fn hosts(&self, version: u64, wait: Duration) -> Watched<Hosts> {
+        let path = format!("/hosts?version={version}&wait_ms={}", wait.as_millis());
+        self.wait(&path, wait).await
+    }
+
+    async fn wait<T: DeserializeOwned>(&self, path: &str, wait: Duration) -> Watched<T> {
+        let timeout = self.timeout.min(WATCH_SLACK) + wait;
+        let counter = &self.calls.watches;
+        match self
+            .call(counter, Method::GET, path, Bytes::new(), timeout)
+            .await
+        {
+            Ok((StatusCode::OK, body)) => match read(&body) {
+                Ok(value) => Watched::Changed(value),
+                Err(reason) => Watched::Lost(reason),
+            },
+            Ok((StatusCode::NO_CONTENT | StatusCode::NOT_FOUND, _)) => Watched::Same,
+            Ok((status, _)) => Watched::Lost(format!("status {status}")),
+            Err(reason) => Watched::Lost(reason),
+        }
+    }
+
+    async fn lease(&self, name: Name, holder: Name, length: Duration) -> Result<bool, String> {
+        let body = json!({ "holder": holder, "ttl_ms": length.as_millis() as u64 }).to_string();
+        let path = format!("/lease/{name}");
+        let counter = &self.calls.leases;
+        match self
+            .call(counter, Method::PUT, &path, body.into(), self.timeout)
+            .await?
+        {
+            (StatusCode::OK, _) => Ok(true),
+            (StatusCode::CONFLICT, _) => Ok(false),
+            (status, _) => Err(format!("status {status}")),
+        }
+    }
+
+    async fn call(
+        &self,
+        counter: &AtomicU64,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), String> {
+        Calls::count(counter);
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.address.to_string())
+            .body(full(body))
+            .map_err(|e| e.to_string())?;
+        let exchange = async {
+            let reply = self
+                .dialer
+                .send(self.address, request)
+                .await
+                .map_err(|e| e.to_string())?;
+            let answer = reply.into_streamed(|_| ());
+            let status = answer.status();
+            let body = answer
+                .into_body()
+                .collect()
+                .await
+                .map_err(|e| e.to_string())?;
+            Ok((status, body.to_bytes()))
+        };
+        let ended = tokio::time::timeout(timeout, exchange).await;
+        let ended = ended.unwrap_or_else(|_| Err(format!("no answer in {timeout:?}")));
+        if ended.is_err() {
+            Calls::count(&self.calls.lost);
+        }
+        ended.map_err(|reason| format!("platform {}: {reason}", self.address))
+    }
+}
+
+fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, String> {
+    serde_json::from_slice(body).map_err(|e| format!("unreadable answer: {e}"))
+}
