--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -51,16 +51,14 @@
 
 /// Checks that a request has one meaning only; returns what is wrong with it.
 ///
-/// A request with both lengths, or with several, is refused (RFC 9112, section 6.3).
+/// A request with several lengths is refused (RFC 9112, section 6.3); hyper drops the length of one
+/// that is sent in chunks and closes its connection.
 #[must_use]
 pub fn check_request<B>(request: &Request<B>) -> Option<&'static str> {
     let headers = request.headers();
     let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
     match request.method() {
         _ if lengths > 1 => Some("the request has several Content-Length fields"),
-        _ if lengths == 1 && headers.contains_key(TRANSFER_ENCODING) => {
-            Some("the request has both Content-Length and Transfer-Encoding")
-        }
         &Method::CONNECT => Some("CONNECT is not supported"),
         _ if headers.get_all(hyper::header::HOST).iter().count() > 1 => {
             Some("the request has several Host fields")
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -95,7 +95,10 @@
             connections: v.parse("connections", 1, "a whole number above 0"),
             claim_every: v.span("claim-every"),
         };
-        settings.check(&mut v.faults);
+        // The rules between settings only make sense of values that could be read.
+        if v.faults.is_empty() {
+            settings.check(&mut v.faults);
+        }
         match v.faults {
             faults if faults.is_empty() => Ok(settings),
             faults => Err(SettingsError::Faults(faults)),
