feat: claims as a log of sealed buckets

Ruled out: fewer shards (one value is full after 20 s), one key a request (2,000 swaps for 1,000 requests). Change: one log a service; only its open bucket of 256 records is written, a full one is sealed by the write that fills it; batches at 10 ms. Also: state-machine tests of claims and tickets; trials on a scratch copy showed that they fail without the conflict check, without the check of the own id, when a sealed bucket is taken as open and when a lost write is taken as stored.

--- a/lentilcart_bench/src/bin/lentilcart-bench.rs
+++ b/lentilcart_bench/src/bin/lentilcart-bench.rs
@@ -21,6 +21,7 @@
 
   try                                  the whole path in one process
   bench --scenario NAME [--seed N] [--policy A,B] [--seconds S] [--firm NAME] [--report FOLDER]
+        [--flags FLAGS]                              further flags of the entry daemons
   servers --listen ADDRESSES [--one-way-us N]   stand-ins of servers
   platform --listen ADDRESS                     stand-in of the platform
 ";
@@ -85,6 +86,12 @@
     let firm = get_firm(&firm).ok_or(format!("--firm {firm}: expected traviesas or zarnica"))?;
     let policies: Option<String> = args.opt_value_from_str("--policy")?;
     let report: Option<String> = args.opt_value_from_str("--report")?;
+    let flags: Option<String> = args.opt_value_from_str("--flags")?;
+    let flags: Vec<String> = flags
+        .iter()
+        .flat_map(|text| text.split_whitespace())
+        .map(str::to_owned)
+        .collect();
     let variants = variants_of(policies.as_deref())?;
     let length = Micros::from_millis(seconds * 1000);
     match scenario.as_str() {
@@ -111,6 +118,7 @@
         scenario,
         seed,
         length,
+        flags,
     };
     let rows = experiment(&plan, &variants).await;
     for row in &rows {
--- a/lentilcart_bench/src/cluster/firm.rs
+++ b/lentilcart_bench/src/cluster/firm.rs
@@ -1,6 +1,9 @@
 use lentilcart::state::Class;
 use lentilcart_util::Micros;
 
+/// Work of a straggler as a multiple of the usual work.
+pub const STRAGGLER_FACTOR: f64 = 30.0;
+
 /// A service of a firm, at the size of today.
 #[derive(Debug, Clone, Copy)]
 pub struct FirmService {
@@ -16,6 +19,16 @@
     pub work: Micros,
 }
 
+impl FirmService {
+    /// Returns the requests a second that the servers can do where a share of them are stragglers
+    /// and nothing slows a server.
+    #[must_use]
+    pub fn get_capacity(&self, straggler: f64) -> f64 {
+        let mean = self.work.as_secs() * (1.0 + straggler * (STRAGGLER_FACTOR - 1.0));
+        self.servers as f64 * SLOTS / mean
+    }
+}
+
 /// A firm's deployment, at the size of today.
 #[derive(Debug, Clone, Copy)]
 pub struct Firm {
@@ -29,6 +42,7 @@
     pub services: [FirmService; 3],
 }
 
+const SLOTS: f64 = 3.0;
 const MEAN_WORK: Micros = Micros::from_millis(20);
 
 const fn service(name: &'static str, servers: usize, class: Class, priority: u8) -> FirmService {
--- a/lentilcart_bench/src/cluster/mod.rs
+++ b/lentilcart_bench/src/cluster/mod.rs
@@ -7,6 +7,6 @@
 mod ticket;
 
 pub use self::cluster::{Cluster, Layout};
-pub use self::firm::{Firm, FirmService, TRAVIESAS, ZARNICA, get_firm};
+pub use self::firm::{Firm, FirmService, STRAGGLER_FACTOR, TRAVIESAS, ZARNICA, get_firm};
 pub use self::process::{Process, binary};
 pub use self::ticket::{Variant, ticket};
--- a/lentilcart_bench/src/demo/demo.rs
+++ b/lentilcart_bench/src/demo/demo.rs
@@ -156,6 +156,7 @@
     let shots = plan(&layout.firm, &demand);
     let targets = Targets {
         entries: (0..layout.entries).map(|n| layout.get_entry(n)).collect(),
+        ready: Vec::new(),
         services: layout.firm.services.iter().map(|s| s.name).collect(),
         run: name.to_owned(),
         keyed: true,
--- a/lentilcart_bench/src/load/plan.rs
+++ b/lentilcart_bench/src/load/plan.rs
@@ -4,10 +4,8 @@
 use rand_distr::{Distribution, Exp};
 
 use super::shot::Shot;
-use crate::cluster::Firm;
+use crate::cluster::{Firm, STRAGGLER_FACTOR};
 
-const SLOTS: f64 = 3.0;
-const STRAGGLER_FACTOR: f64 = 30.0;
 const SIZES: [usize; 4] = [200, 2_000, 10_000, 40_000];
 const CREST_LOW: f64 = 0.5;
 const CREST_HIGH: f64 = 1.8;
@@ -38,6 +36,18 @@
         }
     }
 
+    /// Returns the time between which a crest is at its height.
+    #[must_use]
+    pub fn get_height(self) -> Option<(Micros, Micros)> {
+        match self {
+            Self::Flat(_) => None,
+            Self::Crest(start) => {
+                let from = start + Micros((CREST_RISE * 1e6) as u64);
+                Some((from, from + Micros((CREST_LENGTH * 1e6) as u64)))
+            }
+        }
+    }
+
     fn highest(self) -> f64 {
         match self {
             Self::Flat(share) => share,
@@ -80,8 +90,7 @@
     let mut shots = Vec::new();
     for (index, service) in firm.services.iter().enumerate() {
         let mut rng = seeded(seed.wrapping_mul(31).wrapping_add(index as u64));
-        let mean = service.work.as_secs() * (1.0 + straggler * (STRAGGLER_FACTOR - 1.0));
-        let capacity = service.servers as f64 * SLOTS / mean;
+        let capacity = service.get_capacity(straggler);
         let gaps = Exp::new(capacity * profile.highest()).expect("the capacity is above zero");
         let works = Exp::new(1.0 / service.work.0 as f64).expect("the work is above zero");
         let mut at = 0.0;
--- a/lentilcart_bench/src/load/run.rs
+++ b/lentilcart_bench/src/load/run.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -14,12 +15,17 @@
 use crate::util::sleep_until;
 
 const PATIENCE: Duration = Duration::from_secs(20);
+const READY_EVERY: Duration = Duration::from_millis(100);
+const READY_PATIENCE: Duration = Duration::from_millis(200);
 
 /// Where requests are sent and how.
 #[derive(Debug, Clone)]
 pub struct Targets {
     /// Addresses of the entries.
     pub entries: Vec<SocketAddr>,
+    /// Operators' addresses of the entries, where the platform's balancer asks for readiness; empty
+    /// for no balancer.
+    pub ready: Vec<SocketAddr>,
     /// Names of the services, which are the paths.
     pub services: Vec<&'static str>,
     /// Text that makes the ids of this run unique.
@@ -34,13 +40,19 @@
     let targets = Arc::new(targets);
     let source = std::net::IpAddr::from([127, 0, 0, 1]);
     let dialer = Arc::new(Dialer::new(source, tokio_util::task::TaskTracker::new()));
+    let up = Arc::new(Up::new(targets.entries.len()));
+    let mut checks = JoinSet::new();
+    for (entry, address) in targets.ready.iter().enumerate() {
+        checks.spawn(up.clone().check(dialer.clone(), entry, *address));
+    }
     let mut tasks = JoinSet::new();
     for (index, shot) in shots.iter().enumerate() {
         let planned = start + Duration::from(shot.at);
         sleep_until(planned).await;
         let (targets, dialer, shot) = (targets.clone(), dialer.clone(), shot.clone());
+        let up = up.clone();
         tasks.spawn(async move {
-            let sent = tokio::time::timeout(PATIENCE, send(&targets, &dialer, &shot)).await;
+            let sent = tokio::time::timeout(PATIENCE, send(&targets, &dialer, &up, &shot)).await;
             let ending = sent.unwrap_or(Ending::Unknown);
             let latency = Micros::from(planned.elapsed());
             (index, Sight { ending, latency })
@@ -59,7 +71,51 @@
     sights
 }
 
-async fn send(targets: &Targets, dialer: &Dialer, shot: &Shot) -> Ending {
+/// Which entries the platform's balancer takes for ready.
+struct Up(Vec<AtomicBool>);
+
+impl Up {
+    fn new(entries: usize) -> Self {
+        Self((0..entries).map(|_| AtomicBool::new(true)).collect())
+    }
+
+    /// Asks an entry for its readiness again and again.
+    async fn check(self: Arc<Self>, dialer: Arc<Dialer>, entry: usize, address: SocketAddr) {
+        loop {
+            let asked = tokio::time::timeout(READY_PATIENCE, is_ready(&dialer, address)).await;
+            self.0[entry].store(asked.unwrap_or(false), Ordering::Relaxed);
+            tokio::time::sleep(READY_EVERY).await;
+        }
+    }
+
+    /// Returns the entries to try, the wanted one first where it is ready.
+    fn order(&self, wanted: usize) -> impl Iterator<Item = usize> {
+        let count = self.0.len();
+        let all = (0..count).map(move |step| (wanted + step) % count);
+        let ready: Vec<usize> = all.filter(|&e| self.0[e].load(Ordering::Relaxed)).collect();
+        let fallback = ready.is_empty().then_some(wanted);
+        ready.into_iter().chain(fallback)
+    }
+}
+
+async fn is_ready(dialer: &Dialer, address: SocketAddr) -> bool {
+    let Ok(request) = Request::get("/ready")
+        .header("host", "bench")
+        .body(full(""))
+    else {
+        return false;
+    };
+    match dialer.send(address, request).await {
+        Ok(reply) => {
+            let answer = reply.into_streamed(|_| ());
+            let is_ok = answer.status() == StatusCode::OK;
+            answer.into_body().collect().await.is_ok() && is_ok
+        }
+        Err(_) => false,
+    }
+}
+
+async fn send(targets: &Targets, dialer: &Dialer, up: &Up, shot: &Shot) -> Ending {
     let id = format!("{}-{}", targets.run, shot.id);
     let service = targets.services[shot.service];
     let method = if shot.once { Method::POST } else { Method::GET };
@@ -82,13 +138,19 @@
     if shot.once && targets.keyed {
         request = request.header("idempotency-key", &id);
     }
-    let Ok(request) = request.body(full(sent.clone())) else {
+    let Ok(mut request) = request.body(full(sent.clone())) else {
         return Ending::Wrong;
     };
-    let reply = match dialer.send(targets.entries[shot.entry], request).await {
-        Ok(reply) => reply,
-        Err(lentilcart::SendError::NotSent(..)) => return Ending::NotRun,
-        Err(_) => return Ending::Unknown,
+    let mut order = up.order(shot.entry);
+    let reply = loop {
+        let Some(entry) = order.next() else {
+            return Ending::NotRun;
+        };
+        match dialer.send(targets.entries[entry], request).await {
+            Ok(reply) => break reply,
+            Err(lentilcart::SendError::NotSent(_, unsent)) => request = *unsent,
+            Err(_) => return Ending::Unknown,
+        }
     };
     let answer = reply.into_streamed(|_| ());
     let told = answer.headers().get("lentilcart-outcome").cloned();
--- a/lentilcart_bench/src/scenario/experiment.rs
+++ b/lentilcart_bench/src/scenario/experiment.rs
@@ -7,7 +7,7 @@
 
 use super::scenarios::Scenario;
 use super::variants::DEFAULT_VARIANT;
-use crate::cluster::{Cluster, Firm, Layout, Process, Variant, ticket};
+use crate::cluster::{Cluster, Firm, FirmService, Layout, Process, Variant, ticket};
 use crate::load::{Demand, Ending, Shot, Sight, Targets, bound, plan, run};
 use crate::servers::{Mode, Slowdowns};
 use crate::util::{center_of, unix_micros};
@@ -15,6 +15,7 @@
 const SETTLE: Duration = Duration::from_millis(1500);
 const LEAD: Duration = Duration::from_millis(300);
 const WARM_UP: Micros = Micros::from_millis(1000);
+const CREST_RECOVERY: Micros = Micros::from_millis(1200);
 const MACHINE_LIMIT: f64 = 0.85;
 
 /// What is run.
@@ -28,6 +29,8 @@
     pub seed: u64,
     /// Length of each run.
     pub length: Micros,
+    /// Further flags of the entry daemons.
+    pub flags: Vec<String>,
 }
 
 /// The result of one variant and service.
@@ -89,6 +92,10 @@
     pub cpu_share: f64,
     /// Memory of the largest daemon.
     pub rss_mb: f64,
+    /// Answers within the deadline to requests of the crest, as a share of the capacity then.
+    pub crest_share: Option<f64>,
+    /// 99th percentile of the short requests that arrive later than 1 s after the crest.
+    pub after_crest_p99_ms: Option<f64>,
     /// Swaps at the platform for 1,000 requests of the class `once`.
     pub swaps_per_1000: f64,
     /// Processor time used on the machine, as a share of all cores.
@@ -104,6 +111,7 @@
         scenario,
         seed,
         length,
+        ..
     } = experiment;
     let demand = Demand {
         profile: scenario.profile,
@@ -128,6 +136,7 @@
     layout.entries = scenario.entries;
     let beat = format!("{}ms", variant.beat.as_millis());
     layout.flags = ["--heartbeat".to_owned(), beat].to_vec();
+    layout.flags.extend(experiment.flags.iter().cloned());
     let mut cluster = Cluster::start(layout).await;
     let accepted = cluster
         .submit(&ticket(&cluster.layout, variant, 0, scenario.deadline))
@@ -147,6 +156,9 @@
         entries: (0..scenario.entries)
             .map(|n| cluster.layout.get_entry(n))
             .collect(),
+        ready: (0..scenario.entries)
+            .map(|n| cluster.layout.get_ops(n))
+            .collect(),
         services: experiment.firm.services.iter().map(|s| s.name).collect(),
         run: variant.name.to_owned(),
         keyed: scenario.keyed,
@@ -399,6 +411,8 @@
             control_bytes_per_s: round(used.control),
             cpu_share: round(used.cpu),
             rss_mb: round(used.memory as f64 / 1e6),
+            crest_share: crest_share(scenario, service, &pairs),
+            after_crest_p99_ms: after_crest(scenario, &pairs),
             swaps_per_1000: round(used.swaps as f64 * 1000.0 / once),
             machine_share: round(used.machine),
             valid: used.machine < MACHINE_LIMIT && used.seconds > 0.0,
@@ -407,6 +421,33 @@
     rows
 }
 
+/// Returns the answers in time to requests that arrived at the height of a crest, as a share of
+/// what the servers' slots can do then.
+fn crest_share(
+    scenario: &Scenario,
+    service: &FirmService,
+    pairs: &[(&Shot, &Sight)],
+) -> Option<f64> {
+    let (from, to) = scenario.profile.get_height()?;
+    let inside = |shot: &Shot| shot.at >= from && shot.at < to;
+    let in_time = pairs.iter().filter(|(shot, sight)| {
+        inside(shot) && sight.ending == Ending::Answered && sight.latency <= scenario.deadline
+    });
+    let capacity = service.get_capacity(scenario.straggler) * (to - from).as_secs();
+    Some(round(in_time.count() as f64 / capacity))
+}
+
+fn after_crest(scenario: &Scenario, pairs: &[(&Shot, &Sight)]) -> Option<f64> {
+    let (_, to) = scenario.profile.get_height()?;
+    let late = |pair: &&(&Shot, &Sight)| {
+        pair.0.at > to + CREST_RECOVERY && pair.1.ending == Ending::Answered
+    };
+    Some(quantile(
+        &latencies(pairs.iter().filter(late), |shot| !shot.straggler),
+        0.99,
+    ))
+}
+
 fn reference(
     experiment: &Experiment,
     cluster: &Cluster,
--- a/lentilcart_bench/src/scenario/overhead.rs
+++ b/lentilcart_bench/src/scenario/overhead.rs
@@ -94,6 +94,7 @@
     }
     let targets = Targets {
         entries,
+        ready: Vec::new(),
         services: cluster
             .layout
             .firm
--- a/lentilcart_bench/tests/testsuite/whole_path.rs
+++ b/lentilcart_bench/tests/testsuite/whole_path.rs
@@ -15,6 +15,7 @@
         entries: (0..5)
             .map(|number| cluster.layout.get_entry(number))
             .collect(),
+        ready: Vec::new(),
         services: cluster
             .layout
             .firm
--- /dev/null
+++ b/lentilcart_state/src/claim/log.rs
@@ -0,0 +1,358 @@
+use std::collections::VecDeque;
+
+use lentilcart_util::{Map, Name};
+
+use super::bucket::{Bucket, Record, Root, apply};
+use super::op::{Claim, Digest, Op, Verdict};
+use crate::accept::Next;
+use crate::platform::{Ask, Reply, Versioned};
+
+const BUCKET_RECORDS: usize = 256;
+
+/// The log of a service's claims: collects changes while a write is under way and stores them
+/// together by the next compare-and-swap.
+///
+/// Only the last bucket of the log is written. It is sealed when it is full, by the same write
+/// that fills it, and the next one is begun; whoever still writes to a sealed bucket is refused by
+/// its version, reads it, and goes on to the next. The key that holds the bounds of the log is
+/// only a hint. Safety rests on compare-and-swap alone: a claimant's id is unique for each attempt,
+/// so a write whose answer was lost is recognised when the log is read again.
+#[derive(Debug)]
+pub struct ClaimLog {
+    name: Name,
+    pending: Vec<(u64, Op)>,
+    sent: Vec<(u64, Op)>,
+    /// Claims of the sealed buckets.
+    base: Map<Digest, Claim>,
+    /// Index, version and last expiry of the sealed buckets.
+    sealed: VecDeque<(u64, u64, u64)>,
+    open: u64,
+    /// Version and content of the open bucket, as last read or written.
+    bucket: Option<(u64, Bucket)>,
+    root: Option<u64>,
+    bucket_records: usize,
+    stage: Stage,
+    serial: u64,
+    verdicts: Vec<(u64, Verdict)>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Idle,
+    Root,
+    Read,
+    Write,
+    Hint,
+    Clean,
+}
+
+type Ended = Next<Vec<(u64, Verdict)>>;
+
+impl ClaimLog {
+    /// Creates the log that is stored under keys that begin with a name.
+    #[must_use]
+    pub fn new(name: Name) -> Self {
+        Self {
+            name,
+            pending: Vec::new(),
+            sent: Vec::new(),
+            base: Map::default(),
+            sealed: VecDeque::new(),
+            open: 0,
+            bucket: None,
+            root: None,
+            bucket_records: BUCKET_RECORDS,
+            stage: Stage::Idle,
+            serial: 0,
+            verdicts: Vec::new(),
+        }
+    }
+
+    /// Sets the number of records that fill a bucket.
+    #[must_use]
+    pub fn with_bucket(mut self, records: usize) -> Self {
+        self.bucket_records = records.max(1);
+        self
+    }
+
+    /// Adds a change and returns the number under which its verdict is given.
+    pub fn push(&mut self, op: Op) -> u64 {
+        self.serial += 1;
+        self.pending.push((self.serial, op));
+        self.serial
+    }
+
+    /// Returns whether changes wait for the next write.
+    #[must_use]
+    pub fn is_pending(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Returns the number of claims known here.
+    #[must_use]
+    pub fn get_len(&self) -> usize {
+        self.base.len()
+            + self
+                .bucket
+                .as_ref()
+                .map_or(0, |(_, bucket)| bucket.records.len())
+    }
+
+    /// Returns the next request, where changes wait and none is under way; `now` is in
+    /// milliseconds of Unix time.
+    pub fn start(&mut self, now: u64) -> Option<Ask> {
+        if self.stage != Stage::Idle || self.pending.is_empty() {
+            return None;
+        }
+        self.sent = std::mem::take(&mut self.pending);
+        let is_fresh = self.bucket.is_some() && self.sent.iter().all(|(_, op)| *op != Op::Read);
+        Some(match self.root {
+            None => self.ask(
+                Stage::Root,
+                Ask::Get {
+                    key: self.name.clone(),
+                },
+            ),
+            Some(_) if is_fresh => self.write(now),
+            Some(_) => self.read(),
+        })
+    }
+
+    /// Takes the answer to the last request; ends with the verdicts of the changes sent.
+    pub fn step(&mut self, reply: Reply, now: u64) -> Ended {
+        match (self.stage, reply) {
+            (Stage::Root, Reply::Value(value)) => self.take_root(value),
+            (Stage::Read, Reply::Value(value)) | (Stage::Write, Reply::Refused(value)) => {
+                self.take_bucket(value, now)
+            }
+            (Stage::Write, Reply::Swapped(version)) => self.written(version, now),
+            // The write may have taken effect; reading again tells.
+            (Stage::Write, Reply::Lost(_)) => {
+                self.bucket = None;
+                Next::Ask(self.read())
+            }
+            (Stage::Hint, reply) => self.hinted(&reply, now),
+            (Stage::Clean, _) => self.finish(),
+            _ => self.give_up(),
+        }
+    }
+
+    fn take_root(&mut self, value: Option<Versioned>) -> Ended {
+        let stored = match value {
+            None => Some((0, Root::default())),
+            Some(v) => serde_json::from_str(&v.value)
+                .ok()
+                .map(|root| (v.version, root)),
+        };
+        match stored {
+            Some((version, root)) => {
+                self.root = Some(version);
+                self.open = root.first;
+                Next::Ask(self.read())
+            }
+            None => self.give_up(),
+        }
+    }
+
+    /// Takes what the platform holds of the open bucket; goes on to the next one if it is sealed.
+    fn take_bucket(&mut self, value: Option<Versioned>, now: u64) -> Ended {
+        let stored = match value {
+            None => Some((0, Bucket::default())),
+            Some(v) => serde_json::from_str(&v.value)
+                .ok()
+                .map(|bucket| (v.version, bucket)),
+        };
+        match stored {
+            None => self.give_up(),
+            Some((version, bucket)) if bucket.sealed => {
+                self.seal(version, &bucket, now);
+                Next::Ask(self.read())
+            }
+            Some(stored) => {
+                self.bucket = Some(stored);
+                match self.evaluate(now) {
+                    (verdicts, records) if records.is_empty() => {
+                        self.verdicts = verdicts;
+                        self.finish()
+                    }
+                    _ => Next::Ask(self.write(now)),
+                }
+            }
+        }
+    }
+
+    fn written(&mut self, version: u64, now: u64) -> Ended {
+        let (verdicts, _) = self.evaluate(now);
+        let bucket = self.next_bucket(now);
+        self.verdicts = verdicts;
+        if !bucket.sealed {
+            self.bucket = Some((version, bucket));
+            return self.finish();
+        }
+        self.seal(version, &bucket, now);
+        self.bucket = Some((0, Bucket::default()));
+        let first = self.sealed.iter().find(|(_, _, expiry)| *expiry > now);
+        let first = first.map_or(self.open, |(index, ..)| *index);
+        let root = Root {
+            first,
+            open: self.open,
+        };
+        let ask = Ask::Swap {
+            key: self.name.clone(),
+            expect: self.root.unwrap_or_default(),
+            value: encode(&root),
+        };
+        Next::Ask(self.ask(Stage::Hint, ask))
+    }
+
+    /// After the hint: empties the oldest bucket if all of its claims have expired.
+    fn hinted(&mut self, reply: &Reply, now: u64) -> Ended {
+        self.root = match reply {
+            Reply::Swapped(version) => Some(*version),
+            Reply::Refused(Some(stored)) => Some(stored.version),
+            _ => self.root,
+        };
+        match self.sealed.front().copied() {
+            Some((index, version, expiry)) if expiry <= now => {
+                self.sealed.pop_front();
+                let empty = Bucket {
+                    sealed: true,
+                    records: Vec::new(),
+                };
+                let key = self.key(index);
+                let ask = Ask::Swap {
+                    key,
+                    expect: version,
+                    value: encode(&empty),
+                };
+                Next::Ask(self.ask(Stage::Clean, ask))
+            }
+            _ => self.finish(),
+        }
+    }
+
+    fn finish(&mut self) -> Ended {
+        self.stage = Stage::Idle;
+        self.sent.clear();
+        Next::Done(std::mem::take(&mut self.verdicts))
+    }
+
+    /// Ends the changes sent without a verdict; the next start reads the open bucket again, and
+    /// gives back the claims that may have been stored.
+    fn give_up(&mut self) -> Ended {
+        self.stage = Stage::Idle;
+        self.bucket = None;
+        let sent = std::mem::take(&mut self.sent);
+        self.pending.extend(
+            sent.iter()
+                .filter_map(|(_, op)| Some((0, op.get_repeat()?))),
+        );
+        Next::Done(
+            sent.into_iter()
+                .map(|(serial, _)| (serial, Verdict::Unavailable))
+                .collect(),
+        )
+    }
+
+    fn seal(&mut self, version: u64, bucket: &Bucket, now: u64) {
+        bucket.fold(&mut self.base);
+        self.base.retain(|_, claim| claim.expires > now);
+        self.sealed
+            .push_back((self.open, version, bucket.get_expiry()));
+        self.open += 1;
+        self.bucket = None;
+    }
+
+    fn read(&mut self) -> Ask {
+        let key = self.key(self.open);
+        self.ask(Stage::Read, Ask::Get { key })
+    }
+
+    fn write(&mut self, now: u64) -> Ask {
+        let expect = self.bucket.as_ref().map_or(0, |(version, _)| *version);
+        let value = encode(&self.next_bucket(now));
+        let key = self.key(self.open);
+        self.ask(Stage::Write, Ask::Swap { key, expect, value })
+    }
+
+    fn ask(&mut self, stage: Stage, ask: Ask) -> Ask {
+        self.stage = stage;
+        ask
+    }
+
+    fn key(&self, index: u64) -> Name {
+        format!("{}/{index}", self.name).into()
+    }
+
+    /// Returns the open bucket with the changes sent.
+    fn next_bucket(&self, now: u64) -> Bucket {
+        let mut bucket = self
+            .bucket
+            .as_ref()
+            .map(|(_, b)| b.clone())
+            .unwrap_or_default();
+        bucket.records.extend(self.evaluate(now).1);
+        bucket.sealed = bucket.records.len() >= self.bucket_records;
+        bucket
+    }
+
+    /// Returns the verdicts of the changes sent, in their order, and the records that they add.
+    fn evaluate(&self, now: u64) -> (Vec<(u64, Verdict)>, Vec<Record>) {
+        let mut recent: Map<Digest, Claim> = Map::default();
+        for (_, op) in &self.sent {
+            if let Some(digest) = op.get_digest()
+                && let Some(claim) = self.base.get(&digest)
+            {
+                recent.insert(digest, claim.clone());
+            }
+        }
+        if let Some((_, bucket)) = &self.bucket {
+            bucket.fold(&mut recent);
+        }
+        let mut records = Vec::new();
+        let mut verdicts = Vec::new();
+        for (serial, op) in &self.sent {
+            let (verdict, record) = decide(&recent, op, now);
+            verdicts.push((*serial, verdict));
+            if let Some(record) = record {
+                apply(&mut recent, &record);
+                records.push(record);
+            }
+        }
+        (verdicts, records)
+    }
+}
+
+fn decide(claims: &Map<Digest, Claim>, op: &Op, now: u64) -> (Verdict, Option<Record>) {
+    let digest = op.get_digest();
+    let held = digest
+        .and_then(|digest| claims.get(&digest))
+        .filter(|c| c.expires > now);
+    match (op, held) {
+        (Op::Read, _) | (Op::Record { .. } | Op::Release { .. }, None) => (Verdict::Stored, None),
+        (Op::Take { by, .. }, Some(held)) if held.by == *by => (Verdict::Stored, None),
+        (Op::Take { .. }, Some(held)) => (Verdict::Held(held.state), None),
+        (
+            Op::Take {
+                digest,
+                by,
+                expires,
+            },
+            None,
+        ) => (
+            Verdict::Stored,
+            Some(Record::Take(*digest, by.clone(), *expires)),
+        ),
+        (Op::Record { by, .. } | Op::Release { by, .. }, Some(held)) if held.by != *by => {
+            (Verdict::Held(held.state), None)
+        }
+        (Op::Record { digest, state, .. }, Some(_)) => {
+            (Verdict::Stored, Some(Record::State(*digest, *state)))
+        }
+        (Op::Release { digest, .. }, Some(_)) => (Verdict::Stored, Some(Record::Free(*digest))),
+    }
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> String {
+    serde_json::to_string(value).expect("claims have text keys")
+}
--- a/lentilcart_state/src/claim/mod.rs
+++ b/lentilcart_state/src/claim/mod.rs
@@ -1,7 +1,8 @@
-//! Claims of idempotency keys, kept in sharded values of the platform's service.
+//! Claims of idempotency keys, kept in a log of the platform's service.
 
+mod bucket;
+mod log;
 mod op;
-mod shard;
 
+pub use self::log::ClaimLog;
 pub use self::op::{Claim, ClaimState, Digest, Op, Verdict};
-pub use self::shard::ClaimShard;
--- a/lentilcart_state/src/claim/op.rs
+++ b/lentilcart_state/src/claim/op.rs
@@ -1,26 +1,19 @@
 use lentilcart_util::{Name, common};
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 use xxhash_rust::xxh3::xxh3_128;
 
-common! { value,
-    /// 128-bit digest of a service and an idempotency key.
-    pub struct Digest(pub u128);
-}
+/// 128-bit digest of an idempotency key.
+#[serde_as]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Digest(#[serde_as(as = "serde_with::hex::Hex")] pub [u8; 16]);
 
 impl Digest {
-    /// Digests a key of a service.
-    #[must_use]
-    pub fn of(service: &str, key: &str) -> Self {
-        Self(xxh3_128(format!("{service}\0{key}").as_bytes()))
-    }
-
-    /// Returns the shard that holds the digest.
+    /// Digests a key.
     #[must_use]
-    pub fn get_shard(self, shards: u32) -> u32 {
-        (self.0 % u128::from(shards)) as u32
-    }
-
-    pub(crate) fn to_text(self) -> Name {
-        format!("{:032x}", self.0).into()
+    pub fn of(key: &str) -> Self {
+        Self(xxh3_128(key.as_bytes()).to_be_bytes())
     }
 }
 
@@ -62,9 +55,11 @@
     }
 }
 
-/// A change that an entry wants of a shard.
+/// A change that an entry wants of the claims.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Op {
+    /// Changes nothing; brings what is known up to date.
+    Read,
     /// Claims a key that nobody holds.
     Take {
         /// Digest of the key.
@@ -92,6 +87,32 @@
     },
 }
 
+impl Op {
+    /// Returns what must be stored later where it is not known whether this was: a claim whose
+    /// request was refused is given back.
+    pub(crate) fn get_repeat(&self) -> Option<Self> {
+        match self {
+            Self::Read => None,
+            Self::Take { digest, by, .. } => {
+                let (digest, by) = (*digest, by.clone());
+                Some(Self::Release { digest, by })
+            }
+            Self::Record { .. } | Self::Release { .. } => Some(self.clone()),
+        }
+    }
+
+    /// Returns the digest that it is about.
+    #[must_use]
+    pub fn get_digest(&self) -> Option<Digest> {
+        match self {
+            Self::Read => None,
+            Self::Take { digest, .. }
+            | Self::Record { digest, .. }
+            | Self::Release { digest, .. } => Some(*digest),
+        }
+    }
+}
+
 /// What became of an [`Op`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
--- a/lentilcart_state/src/lib.rs
+++ b/lentilcart_state/src/lib.rs
@@ -16,7 +16,7 @@
     Accepted, Compact, Conflict, Follow, HEAD, Head, InForce, Next, Numbered, Submit, Touched,
     diff, number_key, ticket_key,
 };
-pub use self::claim::{Claim, ClaimShard, ClaimState, Digest, Op, Verdict};
+pub use self::claim::{Claim, ClaimLog, ClaimState, Digest, Op, Verdict};
 pub use self::error::{Fault, StateError, TicketError};
 pub use self::member::{Member, Members, rendezvous};
 pub use self::parse::parse;
--- a/lentilcart_state/src/parse/ticket.rs
+++ b/lentilcart_state/src/parse/ticket.rs
@@ -9,7 +9,7 @@
 
 const DEFAULT_DEADLINE: Micros = Micros::from_millis(1000);
 const DEFAULT_RAMP: Micros = Micros::from_millis(2000);
-const DEFAULT_KEEP: Micros = Micros::from_millis(24 * 3600 * 1000);
+const DEFAULT_KEEP: Micros = Micros::from_millis(600_000);
 const DEFAULT_WAIT: f64 = 0.5;
 const CLASSES: [(&str, Class); 2] = [("idempotent", Class::Idempotent), ("once", Class::Once)];
 
--- /dev/null
+++ b/lentilcart_state/tests/testsuite/claims.rs
@@ -0,0 +1,261 @@
+use std::collections::BTreeMap;
+
+use lentilcart_state::{Ask, ClaimLog, ClaimState, Digest, Next, Op, Reply, Verdict};
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+use crate::store::{Fate, Store, any_fate};
+
+const ENTRIES: usize = 3;
+const KEYS: usize = 4;
+const NEVER: u64 = u64::MAX;
+const NOW: u64 = 1000;
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// An entry is asked for a key.
+    Take(usize, usize),
+    /// An entry ends a request that it holds the key of.
+    End(usize, bool),
+    /// An entry's next call to the store goes one way or another.
+    Call(usize, Fate),
+    /// An entry forgets everything: its host was replaced.
+    Replace(usize),
+    /// A late call takes effect.
+    Land,
+}
+
+#[derive(Debug, Clone)]
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        prop_oneof![
+            4 => (0..ENTRIES, 0..KEYS).prop_map(|(entry, key)| Step::Take(entry, key)),
+            2 => (0..ENTRIES, any::<bool>()).prop_map(|(entry, ran)| Step::End(entry, ran)),
+            12 => (0..ENTRIES, any_fate()).prop_map(|(entry, fate)| Step::Call(entry, fate)),
+            1 => (0..ENTRIES).prop_map(Step::Replace),
+            2 => Just(Step::Land),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+struct Entry {
+    log: ClaimLog,
+    ask: Option<Ask>,
+    waiting: BTreeMap<u64, (usize, String)>,
+    held: Vec<(usize, String)>,
+}
+
+struct Claims {
+    store: Store,
+    entries: Vec<Entry>,
+    attempts: usize,
+    /// Attempts that may have run, by key.
+    granted: BTreeMap<usize, Vec<String>>,
+}
+
+impl Entry {
+    fn new() -> Self {
+        Self {
+            log: ClaimLog::new("claim/test".into()).with_bucket(3),
+            ask: None,
+            waiting: BTreeMap::new(),
+            held: Vec::new(),
+        }
+    }
+}
+
+fn digest(key: usize) -> Digest {
+    Digest::of(&key.to_string())
+}
+
+impl Claims {
+    fn call(&mut self, number: usize, fate: Fate) {
+        let entry = &mut self.entries[number];
+        let Some(ask) = entry.ask.take().or_else(|| entry.log.start(NOW)) else {
+            return;
+        };
+        let reply: Reply = self.store.call(ask, fate);
+        match entry.log.step(reply, NOW) {
+            Next::Ask(next) => entry.ask = Some(next),
+            Next::Wait(_) => unreachable!("a log never waits"),
+            Next::Done(verdicts) => {
+                for (serial, verdict) in verdicts {
+                    let Some((key, by)) = entry.waiting.remove(&serial) else {
+                        continue;
+                    };
+                    if verdict == Verdict::Stored {
+                        entry.held.push((key, by.clone()));
+                        self.granted.entry(key).or_default().push(by);
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl StateMachineTest for Claims {
+    type SystemUnderTest = Self;
+    type Reference = Steps;
+
+    fn init_test((): &()) -> Self {
+        Self {
+            store: Store::default(),
+            entries: (0..ENTRIES).map(|_| Entry::new()).collect(),
+            attempts: 0,
+            granted: BTreeMap::new(),
+        }
+    }
+
+    fn apply(mut state: Self, (): &(), step: Step) -> Self {
+        match step {
+            Step::Take(number, key) => {
+                state.attempts += 1;
+                let by = format!("{number}.{}", state.attempts);
+                let entry = &mut state.entries[number];
+                let op = Op::Take {
+                    digest: digest(key),
+                    by: by.clone().into(),
+                    expires: NEVER,
+                };
+                let serial = entry.log.push(op);
+                entry.waiting.insert(serial, (key, by));
+            }
+            Step::End(number, ran) => {
+                let entry = &mut state.entries[number];
+                let Some((key, by)) = entry.held.pop() else {
+                    return state;
+                };
+                let (digest, holder) = (digest(key), by.clone().into());
+                if ran {
+                    let done = ClaimState::Done;
+                    entry.log.push(Op::Record {
+                        digest,
+                        by: holder,
+                        state: done,
+                    });
+                } else {
+                    // Not run: whoever asks next may run it.
+                    entry.log.push(Op::Release { digest, by: holder });
+                    state
+                        .granted
+                        .entry(key)
+                        .or_default()
+                        .retain(|other| *other != by);
+                }
+            }
+            Step::Call(number, fate) => state.call(number, fate),
+            Step::Replace(number) => state.entries[number] = Entry::new(),
+            Step::Land => state.store.land(),
+        }
+        state
+    }
+
+    fn check_invariants(state: &Self, (): &()) {
+        for (key, attempts) in &state.granted {
+            assert!(attempts.len() <= 1, "key {key} was granted to {attempts:?}");
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..Default::default() })]
+    #[test]
+    fn claim_granted_once(sequential 1..120 => Claims);
+}
+
+/// Runs an entry's calls until it needs none.
+fn settle(log: &mut ClaimLog, store: &mut Store, now: u64) -> Vec<(u64, Verdict)> {
+    let mut verdicts = Vec::new();
+    while let Some(mut ask) = log.start(now) {
+        loop {
+            match log.step(store.call(ask, Fate::Answered), now) {
+                Next::Ask(next) => ask = next,
+                Next::Wait(_) => unreachable!("a log never waits"),
+                Next::Done(done) => break verdicts.extend(done),
+            }
+        }
+    }
+    verdicts
+}
+
+fn take(key: usize, by: &str, expires: u64) -> Op {
+    Op::Take {
+        digest: digest(key),
+        by: by.into(),
+        expires,
+    }
+}
+
+#[test]
+fn claim_second_caller_told() {
+    let mut store = Store::default();
+    let mut first = ClaimLog::new("claim/test".into());
+    let mut second = ClaimLog::new("claim/test".into());
+    first.push(take(1, "a", NEVER));
+    assert_eq!(settle(&mut first, &mut store, NOW), [(1, Verdict::Stored)]);
+    second.push(take(1, "b", NEVER));
+    let running = Verdict::Held(ClaimState::Running);
+    assert_eq!(settle(&mut second, &mut store, NOW), [(1, running)]);
+    first.push(Op::Record {
+        digest: digest(1),
+        by: "a".into(),
+        state: ClaimState::Done,
+    });
+    settle(&mut first, &mut store, NOW);
+    second.push(take(1, "c", NEVER));
+    second.push(Op::Read);
+    let done = Verdict::Held(ClaimState::Done);
+    assert_eq!(settle(&mut second, &mut store, NOW)[0], (2, done));
+}
+
+#[test]
+fn claim_expired_is_free() {
+    let mut store = Store::default();
+    let mut log = ClaimLog::new("claim/test".into()).with_bucket(2);
+    for key in 0..5 {
+        log.push(take(key, "a", NOW + 10));
+    }
+    settle(&mut log, &mut store, NOW);
+    let mut other = ClaimLog::new("claim/test".into()).with_bucket(2);
+    other.push(take(3, "b", NEVER));
+    let running = Verdict::Held(ClaimState::Running);
+    assert_eq!(settle(&mut other, &mut store, NOW + 9), [(1, running)]);
+    other.push(take(3, "b", NEVER));
+    assert_eq!(
+        settle(&mut other, &mut store, NOW + 10),
+        [(2, Verdict::Stored)]
+    );
+}
+
+#[test]
+fn claim_lost_answer_recognised() {
+    let mut store = Store::default();
+    let mut log = ClaimLog::new("claim/test".into());
+    log.push(take(1, "a", NEVER));
+    let mut ask = log.start(NOW).unwrap();
+    for _ in 0..2 {
+        let Next::Ask(next) = log.step(store.call(ask, Fate::Answered), NOW) else {
+            panic!()
+        };
+        ask = next;
+    }
+    let Next::Ask(read) = log.step(store.call(ask, Fate::AnswerLost), NOW) else {
+        panic!()
+    };
+    let Next::Done(verdicts) = log.step(store.call(read, Fate::Answered), NOW) else {
+        panic!()
+    };
+    assert_eq!(verdicts, [(1, Verdict::Stored)]);
+}
--- /dev/null
+++ b/lentilcart_state/tests/testsuite/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the state protocols.
+
+mod claims;
+mod members;
+mod parse;
+mod store;
+mod submit;
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -1,34 +1,35 @@
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use lentilcart_state::{ClaimShard, ClaimState, Digest, Next, Op, Verdict};
+use lentilcart_state::{Ask, ClaimLog, ClaimState, Digest, Next, Op, Verdict};
 use lentilcart_util::{Map, Name};
 use tokio::sync::oneshot;
 
+use super::control::Backoff;
 use super::entry::Entry;
 use crate::util::unix_millis;
 
-const SHARDS: u32 = 4;
-
-/// Claims of idempotency keys: collects the changes of a shard and writes them together.
+/// Claims of idempotency keys: collects the changes of a service's log and writes them together.
 #[derive(Debug)]
 pub(crate) struct Claims {
     every: Duration,
-    shards: Mutex<Map<Name, Arc<Mutex<Desk>>>>,
+    logs: Mutex<Map<Name, Arc<Mutex<Desk>>>>,
 }
 
 #[derive(Debug)]
 struct Desk {
-    shard: ClaimShard,
+    log: ClaimLog,
     busy: bool,
-    waiting: Map<u64, oneshot::Sender<Verdict>>,
+    waiting: Map<u64, (oneshot::Sender<Verdict>, Op)>,
+    /// End of the pause after the platform did not answer.
+    down_until: Option<Instant>,
 }
 
 /// A claim that this entry holds. One that is dropped before its end is recorded as unknown.
 #[derive(Debug)]
 pub(crate) struct Held {
     entry: Arc<Entry>,
-    shard: Name,
+    key: Name,
     digest: Digest,
     by: Name,
     ended: bool,
@@ -38,18 +39,19 @@
     pub(crate) fn new(every: Duration) -> Self {
         Self {
             every,
-            shards: Mutex::default(),
+            logs: Mutex::default(),
         }
     }
 
     fn desk(&self, key: &Name) -> Arc<Mutex<Desk>> {
-        let mut shards = self.shards.lock().expect("no panic under lock");
-        let desk = shards.entry(key.clone()).or_insert_with(|| {
-            let shard = ClaimShard::new(key.clone());
+        let mut logs = self.logs.lock().expect("no panic under lock");
+        let desk = logs.entry(key.clone()).or_insert_with(|| {
+            let log = ClaimLog::new(key.clone());
             Arc::new(Mutex::new(Desk {
-                shard,
+                log,
                 busy: false,
                 waiting: Map::default(),
+                down_until: None,
             }))
         });
         desk.clone()
@@ -64,8 +66,8 @@
         key: &str,
         keep: Duration,
     ) -> Result<Self, Verdict> {
-        let digest = Digest::of(service, key);
-        let shard: Name = format!("claim/{service}/{}", digest.get_shard(SHARDS)).into();
+        let digest = Digest::of(key);
+        let log = key_of(service);
         let by = entry.next_attempt();
         let expires = unix_millis() + keep.as_millis() as u64;
         let op = Op::Take {
@@ -73,10 +75,10 @@
             by: by.clone(),
             expires,
         };
-        match change(entry, &shard, op).await {
+        match change(entry, &log, op).await {
             Verdict::Stored => Ok(Self {
                 entry: entry.clone(),
-                shard,
+                key: log,
                 digest,
                 by,
                 ended: false,
@@ -92,7 +94,7 @@
             digest: self.digest,
             by: self.by.clone(),
         };
-        change(&self.entry, &self.shard, op).await;
+        change(&self.entry, &self.key, op).await;
     }
 
     /// Records what became of the request, without waiting for it.
@@ -102,14 +104,14 @@
 
     fn spawn_record(&mut self, state: ClaimState) {
         self.ended = true;
-        let (entry, shard) = (self.entry.clone(), self.shard.clone());
+        let (entry, key) = (self.entry.clone(), self.key.clone());
         let op = Op::Record {
             digest: self.digest,
             by: self.by.clone(),
             state,
         };
         let tasks = entry.tasks.clone();
-        tasks.spawn(async move { change(&entry, &shard, op).await });
+        tasks.spawn(async move { change(&entry, &key, op).await });
     }
 }
 
@@ -121,14 +123,29 @@
     }
 }
 
+fn key_of(service: &str) -> Name {
+    format!("claim/{service}").into()
+}
+
+/// Brings what this entry knows of a service's claims up to date, so that it can take over.
+pub(crate) async fn read_claims(entry: &Arc<Entry>, service: &str) {
+    change(entry, &key_of(service), Op::Read).await;
+}
+
 /// Waits until a change is stored, refused, or lost.
 async fn change(entry: &Arc<Entry>, key: &Name, op: Op) -> Verdict {
     let desk = entry.claims.desk(key);
     let (sender, verdict) = oneshot::channel();
     let is_first = {
         let mut desk = desk.lock().expect("no panic under lock");
-        let serial = desk.shard.push(op);
-        desk.waiting.insert(serial, sender);
+        match (&op, desk.down_until) {
+            (Op::Take { .. }, Some(until)) if Instant::now() < until => {
+                return Verdict::Unavailable;
+            }
+            _ => {}
+        }
+        let serial = desk.log.push(op.clone());
+        desk.waiting.insert(serial, (sender, op));
         !std::mem::replace(&mut desk.busy, true)
     };
     if is_first {
@@ -139,37 +156,59 @@
     verdict.await.unwrap_or(Verdict::Unavailable)
 }
 
-/// Writes a shard's changes, batch after batch, until none is left.
-async fn write_all(entry: &Arc<Entry>, desk: &Mutex<Desk>) {
+/// Writes a log's changes, batch after batch, until none is left.
+async fn write_all(entry: &Entry, desk: &Mutex<Desk>) {
+    let mut backoff = Backoff::default();
     loop {
         let pause = tokio::time::sleep(entry.claims.every);
-        let first = desk
-            .lock()
-            .expect("no panic under lock")
-            .shard
-            .start(unix_millis());
-        let Some(mut ask) = first else {
-            let mut desk = desk.lock().expect("no panic under lock");
-            if desk.shard.is_idle() && !desk.shard.is_pending() {
-                desk.busy = false;
-                return;
-            }
-            continue;
+        let Some(mut ask) = desk.lock().expect("no panic under lock").begin() else {
+            return;
         };
-        loop {
+        let is_answered = loop {
             let reply = (entry.platform.ask)(ask).await;
             let mut desk = desk.lock().expect("no panic under lock");
-            match desk.shard.step(reply, unix_millis()) {
+            match desk.log.step(reply, unix_millis()) {
                 Next::Ask(next) => ask = next,
-                Next::Wait(_) => unreachable!("a shard never waits"),
-                Next::Done(verdicts) => {
-                    for (serial, verdict) in verdicts {
-                        desk.waiting.remove(&serial).map(|s| s.send(verdict).ok());
-                    }
-                    break;
+                Next::Wait(_) => unreachable!("a log never waits"),
+                Next::Done(verdicts) => break desk.tell(verdicts),
+            }
+        };
+        if is_answered {
+            backoff = Backoff::default();
+            pause.await;
+        } else {
+            let length = backoff.next();
+            desk.lock().expect("no panic under lock").down_until = Some(Instant::now() + length);
+            tokio::time::sleep(length).await;
+        }
+    }
+}
+
+impl Desk {
+    /// Returns the first request of the next batch; without one the writer ends.
+    fn begin(&mut self) -> Option<Ask> {
+        let ask = self.log.start(unix_millis());
+        self.busy = ask.is_some();
+        ask
+    }
+
+    /// Passes verdicts on; a claim whose request has given up is given back. Returns whether the
+    /// platform answered.
+    fn tell(&mut self, verdicts: Vec<(u64, Verdict)>) -> bool {
+        let mut is_answered = true;
+        for (serial, verdict) in verdicts {
+            is_answered &= verdict != Verdict::Unavailable;
+            let Some((sender, op)) = self.waiting.remove(&serial) else {
+                continue;
+            };
+            let is_told = sender.send(verdict).is_ok();
+            match op {
+                Op::Take { digest, by, .. } if !is_told && verdict == Verdict::Stored => {
+                    self.log.push(Op::Release { digest, by });
                 }
+                _ => {}
             }
         }
-        pause.await;
+        is_answered
     }
 }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -14,10 +14,16 @@
 
 /// Grows after each failure and is drawn at random below its bound, so that the entries do not
 /// return to the platform all at once.
-struct Backoff(Duration);
+pub(crate) struct Backoff(Duration);
+
+impl Default for Backoff {
+    fn default() -> Self {
+        Self(FIRST_BACKOFF)
+    }
+}
 
 impl Backoff {
-    fn next(&mut self) -> Duration {
+    pub(crate) fn next(&mut self) -> Duration {
         let bound = self.0;
         self.0 = MAX_BACKOFF.min(bound * 2);
         bound.mul_f64(rand::rng().random_range(0.5..1.0))
@@ -46,12 +52,12 @@
 /// Watches the head of the tickets while this entry is one of the watchers.
 pub(crate) async fn watch_head(entry: Arc<Entry>) {
     let mut version = 0;
-    let mut backoff = Backoff(FIRST_BACKOFF);
+    let mut backoff = Backoff::default();
     while !entry.stop.is_cancelled() {
         let pause = match entry.is_watcher() {
             false => IDLE_PAUSE,
             true if watch_head_once(&entry, &mut version).await => {
-                backoff = Backoff(FIRST_BACKOFF);
+                backoff = Backoff::default();
                 Duration::ZERO
             }
             true => backoff.next(),
@@ -83,7 +89,7 @@
 /// Watches the host list while this entry is one of the watchers.
 pub(crate) async fn watch_hosts(entry: Arc<Entry>) {
     let mut version = 0;
-    let mut backoff = Backoff(FIRST_BACKOFF);
+    let mut backoff = Backoff::default();
     while !entry.stop.is_cancelled() {
         if version > 0 && !entry.is_watcher() {
             rest(&entry, IDLE_PAUSE).await;
@@ -94,7 +100,7 @@
             Watched::Same => Duration::ZERO,
             Watched::Changed(list) => {
                 version = list.version;
-                backoff = Backoff(FIRST_BACKOFF);
+                backoff = Backoff::default();
                 entry.take_hosts(&list);
                 Duration::ZERO
             }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -167,11 +167,16 @@
     match key {
         Some(key) if call.is_once() => {
             let keep = call.service.keep.into();
-            let held = Held::take(entry, &call.service.name, &key, keep).await;
-            let held = held.map_err(|verdict| match verdict {
-                Verdict::Held(state) => Failure::Claimed(state),
-                Verdict::Stored | Verdict::Unavailable => Failure::NoClaim,
-            })?;
+            let deadline = tokio::time::Instant::from_std(entry.clock.at(call.deadline));
+            let taken = Held::take(entry, &call.service.name, &key, keep);
+            let taken = tokio::time::timeout_at(deadline, taken).await;
+            let held =
+                taken
+                    .unwrap_or(Err(Verdict::Unavailable))
+                    .map_err(|verdict| match verdict {
+                        Verdict::Held(state) => Failure::Claimed(state),
+                        Verdict::Stored | Verdict::Unavailable => Failure::NoClaim,
+                    })?;
             let result = dispatch(entry, &desk, &mut call).await;
             settle(held, result).await
         }
--- a/src/entry/tick.rs
+++ b/src/entry/tick.rs
@@ -5,7 +5,9 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use lentilcart_route::Share;
+use lentilcart_state::Class;
 
+use super::claims::read_claims;
 use super::control::follow;
 use super::desk::Desk;
 use super::entry::Entry;
@@ -15,6 +17,8 @@
 const TICK: Duration = Duration::from_millis(5);
 const PAUSE: Duration = Duration::from_millis(500);
 const UPKEEP_EVERY: u64 = 1000;
+const CLAIMS_EVERY: u64 = 1000;
+const CLAIM_READERS: usize = 2;
 const SHARE_EVERY: u64 = 20;
 const PROBE_PATIENCE: Duration = Duration::from_millis(500);
 const HEADER_BYTES: f64 = 200.0;
@@ -45,6 +49,9 @@
             }
             probe(&entry, desk);
         }
+        if count.is_multiple_of(CLAIMS_EVERY) {
+            read_all_claims(&entry);
+        }
     }
 }
 
@@ -62,6 +69,24 @@
     });
 }
 
+/// Keeps the claims known at the entries that are next to dispatch for a service, so that one of
+/// them can take over at once.
+fn read_all_claims(entry: &Arc<Entry>) {
+    let view = entry.get_view();
+    let services = view.state.services.values().map(|(_, service)| service);
+    let keyed = services.filter(|s| s.routes.iter().any(|r| r.class == Class::Once));
+    for service in keyed {
+        let next = entry
+            .members()
+            .get_homes(&service.name, CLAIM_READERS, entry.clock.now());
+        if next.contains(&entry.settings.name) {
+            let (entry, name) = (entry.clone(), service.name.clone());
+            let tasks = entry.tasks.clone();
+            tasks.spawn(async move { read_claims(&entry, &name).await });
+        }
+    }
+}
+
 /// Tells a pool this entry's place among the live entries.
 fn share(entry: &Entry, desk: &Desk) {
     let place = {
--- a/src/settings/options.rs
+++ b/src/settings/options.rs
@@ -93,7 +93,7 @@
     opt(
         "claim-every",
         Some("10ms"),
-        "shortest time between two writes of a claim shard",
+        "shortest time between two writes of a service's claims",
     ),
 ];
 
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -49,7 +49,7 @@
     pub body_bytes: u64,
     /// Connections of callers open at once.
     pub connections: usize,
-    /// Shortest time between two writes of a claim shard.
+    /// Shortest time between two writes of a service's claims.
     pub claim_every: Duration,
 }
 
