feat(bench): latency of callers at entries that no event concerns

Cause: in freeze the p99 over all callers is the pause itself, since 1.2% of them wait at the paused entry until the balancer notices. Change: a second figure leaves out callers of the entries that an event concerns.

--- a/lentilcart_bench/src/scenario/action.rs
+++ b/lentilcart_bench/src/scenario/action.rs
@@ -34,6 +34,18 @@
 }
 
 impl Action {
+    /// Returns the entry that the action concerns.
+    #[must_use]
+    pub fn get_entry(self) -> Option<usize> {
+        match self {
+            Self::KillEntry(entry)
+            | Self::StopEntry(entry)
+            | Self::PauseEntry(entry)
+            | Self::ResumeEntry(entry) => Some(entry),
+            _ => None,
+        }
+    }
+
     /// Carries the action out.
     pub async fn run(self, cluster: &mut Cluster, mode: &Mode) {
         let last = cluster.layout.get_servers(0).pop();
--- a/lentilcart_bench/src/scenario/experiment.rs
+++ b/lentilcart_bench/src/scenario/experiment.rs
@@ -92,6 +92,10 @@
     pub cpu_share: f64,
     /// Memory of the largest daemon.
     pub rss_mb: f64,
+    /// 99th percentile of short requests whose callers came to entries that no event concerns.
+    pub others_short_p99_ms: f64,
+    /// 99.9th percentile of the same.
+    pub others_short_p999_ms: f64,
     /// Answers within the deadline to requests of the crest, as a share of the capacity then.
     pub crest_share: Option<f64>,
     /// 99th percentile of the short requests that arrive later than 1 s after the crest.
@@ -365,6 +369,8 @@
             .map(|(_, latency)| *latency)
             .collect();
         bound_short.sort_unstable();
+        let is_other = |shot: &Shot| !shot.straggler && !scenario.is_concerned(shot.entry);
+        let others = latencies(pairs.iter().filter(measured), is_other);
         let count = |ending| {
             pairs
                 .iter()
@@ -411,6 +417,8 @@
             control_bytes_per_s: round(used.control),
             cpu_share: round(used.cpu),
             rss_mb: round(used.memory as f64 / 1e6),
+            others_short_p99_ms: quantile(&others, 0.99),
+            others_short_p999_ms: quantile(&others, 0.999),
             crest_share: crest_share(scenario, service, &pairs),
             after_crest_p99_ms: after_crest(scenario, &pairs),
             swaps_per_1000: round(used.swaps as f64 * 1000.0 / once),
--- a/lentilcart_bench/src/scenario/scenarios.rs
+++ b/lentilcart_bench/src/scenario/scenarios.rs
@@ -126,6 +126,15 @@
     ),
 ];
 
+impl Scenario {
+    /// Returns whether an event concerns an entry.
+    #[must_use]
+    pub fn is_concerned(&self, entry: usize) -> bool {
+        let mut actions = self.events.iter().map(|(_, action)| action);
+        actions.any(|action| action.get_entry() == Some(entry))
+    }
+}
+
 /// Returns the scenario of a name.
 #[must_use]
 pub fn get_scenario(name: &str) -> Option<Scenario> {
