feat(bench): events concern the home of the first service

Cause: freeze and entry-lost hit entries that were no home of the catalogue, so they showed nothing of a lost home. Change: events name entries by rank, rank 0 being the home.

--- a/lentilcart_bench/src/cluster/cluster.rs
+++ b/lentilcart_bench/src/cluster/cluster.rs
@@ -7,8 +7,9 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use lentilcart::platform::{Host, Role};
+use lentilcart::state::rendezvous;
 use lentilcart::{Dialer, full};
-use lentilcart_util::Micros;
+use lentilcart_util::{Micros, Name};
 use serde::de::DeserializeOwned;
 use tokio::task::JoinSet;
 
@@ -127,6 +128,19 @@
         format!("entry-{}", number + 1)
     }
 
+    /// Returns the entry of a rank among those that dispatch for the first service; rank 0 is its
+    /// home.
+    #[must_use]
+    pub fn get_ranked(&self, rank: usize) -> usize {
+        let names: Vec<Name> = (0..self.entries).map(|n| self.get_name(n).into()).collect();
+        let ranked = rendezvous(self.firm.services[0].name, names.iter(), self.entries);
+        let name = ranked.get(rank).copied();
+        names
+            .iter()
+            .position(|other| Some(other) == name)
+            .unwrap_or(rank)
+    }
+
     /// Returns the addresses of a service's servers.
     #[must_use]
     pub fn get_servers(&self, service: usize) -> Vec<SocketAddr> {
--- a/lentilcart_bench/src/scenario/action.rs
+++ b/lentilcart_bench/src/scenario/action.rs
@@ -17,15 +17,15 @@
     DrainServer,
     /// The last server of the first service was restarted and is cold.
     ColdServer,
-    /// An entry is killed.
+    /// The entry of a rank is killed; rank 0 is the home of the first service.
     KillEntry(usize),
-    /// An entry is told to stop.
+    /// The entry of a rank is told to stop.
     StopEntry(usize),
-    /// An entry is paused.
+    /// The entry of a rank is paused.
     PauseEntry(usize),
-    /// An entry runs on.
+    /// The entry of a rank runs on.
     ResumeEntry(usize),
-    /// The link from an entry to another one is cut.
+    /// The link from the entry of a rank to that of another one is cut.
     CutLink(usize, usize),
     /// The platform answers nobody.
     PlatformDown,
@@ -34,9 +34,9 @@
 }
 
 impl Action {
-    /// Returns the entry that the action concerns.
+    /// Returns the rank of the entry that the action concerns.
     #[must_use]
-    pub fn get_entry(self) -> Option<usize> {
+    pub fn get_rank(self) -> Option<usize> {
         match self {
             Self::KillEntry(entry)
             | Self::StopEntry(entry)
@@ -49,6 +49,7 @@
     /// Carries the action out.
     pub async fn run(self, cluster: &mut Cluster, mode: &Mode) {
         let last = cluster.layout.get_servers(0).pop();
+        let ranked = |rank| cluster.layout.get_ranked(rank);
         match (self, last) {
             (Self::KillServer, _) => {
                 if let Some(process) = cluster.servers.last_mut() {
@@ -89,13 +90,13 @@
                     )
                     .await;
             }
-            (Self::KillEntry(number), _) => cluster.kill(number),
-            (Self::StopEntry(number), _) => cluster.signal(number, "TERM"),
-            (Self::PauseEntry(number), _) => cluster.signal(number, "STOP"),
-            (Self::ResumeEntry(number), _) => cluster.signal(number, "CONT"),
+            (Self::KillEntry(rank), _) => cluster.kill(cluster.layout.get_ranked(rank)),
+            (Self::StopEntry(rank), _) => cluster.signal(ranked(rank), "TERM"),
+            (Self::PauseEntry(rank), _) => cluster.signal(ranked(rank), "STOP"),
+            (Self::ResumeEntry(rank), _) => cluster.signal(ranked(rank), "CONT"),
             (Self::CutLink(from, to), _) => {
-                let source: IpAddr = cluster.layout.get_entry(from).ip();
-                cluster.relays[to].set_link(source, crate::relay::Link::Cut);
+                let source: IpAddr = cluster.layout.get_entry(ranked(from)).ip();
+                cluster.relays[ranked(to)].set_link(source, crate::relay::Link::Cut);
             }
             (Self::PlatformDown, _) => cluster.stub.change_faults(|faults| faults.outage = true),
             (Self::PlatformUp, _) => cluster.stub.change_faults(|faults| faults.outage = false),
--- a/lentilcart_bench/src/scenario/experiment.rs
+++ b/lentilcart_bench/src/scenario/experiment.rs
@@ -369,7 +369,8 @@
             .map(|(_, latency)| *latency)
             .collect();
         bound_short.sort_unstable();
-        let is_other = |shot: &Shot| !shot.straggler && !scenario.is_concerned(shot.entry);
+        let is_other =
+            |shot: &Shot| !shot.straggler && !scenario.is_concerned(&cluster.layout, shot.entry);
         let others = latencies(pairs.iter().filter(measured), is_other);
         let count = |ending| {
             pairs
--- a/lentilcart_bench/src/scenario/scenarios.rs
+++ b/lentilcart_bench/src/scenario/scenarios.rs
@@ -1,6 +1,7 @@
 use lentilcart_util::Micros;
 
 use super::action::Action;
+use crate::cluster::Layout;
 use crate::load::Profile;
 
 /// A run of the bench.
@@ -129,9 +130,9 @@
 impl Scenario {
     /// Returns whether an event concerns an entry.
     #[must_use]
-    pub fn is_concerned(&self, entry: usize) -> bool {
+    pub fn is_concerned(&self, layout: &Layout, entry: usize) -> bool {
         let mut actions = self.events.iter().map(|(_, action)| action);
-        actions.any(|action| action.get_entry() == Some(entry))
+        actions.any(|action| action.get_rank().map(|rank| layout.get_ranked(rank)) == Some(entry))
     }
 }
 
