feat: homes grant servers instead of holding requests

Ruled out: sending a once request elsewhere when its home is silent, since the paused home may still run it. Change: an entry asks the home for a server over the peer link and sends the request itself; the ask carries the claim. A home that is lost before it grants has run nothing, so the entry asks the next one. Forwarding stays for services with fewer connections than slots.

--- a/lentilcart_route/src/pool/job.rs
+++ b/lentilcart_route/src/pool/job.rs
@@ -63,8 +63,9 @@
     }
 }
 
-common! { value,
+common! { message,
     /// What became of an attempt.
+    #[derive(Copy, Eq)]
     pub enum Outcome {
         /// The server answered; holds the load that it reported, in requests.
         Answered {
--- a/lentilcart_state/src/ticket/service.rs
+++ b/lentilcart_state/src/ticket/service.rs
@@ -42,6 +42,22 @@
     pub servers: Vec<Server>,
 }
 
+impl Service {
+    /// Returns the connections that one entry may hold to each server.
+    #[must_use]
+    pub fn get_connections(&self) -> u32 {
+        (self.connections / self.load.entries.max(1)).max(1)
+    }
+
+    /// Returns whether every entry may hold a connection for each slot of a server, so that
+    /// requests go straight to the servers.
+    #[must_use]
+    pub fn is_direct(&self) -> bool {
+        let slots = self.servers.iter().map(|server| server.slots).max();
+        self.get_connections() >= slots.unwrap_or_default()
+    }
+}
+
 common! { message,
     /// A change ticket.
     pub struct Ticket {
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,20 +1,23 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use futures::future::{Either, select};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use lentilcart_route::{Job, Outcome};
+use lentilcart_route::Outcome;
 use lentilcart_state::{Class, Route, Service};
 use lentilcart_util::Micros;
 use tokio::time::{Instant, timeout_at};
 
-use super::desk::{Desk, Lease};
 use super::entry::Entry;
 use super::failure::Failure;
+use super::lease::Lease;
 use super::payload::Payload;
+use super::post::Posts;
 use crate::http::{
     ATTEMPT, DEADLINE_MS, End, HttpBody, LEAVING, LOAD, SendError, empty, number_of, set,
 };
+use crate::peer::{Ask, AskKind, ClaimAsk};
 
 const MAX_ATTEMPTS: u32 = 4;
 
@@ -66,14 +69,16 @@
         Some(request)
     }
 
-    fn job(&self, entry: &Entry, tried: &[usize]) -> Job {
-        Job {
-            id: entry.next_serial(),
+    fn ask(&self, now: Micros, kind: AskKind, tried: &[SocketAddr]) -> Ask {
+        Ask {
+            service: self.service.name.clone(),
+            kind,
             priority: self.route.priority,
             once: self.is_once(),
-            arrived: self.arrived,
-            deadline: self.deadline,
+            age: now - self.arrived,
+            left: self.deadline - now,
             tried: tried.to_vec(),
+            claim: None,
         }
     }
 }
@@ -81,84 +86,101 @@
 /// Sends a request to a server of its service, and again where that is allowed.
 pub(crate) async fn dispatch(
     entry: &Arc<Entry>,
-    desk: &Arc<Desk>,
+    posts: &mut Posts,
     call: &mut Call,
+    claim: Option<&ClaimAsk>,
 ) -> Result<Response<HttpBody>, Failure> {
     let deadline = Instant::from_std(entry.clock.at(call.deadline));
     let upstream = number_of(&call.headers, ATTEMPT).unwrap_or(0);
     let mut tried = Vec::new();
-    let mut sent = false;
+    let mut last = Last::None;
     for attempt in 0..MAX_ATTEMPTS {
-        let job = call.job(entry, &tried);
-        let Ok(acquired) = timeout_at(deadline, desk.acquire(job)).await else {
-            return Err(Failure::Deadline(sent));
+        let kind = if attempt == 0 {
+            AskKind::First
+        } else {
+            AskKind::Retry
         };
-        let lease = acquired.map_err(|refusal| {
-            if sent {
-                Failure::Cut("no other server could take it".to_owned())
-            } else {
-                Failure::Refused(refusal)
-            }
-        })?;
-        tried.push(lease.server);
+        let mut ask = call.ask(entry.clock.now(), kind, &tried);
+        ask.claim = claim.filter(|_| attempt == 0).cloned();
+        let Ok(acquired) = timeout_at(deadline, posts.acquire(entry, &ask)).await else {
+            return last.end(Failure::Deadline(false));
+        };
+        let lease = match acquired {
+            Ok(lease) => lease,
+            Err(denial) => return last.end(Failure::Denied(denial)),
+        };
+        tried.push(lease.address);
         let request = call.next_request(upstream + attempt, entry.clock.now());
         let Some(request) = request else {
-            return Err(Failure::NotRun("its body cannot be sent again".to_owned()));
+            return last.end(Failure::NotRun("its body cannot be sent again".to_owned()));
         };
-        let ended = timeout_at(deadline, run(entry, desk, call, lease, request, &tried)).await;
+        let ended = timeout_at(deadline, run(entry, posts, call, lease, request, &tried)).await;
         let Ok(ended) = ended else {
             return Err(Failure::Deadline(true));
         };
-        // A request that is itself a retry is not multiplied by retries of this layer.
-        let last = attempt + 1 == MAX_ATTEMPTS || upstream > 0;
-        let may_retry = |call: &Call| !last && (call.payload.is_kept() || !call.is_once());
-        match ended {
+        last = match ended {
             Tried::Answer(answer) => return Ok(answer),
-            Tried::Failure(answer) => {
-                sent = true;
-                if !may_retry(call) || !call.payload.is_kept() || !retry(desk) {
-                    return Ok(answer);
-                }
-            }
+            Tried::Failure(answer) if call.is_once() => return Ok(answer),
+            Tried::Failure(answer) => Last::Answer(answer),
+            Tried::Cut(reason) => Last::Cut(reason),
             Tried::NotRun(reason, unsent) => {
                 if let Some(unsent) = unsent {
                     call.payload.put_back(unsent);
                 }
-                match (last || !retry(desk), sent) {
-                    (true, true) => return Err(Failure::Cut(reason)),
-                    (true, false) => return Err(Failure::NotRun(reason)),
-                    (false, _) => {}
-                }
-            }
-            Tried::Cut(reason) => {
-                sent = true;
-                if call.is_once() || !call.payload.is_kept() || last || !retry(desk) {
-                    return Err(Failure::Cut(reason));
-                }
+                last.or(Last::NotRun(reason))
             }
+        };
+        let may_run_again = match last {
+            Last::NotRun(_) => true,
+            _ => !call.is_once() && call.payload.is_kept(),
+        };
+        // A request that is itself a retry is not multiplied by retries of this layer.
+        if upstream > 0 || !may_run_again {
+            break;
         }
     }
-    Err(Failure::NotRun("every attempt failed".to_owned()))
+    last.end(Failure::NotRun("every attempt failed".to_owned()))
 }
 
-fn retry(desk: &Desk) -> bool {
-    desk.with(|pool, _| pool.retry())
+/// What the attempts so far have come to.
+enum Last {
+    None,
+    NotRun(String),
+    Cut(String),
+    Answer(Response<HttpBody>),
+}
+
+impl Last {
+    /// Keeps what an earlier attempt may have run over one that did not run.
+    fn or(self, next: Self) -> Self {
+        match self {
+            Self::None | Self::NotRun(_) => next,
+            earlier => earlier,
+        }
+    }
+
+    /// Returns what the caller gets where no further attempt is made; `failure` says why.
+    fn end(self, failure: Failure) -> Result<Response<HttpBody>, Failure> {
+        match self {
+            Self::None => Err(failure),
+            Self::NotRun(reason) => Err(Failure::NotRun(reason)),
+            Self::Cut(reason) => Err(Failure::Cut(reason)),
+            Self::Answer(answer) => Ok(answer),
+        }
+    }
 }
 
 /// Runs an attempt, and a hedge of it where the class and the budget allow one.
 async fn run(
     entry: &Arc<Entry>,
-    desk: &Arc<Desk>,
+    posts: &Posts,
     call: &mut Call,
     lease: Lease,
     request: Request<HttpBody>,
-    tried: &[usize],
+    tried: &[SocketAddr],
 ) -> Tried {
-    let delay = if call.is_once() || !call.payload.is_kept() {
-        None
-    } else {
-        desk.look(lentilcart_route::Pool::get_hedge_delay)
-    };
+    let may_repeat = !call.is_once() && call.payload.is_kept();
+    let delay = lease.hedge_after.filter(|_| may_repeat);
     let service = call.service.clone();
     let first = Box::pin(attempt(entry, &service, lease, request));
     let Some(delay) = delay else {
@@ -169,11 +191,14 @@
         Either::Left((ended, _)) => return ended,
         Either::Right(((), first)) => first,
     };
-    let job = call.job(entry, tried);
-    let Some(lease) = desk.hedge(&job) else {
-        return first.await;
+    let ask = call.ask(entry.clock.now(), AskKind::Hedge, tried);
+    let lease = Box::pin(posts.hedge(entry, ask));
+    let (first, lease) = match select(first, lease).await {
+        Either::Left((ended, _)) => return ended,
+        Either::Right((lease, first)) => (first, lease),
     };
-    let Some(request) = call.next_request(1, entry.clock.now()) else {
+    let request = call.next_request(1, entry.clock.now());
+    let (Some(lease), Some(request)) = (lease, request) else {
         return first.await;
     };
     entry.stats.add_hedge();
@@ -187,7 +212,7 @@
     if won {
         entry.stats.add_hedge_won();
     }
-    desk.with(|pool, _| pool.settle_hedge(won));
+    posts.settle_hedge(entry, &service.name, won);
     ended
 }
 
@@ -198,8 +223,9 @@
     lease: Lease,
     request: Request<HttpBody>,
 ) -> Tried {
+    let keep = service.get_connections() as usize;
     let reply = match entry.dialer.send(lease.address, request).await {
-        Ok(reply) => reply,
+        Ok(reply) => reply.with_kept(keep),
         Err(SendError::NotSent(reason, request)) => {
             lease.end(Outcome::Failed);
             return Tried::NotRun(reason, Some(request.into_body()));
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -1,12 +1,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use lentilcart_state::{Ask, ClaimLog, ClaimState, Digest, Next, Op, Verdict};
+use lentilcart_state::{Ask, ClaimLog, ClaimState, Next, Op, Verdict};
 use lentilcart_util::{Map, Name};
 use tokio::sync::oneshot;
 
 use super::control::Backoff;
 use super::entry::Entry;
+use crate::peer::ClaimAsk;
 use crate::util::unix_millis;
 
 /// Claims of idempotency keys: collects the changes of a service's log and writes them together.
@@ -25,16 +26,6 @@
     down_until: Option<Instant>,
 }
 
-/// A claim that this entry holds. One that is dropped before its end is recorded as unknown.
-#[derive(Debug)]
-pub(crate) struct Held {
-    entry: Arc<Entry>,
-    key: Name,
-    digest: Digest,
-    by: Name,
-    ended: bool,
-}
-
 impl Claims {
     pub(crate) fn new(every: Duration) -> Self {
         Self {
@@ -58,69 +49,31 @@
     }
 }
 
-impl Held {
-    /// Claims a key of a service.
-    pub(crate) async fn take(
-        entry: &Arc<Entry>,
-        service: &str,
-        key: &str,
-        keep: Duration,
-    ) -> Result<Self, Verdict> {
-        let digest = Digest::of(key);
-        let log = key_of(service);
-        let by = entry.next_attempt();
-        let expires = unix_millis() + keep.as_millis() as u64;
-        let op = Op::Take {
-            digest,
-            by: by.clone(),
-            expires,
-        };
-        match change(entry, &log, op).await {
-            Verdict::Stored => Ok(Self {
-                entry: entry.clone(),
-                key: log,
-                digest,
-                by,
-                ended: false,
-            }),
-            verdict => Err(verdict),
-        }
-    }
-
-    /// Gives the claim back, since the request was not run.
-    pub(crate) async fn release(mut self) {
-        self.ended = true;
-        let op = Op::Release {
-            digest: self.digest,
-            by: self.by.clone(),
-        };
-        change(&self.entry, &self.key, op).await;
-    }
-
-    /// Records what became of the request, without waiting for it.
-    pub(crate) fn record(mut self, state: ClaimState) {
-        self.spawn_record(state);
-    }
-
-    fn spawn_record(&mut self, state: ClaimState) {
-        self.ended = true;
-        let (entry, key) = (self.entry.clone(), self.key.clone());
-        let op = Op::Record {
-            digest: self.digest,
-            by: self.by.clone(),
-            state,
-        };
-        let tasks = entry.tasks.clone();
-        tasks.spawn(async move { change(&entry, &key, op).await });
-    }
+/// Claims a key of a service.
+pub(crate) async fn take(entry: &Arc<Entry>, service: &str, claim: &ClaimAsk) -> Verdict {
+    let op = Op::Take {
+        digest: claim.digest,
+        by: claim.by.clone(),
+        expires: unix_millis() + claim.keep.0 / 1000,
+    };
+    change(entry, &key_of(service), op).await
 }
 
-impl Drop for Held {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.spawn_record(ClaimState::Unknown);
-        }
-    }
+/// Records what became of a claimed request, or gives its key back, without waiting for it.
+pub(crate) fn end_claim(
+    entry: &Arc<Entry>,
+    service: &str,
+    claim: &ClaimAsk,
+    state: Option<ClaimState>,
+) {
+    let (digest, by) = (claim.digest, claim.by.clone());
+    let op = match state {
+        Some(state) => Op::Record { digest, by, state },
+        None => Op::Release { digest, by },
+    };
+    let (entry, key) = (entry.clone(), key_of(service));
+    let tasks = entry.tasks.clone();
+    tasks.spawn(async move { change(&entry, &key, op).await });
 }
 
 fn key_of(service: &str) -> Name {
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -1,10 +1,10 @@
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use lentilcart_route::{Job, Outcome, Pool, Refusal, Step};
 use lentilcart_util::{Map, Micros, Name};
 use tokio::sync::oneshot;
 
+use super::lease::Lease;
 use crate::util::Clock;
 
 type Decision = Result<usize, Refusal>;
@@ -23,16 +23,6 @@
     waiting: Map<u64, oneshot::Sender<Decision>>,
 }
 
-/// An attempt under way at a server; ends as cancelled when it is dropped.
-#[derive(Debug)]
-pub(crate) struct Lease {
-    desk: Arc<Desk>,
-    job: u64,
-    pub(crate) server: usize,
-    pub(crate) address: SocketAddr,
-    ended: bool,
-}
-
 struct Waiting {
     desk: Arc<Desk>,
     job: u64,
@@ -71,14 +61,14 @@
             .await
             .unwrap_or(Err(Refusal::NoServer));
         std::mem::drop(waiting);
-        Ok(self.lease(id, decision?))
+        Ok(Lease::of_desk(self.clone(), id, decision?))
     }
 
     /// Asks for a server for a hedge of a request; returns `None` where the budget or the load
     /// forbids it.
     pub(crate) fn hedge(self: &Arc<Self>, job: &Job) -> Option<Lease> {
         let server = self.lock().pool.hedge(self.clock.now(), job)?;
-        Some(self.lease(job.id, server))
+        Some(Lease::of_desk(self.clone(), job.id, server))
     }
 
     pub(crate) fn tick(&self) {
@@ -103,19 +93,8 @@
         run(&self.lock().pool)
     }
 
-    fn lease(self: &Arc<Self>, job: u64, server: usize) -> Lease {
-        let address = self.look(|pool| pool.get_row(server).map(|row| row.get_config().address));
-        let address = address.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)));
-        Lease {
-            desk: self.clone(),
-            job,
-            server,
-            address,
-            ended: false,
-        }
-    }
-
-    fn settle(&self, job: u64, server: usize, outcome: Outcome) {
+    /// Ends an attempt.
+    pub(crate) fn settle(&self, job: u64, server: usize, outcome: Outcome) {
         let mut state = self.lock();
         let now = self.clock.now();
         let steps = state.pool.settle(now, job, server, outcome);
@@ -159,19 +138,3 @@
         }
     }
 }
-
-impl Lease {
-    /// Ends the attempt.
-    pub(crate) fn end(mut self, outcome: Outcome) {
-        self.ended = true;
-        self.desk.settle(self.job, self.server, outcome);
-    }
-}
-
-impl Drop for Lease {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.desk.settle(self.job, self.server, Outcome::Cancelled);
-        }
-    }
-}
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -11,7 +11,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::claims::Claims;
+use super::borrow::Links;
+use super::claims::{Claims, end_claim};
 use super::desk::Desk;
 use super::router::Router;
 use super::stats::Stats;
@@ -43,6 +44,7 @@
     pub(crate) platform: Platform,
     pub(crate) dialer: Dialer,
     pub(crate) claims: Claims,
+    pub(crate) links: Links,
     pub(crate) stats: Stats,
     pub(crate) tasks: TaskTracker,
     /// Cancelled when the daemon has nothing left to serve.
@@ -85,6 +87,7 @@
             platform,
             dialer: Dialer::new(settings.source, tasks.clone()),
             claims: Claims::new(settings.claim_every),
+            links: Links::default(),
             stats: Stats::default(),
             tasks,
             stop: CancellationToken::new(),
@@ -211,7 +214,7 @@
             policy: get_policy(&service.policy).unwrap_or(&lentilcart_route::POLICIES[0]),
             data_center: self.settings.data_center.clone(),
             overcommit: service.overcommit,
-            connections: (service.connections / service.load.entries.max(1)).max(1),
+            connections: service.get_connections(),
             wait: service.wait,
             ramp: service.ramp,
             load: service.load,
@@ -310,9 +313,26 @@
         }
     }
 
+    /// Records whether a hedge answered before the first attempt.
+    pub(crate) fn settle_hedge(&self, service: &Name, won: bool) {
+        if let Some(desk) = self.get_view().desks.get(service) {
+            desk.with(|pool, _| pool.settle_hedge(won));
+        }
+    }
+
     /// Takes a message from another entry and returns the answer, if one is due.
-    pub(crate) fn take_message(&self, message: Message) -> Option<Message> {
+    pub(crate) fn take_message(self: &Arc<Self>, message: Message) -> Option<Message> {
         match message {
+            Message::Hedged(service, won) => {
+                self.settle_hedge(&service, won);
+                None
+            }
+            Message::Claim(service, claim, state) => {
+                end_claim(self, &service, &claim, state);
+                None
+            }
+            // The link that they come over takes these.
+            Message::Ask(..) | Message::Grant(..) | Message::Settle(..) => None,
             Message::Beat(beat) => self.take_beat(&beat),
             Message::Want(number) => Some(self.get_tickets(number)),
             Message::Tickets(tickets) => {
--- a/src/entry/failure.rs
+++ b/src/entry/failure.rs
@@ -1,11 +1,11 @@
 use hyper::header::RETRY_AFTER;
 use hyper::{Response, StatusCode};
-use lentilcart_route::Refusal;
 use lentilcart_state::ClaimState;
 use serde_json::json;
 
 use super::outcome::Told;
 use crate::http::{HttpBody, OUTCOME, full};
+use crate::peer::Denial;
 
 /// Why a request got no server's answer.
 #[derive(Debug)]
@@ -18,28 +18,25 @@
     NoRoute,
     /// The entry has no ticket in force yet.
     NoTicket,
-    /// The pool refused it.
-    Refused(Refusal),
+    /// No server was given for it.
+    Denied(Denial),
     /// Every attempt said that it was not run.
     NotRun(String),
     /// An attempt was sent and not answered.
     Cut(String),
     /// The deadline has passed; holds whether an attempt was sent.
     Deadline(bool),
-    /// An earlier request holds the key.
-    Claimed(ClaimState),
-    /// The claim cannot be stored.
-    NoClaim,
 }
 
 impl Failure {
     pub(crate) fn get_told(&self) -> Told {
         match self {
-            Self::Cut(_) | Self::Deadline(true) | Self::Claimed(ClaimState::Unknown) => {
-                Told::Unknown
-            }
-            Self::Claimed(ClaimState::Running) => Told::Running,
-            Self::Claimed(ClaimState::Done) => Told::Done,
+            Self::Cut(_) | Self::Deadline(true) => Told::Unknown,
+            Self::Denied(Denial::Claimed(state)) => match state {
+                ClaimState::Running => Told::Running,
+                ClaimState::Done => Told::Done,
+                ClaimState::Unknown => Told::Unknown,
+            },
             _ => Told::NotRun,
         }
     }
@@ -51,10 +48,8 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Cut(_) => StatusCode::BAD_GATEWAY,
             Self::Deadline(_) => StatusCode::GATEWAY_TIMEOUT,
-            Self::Claimed(_) => StatusCode::CONFLICT,
-            Self::NoTicket | Self::Refused(_) | Self::NotRun(_) | Self::NoClaim => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Denied(Denial::Claimed(_)) => StatusCode::CONFLICT,
+            Self::NoTicket | Self::Denied(_) | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -64,13 +59,17 @@
             Self::TooLarge(limit) => format!("the body is larger than {limit} bytes"),
             Self::NoRoute => "no service of the ticket in force matches host and path".to_owned(),
             Self::NoTicket => "this entry has no ticket in force yet".to_owned(),
-            Self::Refused(Refusal::NoServer) => "the service has no server in use".to_owned(),
-            Self::Refused(_) => "the service is overloaded".to_owned(),
             Self::NotRun(reason) => format!("no server ran the request: {reason}"),
             Self::Cut(reason) => format!("the answer was lost: {reason}"),
             Self::Deadline(_) => "the deadline has passed".to_owned(),
-            Self::Claimed(_) => "a request with this idempotency key came before".to_owned(),
-            Self::NoClaim => "the idempotency key cannot be stored now".to_owned(),
+            Self::Denied(denial) => match denial {
+                Denial::NoServer => "the service has no server in use",
+                Denial::Overload => "the service is overloaded",
+                Denial::NoBudget => "the budget of retries is spent",
+                Denial::Claimed(_) => "a request with this idempotency key came before",
+                Denial::NoClaim => "the idempotency key cannot be stored now",
+            }
+            .to_owned(),
         }
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,8 @@
 //! platform, and answers operators.
 
 mod attempt;
+mod borrow;
+mod claimed;
 mod claims;
 mod control;
 mod desk;
@@ -9,8 +11,11 @@
 mod entry;
 mod failure;
 mod forward;
+mod grant;
+mod lease;
 mod outcome;
 mod payload;
+mod post;
 mod router;
 mod run;
 mod serve;
@@ -18,4 +23,6 @@
 mod tick;
 
 pub(crate) use self::entry::Entry;
+pub(crate) use self::grant::grant;
+pub(crate) use self::lease::Lease;
 pub use self::run::{Running, start};
--- /dev/null
+++ b/src/entry/post.rs
@@ -0,0 +1,60 @@
+use std::sync::Arc;
+
+use lentilcart_util::Name;
+
+use super::borrow::borrow;
+use super::entry::Entry;
+use super::grant::grant;
+use super::lease::Lease;
+use crate::peer::{Ask, Denial, Message};
+
+/// Where servers of a service are asked for: the entries that dispatch for it, the first choice
+/// first, and this entry itself where none of them is left.
+#[derive(Debug)]
+pub(crate) struct Posts {
+    homes: Vec<Name>,
+    next: usize,
+}
+
+impl Posts {
+    /// Creates the list; `homes` is empty where this entry dispatches itself.
+    pub(crate) fn new(homes: Vec<Name>) -> Self {
+        Self { homes, next: 0 }
+    }
+
+    /// Asks for a server; goes on to the next entry where one is lost.
+    pub(crate) async fn acquire(&mut self, entry: &Arc<Entry>, ask: &Ask) -> Result<Lease, Denial> {
+        while let Some(home) = self.get_home() {
+            match borrow(entry, home, ask.clone()).await {
+                Some(result) => return result,
+                None => self.next += 1,
+            }
+        }
+        grant(entry, ask).await
+    }
+
+    /// Asks for a server for a hedge where the first attempt got its server.
+    pub(crate) async fn hedge(&self, entry: &Arc<Entry>, ask: Ask) -> Option<Lease> {
+        match self.get_home() {
+            Some(home) => borrow(entry, home, ask).await?.ok(),
+            None => grant(entry, &ask).await.ok(),
+        }
+    }
+
+    /// Tells whether a hedge answered before the first attempt.
+    pub(crate) fn settle_hedge(&self, entry: &Entry, service: &Name, won: bool) {
+        match self.get_home() {
+            Some(home) => {
+                entry
+                    .links
+                    .send(home, Message::Hedged(service.clone(), won));
+            }
+            None => entry.settle_hedge(service, won),
+        }
+    }
+
+    /// Returns the entry that is asked, or `None` for this one.
+    pub(crate) fn get_home(&self) -> Option<&Name> {
+        self.homes.get(self.next)
+    }
+}
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -6,15 +6,15 @@
 use hyper::header::{CONNECTION, HOST, HeaderValue, VIA};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response, Uri, Version};
-use lentilcart_state::{ClaimState, Class, Route, Service, Verdict};
+use lentilcart_state::{Class, Route, Service};
 
 use super::attempt::{Call, dispatch};
-use super::claims::Held;
+use super::claimed::Claimed;
 use super::entry::Entry;
 use super::failure::Failure;
 use super::forward::forward;
-use super::outcome::Told;
 use super::payload::Payload;
+use super::post::Posts;
 use super::stats::record;
 use crate::http::{
     ATTEMPT, DEADLINE_MS, End, FORWARDED, HttpBody, IDEMPOTENCY_KEY, OUTCOME, REQUEST_ID, Tail,
@@ -143,11 +143,6 @@
     let Some((route, service)) = found.cloned() else {
         return Err(Failure::NoRoute);
     };
-    let desk = view
-        .desks
-        .get(&service.name)
-        .cloned()
-        .ok_or(Failure::NoRoute)?;
     *label = Some((service.clone(), route.class));
     let mut call = prepare(entry, request, &host, route, service).await?;
     if !call.is_sendable() {
@@ -155,33 +150,26 @@
             "the request's method or target cannot be sent on",
         ));
     }
-    let homes = entry.get_homes(&call.service);
-    let is_home = homes.is_empty() || homes.contains(&entry.settings.name);
-    if origin == Origin::Caller && !is_home {
+    let mut homes = entry.get_homes(&call.service);
+    if origin == Origin::Entry || homes.contains(&entry.settings.name) {
+        homes.clear();
+    }
+    // Where connections are too few for every entry, a home sends what may run twice.
+    if !call.is_once() && !call.service.is_direct() && !homes.is_empty() {
         match forward(entry, &homes, &mut call).await? {
             Some(answer) => return Ok(answer),
-            None => log::debug!(service:% = call.service.name; "no home took the request"),
-        }
-    }
-    let key = text_of(&call.headers, IDEMPOTENCY_KEY).map(str::to_owned);
-    match key {
-        Some(key) if call.is_once() => {
-            let keep = call.service.keep.into();
-            let deadline = tokio::time::Instant::from_std(entry.clock.at(call.deadline));
-            let taken = Held::take(entry, &call.service.name, &key, keep);
-            let taken = tokio::time::timeout_at(deadline, taken).await;
-            let held =
-                taken
-                    .unwrap_or(Err(Verdict::Unavailable))
-                    .map_err(|verdict| match verdict {
-                        Verdict::Held(state) => Failure::Claimed(state),
-                        Verdict::Stored | Verdict::Unavailable => Failure::NoClaim,
-                    })?;
-            let result = dispatch(entry, &desk, &mut call).await;
-            settle(held, result).await
+            None => homes.clear(),
         }
-        _ => dispatch(entry, &desk, &mut call).await,
     }
+    let mut posts = Posts::new(homes);
+    let key = text_of(&call.headers, IDEMPOTENCY_KEY).filter(|_| call.is_once());
+    let Some(key) = key else {
+        return dispatch(entry, &mut posts, &mut call, None).await;
+    };
+    let mut claim = Claimed::new(entry, &call.service, key);
+    let result = dispatch(entry, &mut posts, &mut call, Some(&claim.ask)).await;
+    claim.end(&posts, &result);
+    result
 }
 
 async fn prepare(
@@ -215,16 +203,3 @@
         deadline: arrived + length,
     })
 }
-
-/// Records what became of a claimed request before its caller is told.
-async fn settle(
-    held: Held,
-    result: Result<Response<HttpBody>, Failure>,
-) -> Result<Response<HttpBody>, Failure> {
-    match &result {
-        Ok(_) => held.record(ClaimState::Done),
-        Err(failure) if failure.get_told() == Told::NotRun => held.release().await,
-        Err(_) => held.record(ClaimState::Unknown),
-    }
-    result
-}
--- a/src/entry/stats.rs
+++ b/src/entry/stats.rs
@@ -8,6 +8,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Stats {
     control_bytes: AtomicU64,
+    grant_bytes: AtomicU64,
     probes: AtomicU64,
     in_flight: AtomicU64,
     hedges: AtomicU64,
@@ -15,10 +16,18 @@
 }
 
 impl Stats {
-    pub(crate) fn add_control_bytes(&self, bytes: usize) {
-        self.control_bytes
-            .fetch_add(bytes as u64, Ordering::Relaxed);
-        metrics::counter!("lentilcart_control_bytes_total").increment(bytes as u64);
+    /// Counts bytes of a peer link, for a request or for control.
+    pub(crate) fn add_link_bytes(&self, bytes: usize, is_of_request: bool) {
+        let counter = if is_of_request {
+            &self.grant_bytes
+        } else {
+            &self.control_bytes
+        };
+        counter.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    pub(crate) fn get_grant_bytes(&self) -> u64 {
+        self.grant_bytes.load(Ordering::Relaxed)
     }
 
     pub(crate) fn add_probe(&self) {
--- a/src/http/dialer.rs
+++ b/src/http/dialer.rs
@@ -12,6 +12,7 @@
 use super::body::{End, HttpBody, Tail, stream};
 use super::source::connect;
 
+const MOST_KEPT: usize = 1000;
 const STALE_ATTEMPTS: usize = 3;
 
 quick_error! {
@@ -50,6 +51,7 @@
     address: SocketAddr,
     sender: SendRequest<HttpBody>,
     idle: Arc<Idle>,
+    kept: usize,
 }
 
 impl Dialer {
@@ -88,6 +90,7 @@
                         address,
                         sender,
                         idle: self.idle.clone(),
+                        kept: MOST_KEPT,
                     });
                 }
                 Err(mut failure) => match failure.take_message() {
@@ -143,6 +146,13 @@
 }
 
 impl Reply {
+    /// Sets how many connections to its address are kept at most.
+    #[must_use]
+    pub fn with_kept(mut self, kept: usize) -> Self {
+        self.kept = kept;
+        self
+    }
+
     /// Turns the answer into one whose body returns the connection when it has been read, and
     /// then calls a function with how it ended.
     pub fn into_streamed(
@@ -154,13 +164,17 @@
             address,
             sender,
             idle,
+            kept,
         } = self;
         let mut sender = Some(sender);
         answer.map(|body| {
             let keep = move |end: End| {
                 if let (End::Complete, Some(sender)) = (end, sender.take()) {
                     let mut idle = idle.lock().expect("no panic under lock");
-                    idle.entry(address).or_default().push(sender);
+                    let senders = idle.entry(address).or_default();
+                    if senders.len() < kept {
+                        senders.push(sender);
+                    }
                 }
                 at_end(end);
             };
--- a/src/ops/view.rs
+++ b/src/ops/view.rs
@@ -30,6 +30,9 @@
         pub platform_calls: Map<Name, u64>,
         /// Bytes sent to other entries since the start, without requests.
         pub control_bytes: u64,
+        /// Bytes sent to other entries since the start to ask for servers and to grant them.
+        #[serde(default)]
+        pub grant_bytes: u64,
         /// Probes of servers since the start.
         pub probes: u64,
         /// Hedges since the start.
--- a/src/peer/exchange.rs
+++ b/src/peer/exchange.rs
@@ -8,18 +8,21 @@
 use hyper_util::rt::TokioIo;
 use lentilcart_util::Name;
 use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::sync::mpsc;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite;
 use tokio_tungstenite::tungstenite::handshake::derive_accept_key;
 use tokio_tungstenite::tungstenite::protocol::Role;
 
+use super::lender::Lender;
 use super::message::{Message, decode, encode};
 use crate::entry::Entry;
 use crate::http::{HttpBody, empty};
 
 /// Runs a link until it fails, the other side is silent, or the entry stops.
 ///
-/// The side that dialled sends heartbeats; both sides answer requests for tickets.
+/// The side that dialled sends heartbeats and asks for servers; both sides answer requests for
+/// tickets.
 pub(crate) async fn exchange<S>(entry: Arc<Entry>, mut link: WebSocketStream<S>, dialled: bool)
 where
     S: AsyncRead + AsyncWrite + Unpin,
@@ -27,36 +30,57 @@
     let mut changed = entry.changed.subscribe();
     let mut timer = tokio::time::interval(entry.settings.heartbeat);
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let (outbox, mut waiting) = mpsc::unbounded_channel();
+    let mut lender = Lender::new(entry.clone(), outbox.clone());
     let mut peer: Option<Name> = None;
-    if !dialled && !send(&entry, &mut link, &Message::Beat(entry.get_beat())).await {
+    if !dialled && !send(&entry, &mut link, Message::Beat(entry.get_beat())).await {
         return;
     }
     loop {
-        let sent = tokio::select! {
-            () = entry.stop.cancelled() => return,
+        let message = tokio::select! {
+            () = entry.stop.cancelled() => break,
+            Some(message) = waiting.recv() => Some(message),
+            _ = timer.tick(), if dialled => Some(Message::Beat(entry.get_beat())),
+            _ = changed.changed(), if dialled => Some(Message::Beat(entry.get_beat())),
             incoming = receive(&mut link) => match incoming {
+                None => break,
+                Some(Message::Ask(id, ask)) => {
+                    lender.ask(id, ask);
+                    None
+                }
+                Some(Message::Settle(id, outcome)) => {
+                    lender.settle(id, outcome);
+                    None
+                }
+                Some(Message::Grant(id, granted)) => {
+                    if let Some(peer) = &peer {
+                        entry.links.answer(peer, id, granted);
+                    }
+                    None
+                }
                 Some(message) => {
-                    peer = name_of(&message).or(peer);
-                    match entry.take_message(message) {
-                        Some(answer) => send(&entry, &mut link, &answer).await,
-                        None => true,
+                    if let (None, Some(name)) = (&peer, name_of(&message)) {
+                        if dialled {
+                            entry.links.open(&name, outbox.clone());
+                        }
+                        peer = Some(name);
                     }
+                    entry.take_message(message)
                 }
-                None => break,
             },
-            _ = timer.tick(), if dialled => {
-                send(&entry, &mut link, &Message::Beat(entry.get_beat())).await
-            }
-            _ = changed.changed(), if dialled => {
-                send(&entry, &mut link, &Message::Beat(entry.get_beat())).await
-            }
+        };
+        let sent = match message {
+            None => true,
+            Some(message) => send_with(&entry, &mut link, message, &mut waiting).await,
         };
         if !sent {
             break;
         }
     }
-    if let (false, Some(name)) = (dialled, peer) {
-        entry.lose_peer(&name);
+    match peer {
+        Some(name) if dialled => entry.links.close(&name, &outbox),
+        Some(name) => entry.lose_peer(&name),
+        None => {}
     }
 }
 
@@ -86,15 +110,39 @@
         .expect("the parts are valid")
 }
 
-async fn send<S>(entry: &Entry, link: &mut WebSocketStream<S>, message: &Message) -> bool
+/// Sends a message and those that wait behind it, all in one write where they fit.
+async fn send_with<S>(
+    entry: &Entry,
+    link: &mut WebSocketStream<S>,
+    first: Message,
+    waiting: &mut mpsc::UnboundedReceiver<Message>,
+) -> bool
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    let bytes = encode(message);
-    entry.stats.add_control_bytes(bytes.len());
+    let mut next = Some(first);
     let patience: Duration = entry.settings.silence * 4;
-    let sent = link.send(tungstenite::Message::Binary(bytes.into()));
-    matches!(tokio::time::timeout(patience, sent).await, Ok(Ok(())))
+    let write = async {
+        while let Some(message) = next.take() {
+            let bytes = encode(&message);
+            entry
+                .stats
+                .add_link_bytes(bytes.len(), message.is_of_request());
+            link.feed(tungstenite::Message::Binary(bytes.into()))
+                .await?;
+            next = waiting.try_recv().ok();
+        }
+        link.flush().await
+    };
+    matches!(tokio::time::timeout(patience, write).await, Ok(Ok(())))
+}
+
+async fn send<S>(entry: &Entry, link: &mut WebSocketStream<S>, message: Message) -> bool
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let (_, mut none) = mpsc::unbounded_channel();
+    send_with(entry, link, message, &mut none).await
 }
 
 async fn receive<S>(link: &mut WebSocketStream<S>) -> Option<Message>
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -1,7 +1,8 @@
 use std::net::SocketAddr;
 
-use lentilcart_state::{InForce, Numbered};
-use lentilcart_util::{Name, common};
+use lentilcart_route::Outcome;
+use lentilcart_state::{ClaimState, Digest as KeyDigest, InForce, Numbered};
+use lentilcart_util::{Micros, Name, common};
 
 use crate::http::BoxError;
 
@@ -39,9 +40,105 @@
     }
 }
 
+common! { message,
+    /// A claim of an idempotency key that an ask brings with it.
+    pub(crate) struct ClaimAsk {
+        #[serde(rename = "d")]
+        pub(crate) digest: KeyDigest,
+        #[serde(rename = "b")]
+        pub(crate) by: Name,
+        #[serde(rename = "k")]
+        pub(crate) keep: Micros,
+    }
+}
+
+common! { message,
+    /// Why a server is asked for.
+    #[derive(Copy, Eq)]
+    pub(crate) enum AskKind {
+        /// First attempt; waits for a free slot.
+        #[serde(rename = "f")]
+        First,
+        /// Another attempt; needs retry budget and waits for a free slot.
+        #[serde(rename = "r")]
+        Retry,
+        /// Second attempt beside the first; needs hedge budget and a slot that is free now.
+        #[serde(rename = "h")]
+        Hedge,
+    }
+}
+
+common! { message,
+    /// Asks for a server for one attempt of a request.
+    pub(crate) struct Ask {
+        #[serde(rename = "s")]
+        pub(crate) service: Name,
+        #[serde(rename = "k")]
+        pub(crate) kind: AskKind,
+        #[serde(rename = "p")]
+        pub(crate) priority: u8,
+        #[serde(rename = "o")]
+        pub(crate) once: bool,
+        /// Time since the request arrived.
+        #[serde(rename = "a")]
+        pub(crate) age: Micros,
+        /// Time left until its deadline.
+        #[serde(rename = "l")]
+        pub(crate) left: Micros,
+        #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+        pub(crate) tried: Vec<SocketAddr>,
+        #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+        pub(crate) claim: Option<ClaimAsk>,
+    }
+}
+
+common! { message,
+    /// The answer to an ask.
+    pub(crate) enum Granted {
+        /// The attempt may be sent to this server; a hedge is due after the given time.
+        #[serde(rename = "s")]
+        Server(SocketAddr, Option<Micros>),
+        /// The request was refused.
+        #[serde(rename = "d")]
+        Denied(Denial),
+    }
+}
+
+common! { message,
+    /// Why no server was given.
+    #[derive(Copy)]
+    pub(crate) enum Denial {
+        /// The service is overloaded, or the deadline has passed.
+        Overload,
+        /// The service has no server in use.
+        NoServer,
+        /// The budget of retries or hedges is spent.
+        NoBudget,
+        /// An earlier request holds the key.
+        Claimed(ClaimState),
+        /// The claim cannot be stored.
+        NoClaim,
+    }
+}
+
 common! { message,
     /// A message between two entries.
     pub(crate) enum Message {
+        /// Asks for a server, under a number of the asking entry.
+        #[serde(rename = "a")]
+        Ask(u64, Ask),
+        /// Answers an ask.
+        #[serde(rename = "g")]
+        Grant(u64, Granted),
+        /// Ends an attempt, or withdraws an ask that was not answered yet.
+        #[serde(rename = "e")]
+        Settle(u64, Outcome),
+        /// Tells whether a hedge answered first.
+        #[serde(rename = "h")]
+        Hedged(Name, bool),
+        /// Records what became of a claimed request; `None` gives the key back.
+        #[serde(rename = "c")]
+        Claim(Name, ClaimAsk, Option<ClaimState>),
         /// Heartbeat.
         #[serde(rename = "b")]
         Beat(Beat),
@@ -66,3 +163,13 @@
 pub(crate) fn decode(bytes: &[u8]) -> Result<Message, BoxError> {
     Ok(ciborium::from_reader(bytes)?)
 }
+
+impl Message {
+    /// Returns whether the message belongs to one request rather than to control.
+    pub(crate) fn is_of_request(&self) -> bool {
+        matches!(
+            self,
+            Self::Ask(..) | Self::Grant(..) | Self::Settle(..) | Self::Hedged(..) | Self::Claim(..)
+        )
+    }
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,9 +1,10 @@
-//! Links between entries: heartbeats, digests and the spread of tickets.
+//! Links between entries: heartbeats, digests, the spread of tickets, and asks for servers.
 
 mod exchange;
+mod lender;
 mod links;
 mod message;
 
 pub(crate) use self::exchange::serve_link;
 pub(crate) use self::links::keep_links;
-pub(crate) use self::message::{Beat, Digest, Message};
+pub(crate) use self::message::{Ask, AskKind, Beat, ClaimAsk, Denial, Digest, Granted, Message};
