feat(route): expected wait at a full server, and near servers first

Cause: with grants a slot idles while grant and end travel (up to 6 ms of 26 ms), so at 90% load the home could not keep up.

--- a/lentilcart_bench/src/cluster/ticket.rs
+++ b/lentilcart_bench/src/cluster/ticket.rs
@@ -15,6 +15,8 @@
     pub homes: u32,
     /// Requests beyond its slots that a server may be given.
     pub overcommit: u32,
+    /// Connections to each server, all entries together; too few make homes forward.
+    pub connections: u32,
     /// Largest share of requests that may be hedged.
     pub hedge: f64,
     /// Time between heartbeats, which carry the digests.
@@ -33,7 +35,7 @@
         write!(
             text,
             "\n[[service]]\nname = \"{}\"\ntenant = \"{}\"\npolicy = \"{}\"\nhomes = {}\n\
-             overcommit = {}\nnot_run = [503]\nramp = \"2s\"\nkeep = \"10m\"\n\
+             overcommit = {}\nconnections = {}\nnot_run = [503]\nramp = \"2s\"\nkeep = \"10m\"\n\
              load = {{ probes = 50, bytes = 20000, entries = {} }}\n\
              retry = {{ hedge = {:?} }}\n",
             service.name,
@@ -41,6 +43,7 @@
             variant.policy,
             variant.homes,
             variant.overcommit,
+            variant.connections,
             layout.entries.max(8),
             variant.hedge,
         )
--- a/lentilcart_route/src/policy/choice.rs
+++ b/lentilcart_route/src/policy/choice.rs
@@ -1,8 +1,11 @@
-use lentilcart_util::{Micros, Rng};
+use lentilcart_util::{Micros, Name, Rng};
 use rand::RngExt;
 
 use crate::pool::{PoolConfig, Row, Share};
 
+const OVERDUE_FACTOR: f64 = 4.0;
+const LEAST_HEALTHY: f64 = 0.25;
+
 /// What a rule may look at: the servers that may take one more request.
 #[derive(Debug)]
 pub struct Choice<'a> {
@@ -16,6 +19,8 @@
     pub config: &'a PoolConfig,
     /// This entry's place among the entries that dispatch for the service.
     pub share: Share,
+    /// Data centre that the request is sent from.
+    pub near: &'a Name,
     /// Decisions made before.
     pub turn: u64,
     /// Mean latency over the pool, in microseconds.
@@ -30,13 +35,17 @@
         self.open[self.rng.random_range(0..self.open.len())]
     }
 
-    /// Returns the open row with the lowest score; ties go to the entry's own data centre and
-    /// then to chance.
+    /// Returns the open row with the lowest score; ties go to the data centre that the request is
+    /// sent from and then to chance.
     pub fn lowest(&mut self, score: impl Fn(&Self, usize) -> f64) -> usize {
         let mut best = (f64::INFINITY, true, u32::MAX, self.open[0]);
         for &index in self.open {
-            let far = self.rows[index].get_config().data_center != self.config.data_center;
-            let rank = (score(self, index), far, self.rng.random::<u32>(), index);
+            let rank = (
+                score(self, index),
+                self.is_far(index),
+                self.rng.random::<u32>(),
+                index,
+            );
             if (rank.0, rank.1, rank.2) < (best.0, best.1, best.2) {
                 best = rank;
             }
@@ -44,6 +53,30 @@
         best.3
     }
 
+    /// Returns whether a row's server stands in another data centre than the sender.
+    #[must_use]
+    pub fn is_far(&self, index: usize) -> bool {
+        self.rows[index].get_config().data_center != *self.near
+    }
+
+    /// Returns the expected wait behind the requests at a full server, as a multiple of the mean
+    /// latency; 0 where a slot is free.
+    ///
+    /// A request that has run far longer than the mean will hold its slot for long, and is not
+    /// counted on.
+    #[must_use]
+    pub fn wait(&self, index: usize) -> f64 {
+        let row = &self.rows[index];
+        let slots = row.get_config().slots;
+        let outstanding = row.get_outstanding();
+        if outstanding < slots {
+            return 0.0;
+        }
+        let overdue = row.get_overdue(self.now, Micros((self.mean * OVERDUE_FACTOR) as u64));
+        let healthy = f64::from(slots.saturating_sub(overdue)).max(LEAST_HEALTHY);
+        f64::from(outstanding - slots + 1) / healthy
+    }
+
     /// Returns a row's load for each slot, with failures counted as load.
     #[must_use]
     pub fn load(&self, index: usize, peers: u32) -> f64 {
--- a/lentilcart_route/src/policy/policy.rs
+++ b/lentilcart_route/src/policy/policy.rs
@@ -34,14 +34,18 @@
 }
 
 /// Every policy; the first is the default.
-pub static POLICIES: [Policy; 9] = [
+pub static POLICIES: [Policy; 10] = [
     Policy {
         late: true,
         ..rule("late", rules::least)
     },
     Policy {
         late: true,
-        ..rule("late-age", rules::least_overdue)
+        ..rule("late-wait", rules::least_wait)
+    },
+    Policy {
+        late: true,
+        ..rule("late-near", rules::near_wait)
     },
     Policy {
         late: true,
--- a/lentilcart_route/src/policy/rules.rs
+++ b/lentilcart_route/src/policy/rules.rs
@@ -4,8 +4,8 @@
 
 const PROBE_LIFE: Micros = Micros::from_millis(1000);
 const HOT_QUANTILE: f64 = 0.84;
-const OVERDUE_FACTOR: f64 = 3.0;
-const OVERDUE_WEIGHT: f64 = 0.4;
+const WAIT_WEIGHT: f64 = 10.0;
+const FAR_WEIGHT: f64 = 1.0;
 const BORROWED_WEIGHT: f64 = 1.0;
 
 pub(super) fn random(choice: &mut Choice<'_>) -> usize {
@@ -21,11 +21,17 @@
     choice.lowest(|c, index| c.load(index, 0))
 }
 
-/// Fewest outstanding requests; one that runs far longer than the mean marks a slow server.
-pub(super) fn least_overdue(choice: &mut Choice<'_>) -> usize {
+/// Shortest expected wait; then fewest outstanding requests.
+pub(super) fn least_wait(choice: &mut Choice<'_>) -> usize {
+    choice.lowest(|c, index| c.wait(index) * WAIT_WEIGHT + c.load(index, 0))
+}
+
+/// Shortest expected wait; then the sender's data centre, which keeps slots from idling while
+/// requests travel; then fewest outstanding requests.
+pub(super) fn near_wait(choice: &mut Choice<'_>) -> usize {
     choice.lowest(|c, index| {
-        let overdue = c.rows[index].get_oldest(c.now).0 as f64 > c.mean * OVERDUE_FACTOR;
-        c.load(index, 0) + OVERDUE_WEIGHT * f64::from(u8::from(overdue))
+        let far = f64::from(u8::from(c.is_far(index)));
+        c.wait(index) * WAIT_WEIGHT + far * FAR_WEIGHT + c.load(index, 0)
     })
 }
 
--- a/lentilcart_route/src/pool/job.rs
+++ b/lentilcart_route/src/pool/job.rs
@@ -1,4 +1,4 @@
-use lentilcart_util::{Micros, common};
+use lentilcart_util::{Micros, Name, common};
 
 /// A request that needs a server.
 #[derive(Debug, Clone)]
@@ -13,6 +13,8 @@
     pub arrived: Micros,
     /// When its answer must be complete.
     pub deadline: Micros,
+    /// Data centre that it is sent from, where that is not the entry's own.
+    pub near: Option<Name>,
     /// Servers that it was sent to already.
     pub tried: Vec<usize>,
 }
@@ -27,6 +29,7 @@
             once: false,
             arrived,
             deadline,
+            near: None,
             tried: Vec::new(),
         }
     }
--- a/lentilcart_route/src/pool/pool.rs
+++ b/lentilcart_route/src/pool/pool.rs
@@ -412,6 +412,7 @@
                 rows: &self.rows,
                 open: &open,
                 now,
+                near: job.near.as_ref().unwrap_or(&self.config.data_center),
                 config: &self.config,
                 share: self.share,
                 turn: self.turn,
--- a/lentilcart_route/src/pool/row.rs
+++ b/lentilcart_route/src/pool/row.rs
@@ -120,11 +120,14 @@
         &self.config
     }
 
-    /// Returns how long the oldest request of this entry has been under way.
+    /// Returns how many requests of this entry have been under way for longer than a time.
     #[must_use]
-    pub fn get_oldest(&self, now: Micros) -> Micros {
-        let ages = self.attempts.iter().map(|(_, started)| now - *started);
-        ages.max().unwrap_or_default()
+    pub fn get_overdue(&self, now: Micros, limit: Micros) -> u32 {
+        let overdue = self
+            .attempts
+            .iter()
+            .filter(|(_, started)| now - *started > limit);
+        overdue.count() as u32
     }
 
     /// Returns the number of the server's slots that fall to a share.
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -281,6 +281,10 @@
         self.members().get(name).map(|row| row.peer)
     }
 
+    pub(crate) fn get_center(&self, name: &Name) -> Option<Name> {
+        self.members().get(name).map(|row| row.data_center.clone())
+    }
+
     pub(crate) fn lose_peer(&self, name: &Name) {
         self.members().forget(name);
         if let Some(address) = self.get_peer(name) {
--- a/src/entry/grant.rs
+++ b/src/entry/grant.rs
@@ -2,6 +2,7 @@
 
 use lentilcart_route::{Job, Refusal};
 use lentilcart_state::Verdict;
+use lentilcart_util::Name;
 use tokio::time::{Instant, timeout_at};
 
 use super::claims::take;
@@ -10,7 +11,13 @@
 use crate::peer::{Ask, AskKind, Denial};
 
 /// Gives a server to an attempt of this or another entry's request, as soon as one is free.
-pub(crate) async fn grant(entry: &Arc<Entry>, ask: &Ask) -> Result<Lease, Denial> {
+///
+/// `near` is the data centre of the other entry.
+pub(crate) async fn grant(
+    entry: &Arc<Entry>,
+    ask: &Ask,
+    near: Option<Name>,
+) -> Result<Lease, Denial> {
     let now = entry.clock.now();
     let deadline = Instant::from_std(entry.clock.at(now + ask.left));
     if let Some(claim) = &ask.claim {
@@ -35,6 +42,7 @@
         once: ask.once,
         arrived: now - ask.age,
         deadline: now + ask.left,
+        near,
         tried,
     };
     match ask.kind {
--- a/src/entry/post.rs
+++ b/src/entry/post.rs
@@ -30,14 +30,14 @@
                 None => self.next += 1,
             }
         }
-        grant(entry, ask).await
+        grant(entry, ask, None).await
     }
 
     /// Asks for a server for a hedge where the first attempt got its server.
     pub(crate) async fn hedge(&self, entry: &Arc<Entry>, ask: Ask) -> Option<Lease> {
         match self.get_home() {
             Some(home) => borrow(entry, home, ask).await?.ok(),
-            None => grant(entry, &ask).await.ok(),
+            None => grant(entry, &ask, None).await.ok(),
         }
     }
 
--- a/src/peer/exchange.rs
+++ b/src/peer/exchange.rs
@@ -45,7 +45,7 @@
             incoming = receive(&mut link) => match incoming {
                 None => break,
                 Some(Message::Ask(id, ask)) => {
-                    lender.ask(id, ask);
+                    lender.ask(peer.as_ref(), id, ask);
                     None
                 }
                 Some(Message::Settle(id, outcome)) => {
--- a/src/peer/lender.rs
+++ b/src/peer/lender.rs
@@ -1,7 +1,7 @@
 use std::sync::{Arc, Mutex};
 
 use lentilcart_route::Outcome;
-use lentilcart_util::Map;
+use lentilcart_util::{Map, Name};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -33,7 +33,8 @@
     }
 
     /// Answers an ask as soon as there is a server for it.
-    pub(super) fn ask(&mut self, id: u64, ask: Ask) {
+    pub(super) fn ask(&mut self, peer: Option<&Name>, id: u64, ask: Ask) {
+        let near = peer.and_then(|name| self.entry.get_center(name));
         while self.tasks.try_join_next().is_some() {}
         let withdrawn = CancellationToken::new();
         let waiting = Asked::Waiting(withdrawn.clone());
@@ -42,7 +43,7 @@
         self.tasks.spawn(async move {
             let granted = tokio::select! {
                 () = withdrawn.cancelled() => return,
-                granted = grant(&entry, &ask) => granted,
+                granted = grant(&entry, &ask, near) => granted,
             };
             let mut asks = asks.lock().expect("no panic under lock");
             let still_wanted = asks.remove(&id).is_some();
