--- /dev/null
+++ b/lentilcart_route/tests/testsuite/limits.rs
@@ -0,0 +1,53 @@
+use lentilcart_route::{Bucket, Hedger};
+use lentilcart_util::Micros;
+
+#[test]
+fn bucket_starts_empty() {
+    let mut bucket = Bucket::new(10.0, 5.0, Micros::ZERO);
+    assert!(!bucket.take(1.0));
+    bucket.fill(Micros::from_millis(100));
+    assert!(bucket.take(1.0));
+    assert!(!bucket.take(0.1));
+}
+
+#[test]
+fn bucket_holds_burst() {
+    let mut bucket = Bucket::new(10.0, 5.0, Micros::ZERO);
+    bucket.fill(Micros::from_millis(60_000));
+    assert!((bucket.get_tokens() - 5.0).abs() < 1e-9);
+    bucket.charge(7.0);
+    assert!(!bucket.take(0.0), "an overdrawn bucket has to refill first");
+}
+
+#[test]
+fn hedger_shrinks_without_wins() {
+    let hedges_of = |win: bool| {
+        let mut hedger = Hedger::new(0.05, Micros::ZERO);
+        let mut sent = 0;
+        for n in 0..20_000 {
+            hedger.record(Micros(n * 1000), Micros::from_millis(20));
+            if hedger.take() {
+                sent += 1;
+                hedger.settle(win);
+            }
+        }
+        sent
+    };
+    let (won, lost) = (hedges_of(true), hedges_of(false));
+    assert!(
+        won <= 1000 && won > 900,
+        "hedges stay within their share: {won}"
+    );
+    assert!(
+        lost * 5 < won,
+        "hedges that do not win shrink their budget: {lost} of {won}"
+    );
+}
+
+#[test]
+fn hedger_off() {
+    let mut hedger = Hedger::new(0.0, Micros::ZERO);
+    (0..1000).for_each(|n| hedger.record(Micros(n), Micros(1000)));
+    assert_eq!(hedger.get_delay(), None);
+    assert!(!hedger.take());
+}
--- /dev/null
+++ b/lentilcart_route/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the routing decisions.
+
+mod limits;
+mod pool;
+mod property;
--- a/lentilcart_state/src/parse/ticket.rs
+++ b/lentilcart_state/src/parse/ticket.rs
@@ -87,7 +87,15 @@
     if service.routes.is_empty() {
         t.fault("route", "a service needs at least one route");
     }
-    if service.connections < service.load.entries {
+    let once = service.routes.iter().filter(|r| r.class == Class::Once);
+    let longest = once.map(|r| r.deadline).max().unwrap_or_default();
+    if service.keep < longest + longest {
+        t.fault(
+            "keep",
+            "expected at least twice the longest deadline of a once route",
+        );
+    }
+    if service.homes == 0 && service.connections < service.load.entries {
         t.fault(
             "connections",
             "fewer connections than entries that share them (load.entries)",
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -109,6 +109,10 @@
             Ok(lease) => lease,
             Err(denial) => return last.end(Failure::Denied(denial)),
         };
+        // A process that was paused must not send what its caller has given up on.
+        if entry.clock.now() >= call.deadline {
+            return last.end(Failure::Deadline(false));
+        }
         tried.push(lease.address);
         let request = call.next_request(upstream + attempt, entry.clock.now());
         let Some(request) = request else {
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -17,8 +17,6 @@
 use super::platform::{Calls, Platform};
 use crate::http::{Dialer, full};
 
-const WATCH_SLACK: Duration = Duration::from_secs(2);
-
 struct Client {
     dialer: Dialer,
     address: SocketAddr,
@@ -121,7 +119,7 @@
     }
 
     async fn wait<T: DeserializeOwned>(&self, path: &str, wait: Duration) -> Watched<T> {
-        let timeout = self.timeout.min(WATCH_SLACK) + wait;
+        let timeout = self.timeout + wait;
         let counter = &self.calls.watches;
         match self
             .call(counter, Method::GET, path, Bytes::new(), timeout)
--- a/src/settings/options.rs
+++ b/src/settings/options.rs
@@ -47,7 +47,7 @@
     ),
     opt(
         "platform-wait",
-        Some("1s"),
+        Some("5s"),
         "time in which the platform must answer",
     ),
     opt(
