fix: a graceful stop serves whoever has connected

A caller that opened a connection just before the listener closed had its connection ended before its first request was read. Ruled out: a longer lame duck alone, the window stays. Change: a listener first takes every connection that is waiting, then takes no more; open connections are ended half a lame duck later, after answers with 'connection: close'.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -3,7 +3,6 @@
 
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::JoinHandle;
-use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::control::{follow, watch_head, watch_hosts};
@@ -11,7 +10,7 @@
 use super::serve::{serve_caller, serve_peer};
 use super::tick::tick;
 use crate::error::DaemonError;
-use crate::http::{Limits, listen};
+use crate::http::{Limits, Stop, listen};
 use crate::ops::serve_operator;
 use crate::peer::keep_links;
 use crate::platform::Platform;
@@ -23,7 +22,7 @@
 #[derive(Debug)]
 pub struct Running {
     entry: Arc<Entry>,
-    stop_callers: CancellationToken,
+    stop_callers: Stop,
     callers: TaskTracker,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -45,13 +44,16 @@
         connections: settings.connections,
     };
     let entry = Arc::new(Entry::new(settings, platform, background.clone()));
-    let stop_callers = CancellationToken::new();
+    let stop_callers = Stop::default();
     let (c, p, o) = (entry.clone(), entry.clone(), entry.clone());
     let serve_caller = move |remote, request| serve_caller(c.clone(), remote, request);
     let serve_peer = move |remote, request| serve_peer(p.clone(), remote, request);
     let serve_operator = move |_, request| serve_operator(o.clone(), request);
     let (stop, tracker) = (stop_callers.clone(), callers.clone());
-    let stopped = entry.stop.clone();
+    let stopped = Stop {
+        accepting: entry.stop.clone(),
+        serving: entry.stop.clone(),
+    };
     let tasks = vec![
         tokio::spawn(listen(caller_listener, limits, stop, tracker, serve_caller)),
         tokio::spawn(listen(
@@ -95,7 +97,10 @@
         log::info!("leaving");
         self.entry.leave();
         tokio::time::sleep(settings.lame_duck).await;
-        self.stop_callers.cancel();
+        self.stop_callers.accepting.cancel();
+        // Requests on their way over open connections are answered, and end those connections.
+        tokio::time::sleep(settings.lame_duck / 2).await;
+        self.stop_callers.serving.cancel();
         self.callers.close();
         let drained = async {
             self.callers.wait().await;
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -28,13 +28,23 @@
     pub connections: usize,
 }
 
-/// Serves HTTP/1.1 and HTTP/2 on a listener until `stop`, then lets requests in flight finish.
+/// How a listener is stopped: first it takes no more connections, then those that are open end
+/// after their request in flight.
+#[derive(Debug, Clone, Default)]
+pub struct Stop {
+    /// No more connections are taken.
+    pub accepting: CancellationToken,
+    /// Open connections end.
+    pub serving: CancellationToken,
+}
+
+/// Serves HTTP/1.1 and HTTP/2 on a listener until it is stopped.
 ///
 /// Connections are spawned on `tasks`, which the caller joins.
 pub async fn listen<S, F>(
     listener: TcpListener,
     limits: Limits,
-    stop: CancellationToken,
+    stop: Stop,
     tasks: TaskTracker,
     serve: S,
 ) where
@@ -55,13 +65,15 @@
         .max_concurrent_streams(1000);
     loop {
         let accepted = tokio::select! {
-            () = stop.cancelled() => return,
+            biased;
             accepted = accept(&listener, &open) => accepted,
+            // Whoever has connected already is served.
+            () = stop.accepting.cancelled() => return,
         };
         let Some((stream, remote, permit)) = accepted else {
             continue;
         };
-        let (builder, stop, serve) = (builder.clone(), stop.clone(), serve.clone());
+        let (builder, stop, serve) = (builder.clone(), stop.serving.clone(), serve.clone());
         tasks.spawn(async move {
             let service = service_fn(move |request| {
                 let answer = serve(remote, request);
