--- a/lentilcart_bench/src/scenario/mod.rs
+++ b/lentilcart_bench/src/scenario/mod.rs
@@ -5,6 +5,7 @@
 mod overhead;
 mod scenarios;
 mod slopes;
+mod usage;
 mod variants;
 
 pub use self::action::Action;
--- a/lentilcart_bench/tests/testsuite/main.rs
+++ b/lentilcart_bench/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod cluster;
+mod examples;
 mod load;
 mod scenarios;
 mod script;
