test: broken variant WRITE_SEALED fails as it must; bench measures time to force

In it no claimant ever went on to the next bucket, so none was overtaken. Change: a claimant may go on or may keep writing. After: that variant violates runs <= 1 at depth 46; the right one holds.

--- a/lentilcart_bench/src/bin/lentilcart-bench.rs
+++ b/lentilcart_bench/src/bin/lentilcart-bench.rs
@@ -10,7 +10,7 @@
 use lentilcart_bench::platform::PlatformStub;
 use lentilcart_bench::report::{plot, table};
 use lentilcart_bench::scenario::{
-    Experiment, SCENARIOS, VARIANTS, experiment, get_scenario, get_variant, overhead, slopes,
+    Experiment, SCENARIOS, VARIANTS, experiment, force, get_scenario, get_variant, overhead, slopes,
 };
 use lentilcart_bench::servers::ServerStub;
 use lentilcart_util::Micros;
@@ -101,6 +101,13 @@
             }
             return Ok(());
         }
+        "force" => {
+            for (tickets, delay) in [(200, 0), (10, 2000)] {
+                let row = force(firm, &variants[0], tickets, delay).await?;
+                println!("{}", serde_json::to_string(&row)?);
+            }
+            return Ok(());
+        }
         "overhead" => {
             for variant in &variants {
                 let row = overhead(firm, variant, seed, length).await;
@@ -111,7 +118,7 @@
         _ => {}
     }
     let names = SCENARIOS.map(|scenario| scenario.name).join(", ");
-    let expected = format!("expected one of {names}, overhead, slopes");
+    let expected = format!("expected one of {names}, force, overhead, slopes");
     let scenario = get_scenario(&scenario).ok_or(format!("--scenario {scenario}: {expected}"))?;
     let plan = Experiment {
         firm,
--- a/lentilcart_bench/src/scenario/mod.rs
+++ b/lentilcart_bench/src/scenario/mod.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod experiment;
+mod force;
 mod overhead;
 mod scenarios;
 mod slopes;
@@ -10,6 +11,7 @@
 
 pub use self::action::Action;
 pub use self::experiment::{Experiment, Row, experiment};
+pub use self::force::force;
 pub use self::overhead::overhead;
 pub use self::scenarios::{SCENARIOS, Scenario, get_scenario};
 pub use self::slopes::slopes;
--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -7,7 +7,7 @@
  * no request starts after its deadline.
  *
  * Broken variants: BLIND_SWAP swaps without comparing versions; NO_ID takes a write without an
- * answer for one without an effect; WRITE_SEALED goes on writing to a bucket that was sealed;
+ * answer for one without an effect; WRITE_SEALED may go on writing to a bucket that was sealed;
  * SHORT_KEEP lets a claim expire before the deadline of its request.
  */
 
@@ -76,13 +76,15 @@
 	:: holder != 0 && holder != me && !expired[holder] -> goto end
 	:: else -> skip
 	fi;
-#ifndef WRITE_SEALED
 	if
 	:: is_sealed && b < BUCKETS - 1 -> b++; goto read
 	:: is_sealed && b == BUCKETS - 1 -> goto end
+#ifdef WRITE_SEALED
+	:: skip
+#else
 	:: !is_sealed -> skip
-	fi;
 #endif
+	fi;
 	/* A pause may fall here. */
 	done = false;
 	if
