fix: verdicts of claims are those that the write was composed with

Cause: after a write was answered, the log decided on the sent changes anew with the time of the answer. A claim that expired in between was then granted to a second request although the write held no record of it, so a third could be granted too. Found by reading. Ruled out: the state-machine test, whose time stands still. Change: the verdicts and the bucket are kept when the write is composed; the second evaluation is gone, and one decode serves root and buckets.

--- a/lentilcart_state/src/claim/log.rs
+++ b/lentilcart_state/src/claim/log.rs
@@ -34,6 +34,8 @@
     stage: Stage,
     serial: u64,
     verdicts: Vec<(u64, Verdict)>,
+    /// The open bucket as the write under way leaves it.
+    written: Bucket,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,6 +67,7 @@
             stage: Stage::Idle,
             serial: 0,
             verdicts: Vec::new(),
+            written: Bucket::default(),
         }
     }
 
@@ -113,7 +116,10 @@
                     key: self.name.clone(),
                 },
             ),
-            Some(_) if is_fresh => self.write(now),
+            Some(_) if is_fresh => {
+                let evaluated = self.evaluate(now);
+                self.write(evaluated)
+            }
             Some(_) => self.read(),
         })
     }
@@ -138,13 +144,7 @@
     }
 
     fn take_root(&mut self, value: Option<Versioned>) -> Ended {
-        let stored = match value {
-            None => Some((0, Root::default())),
-            Some(v) => serde_json::from_str(&v.value)
-                .ok()
-                .map(|root| (v.version, root)),
-        };
-        match stored {
+        match decode::<Root>(value) {
             Some((version, root)) => {
                 self.root = Some(version);
                 self.open = root.first;
@@ -156,13 +156,7 @@
 
     /// Takes what the platform holds of the open bucket; goes on to the next one if it is sealed.
     fn take_bucket(&mut self, value: Option<Versioned>, now: u64) -> Ended {
-        let stored = match value {
-            None => Some((0, Bucket::default())),
-            Some(v) => serde_json::from_str(&v.value)
-                .ok()
-                .map(|bucket| (v.version, bucket)),
-        };
-        match stored {
+        match decode::<Bucket>(value) {
             None => self.give_up(),
             Some((version, bucket)) if bucket.sealed => {
                 self.seal(version, &bucket, now);
@@ -175,16 +169,14 @@
                         self.verdicts = verdicts;
                         self.finish()
                     }
-                    _ => Next::Ask(self.write(now)),
+                    evaluated => Next::Ask(self.write(evaluated)),
                 }
             }
         }
     }
 
     fn written(&mut self, version: u64, now: u64) -> Ended {
-        let (verdicts, _) = self.evaluate(now);
-        let bucket = self.next_bucket(now);
-        self.verdicts = verdicts;
+        let bucket = std::mem::take(&mut self.written);
         if !bucket.sealed {
             self.bucket = Some((version, bucket));
             return self.finish();
@@ -242,6 +234,7 @@
     fn give_up(&mut self) -> Ended {
         self.stage = Stage::Idle;
         self.bucket = None;
+        self.verdicts.clear();
         let sent = std::mem::take(&mut self.sent);
         self.pending.extend(
             sent.iter()
@@ -268,9 +261,15 @@
         self.ask(Stage::Read, Ask::Get { key })
     }
 
-    fn write(&mut self, now: u64) -> Ask {
-        let expect = self.bucket.as_ref().map_or(0, |(version, _)| *version);
-        let value = encode(&self.next_bucket(now));
+    /// Writes the open bucket with the records that were decided on. Their verdicts are kept as
+    /// they were then: a claim may expire before the answer comes.
+    fn write(&mut self, (verdicts, records): (Vec<(u64, Verdict)>, Vec<Record>)) -> Ask {
+        let (expect, mut bucket) = self.bucket.clone().unwrap_or_default();
+        bucket.records.extend(records);
+        bucket.sealed = bucket.records.len() >= self.bucket_records;
+        let value = encode(&bucket);
+        self.verdicts = verdicts;
+        self.written = bucket;
         let key = self.key(self.open);
         self.ask(Stage::Write, Ask::Swap { key, expect, value })
     }
@@ -284,18 +283,6 @@
         format!("{}/{index}", self.name).into()
     }
 
-    /// Returns the open bucket with the changes sent.
-    fn next_bucket(&self, now: u64) -> Bucket {
-        let mut bucket = self
-            .bucket
-            .as_ref()
-            .map(|(_, b)| b.clone())
-            .unwrap_or_default();
-        bucket.records.extend(self.evaluate(now).1);
-        bucket.sealed = bucket.records.len() >= self.bucket_records;
-        bucket
-    }
-
     /// Returns the verdicts of the changes sent, in their order, and the records that they add.
     fn evaluate(&self, now: u64) -> (Vec<(u64, Verdict)>, Vec<Record>) {
         let mut recent: Map<Digest, Claim> = Map::default();
@@ -353,6 +340,14 @@
     }
 }
 
+/// Reads a stored value; an absent one is the default of version 0.
+fn decode<T: Default + serde::de::DeserializeOwned>(value: Option<Versioned>) -> Option<(u64, T)> {
+    match value {
+        None => Some((0, T::default())),
+        Some(stored) => Some((stored.version, serde_json::from_str(&stored.value).ok()?)),
+    }
+}
+
 fn encode<T: serde::Serialize>(value: &T) -> String {
     serde_json::to_string(value).expect("claims have text keys")
 }
--- a/lentilcart_state/tests/testsuite/claims.rs
+++ b/lentilcart_state/tests/testsuite/claims.rs
@@ -259,3 +259,29 @@
     };
     assert_eq!(verdicts, [(1, Verdict::Stored)]);
 }
+
+#[test]
+fn claim_expires_during_write() {
+    let mut store = Store::default();
+    let mut first = ClaimLog::new("claim/test".into());
+    first.push(take(1, "a", NOW + 5));
+    settle(&mut first, &mut store, NOW);
+    let mut second = ClaimLog::new("claim/test".into());
+    second.push(take(1, "b", NEVER));
+    second.push(take(2, "b", NEVER));
+    let mut ask = second.start(NOW).unwrap();
+    let verdicts = loop {
+        // The write is composed before the expiry and answered after it.
+        let now = match ask {
+            Ask::Get { .. } => NOW,
+            Ask::Swap { .. } => NOW + 10,
+        };
+        match second.step(store.call(ask, Fate::Answered), now) {
+            Next::Ask(next) => ask = next,
+            Next::Wait(_) => unreachable!("a log never waits"),
+            Next::Done(verdicts) => break verdicts,
+        }
+    };
+    let running = Verdict::Held(ClaimState::Running);
+    assert_eq!(verdicts, [(1, running), (2, Verdict::Stored)]);
+}
