fix: a request that an earlier attempt may have run is not called not run

Cause: found by reading. An idempotent request that was forwarded to a home that was then lost, or whose first attempt or hedge was cut, was dispatched again with that forgotten; where the last attempt was refused, its caller was told not-run, which is a promise. Once requests are not concerned: they are neither forwarded nor hedged. Ruled out: a rule in each place; the call itself now keeps whether it may have run, and one place turns the failure. Also: one wait for a lost entry instead of two, and code that nothing called is gone (a check that could not fail, an unused reading of load reports).

--- a/lentilcart_route/src/pool/row.rs
+++ b/lentilcart_route/src/pool/row.rs
@@ -5,7 +5,6 @@
 
 const LATENCY_WEIGHT: f64 = 0.1;
 const DIGEST_LIFE: Micros = Micros::from_millis(250);
-const REPORT_HALF_LIFE: Micros = Micros::from_millis(20);
 const LIMIT_DECREASE: f64 = 0.9;
 const LIMIT_INCREASE: f64 = 0.1;
 const PROBE_BURST: f64 = 2.0;
@@ -98,15 +97,6 @@
         fresh.map(|(count, _)| count).sum()
     }
 
-    /// Returns the load by the server's own report, which halves every 20 ms as it ages.
-    #[must_use]
-    pub fn get_report(&self, now: Micros) -> f64 {
-        self.report.map_or(0.0, |(load, at)| {
-            let age = (now - at).0 as f64 / REPORT_HALF_LIFE.0 as f64;
-            f64::from(load) * 0.5_f64.powf(age)
-        })
-    }
-
     /// Returns the load and latency of a probe younger than `life`.
     #[must_use]
     pub fn get_probe(&self, now: Micros, life: Micros) -> Option<(u32, Micros)> {
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -12,11 +12,10 @@
 use super::entry::Entry;
 use super::failure::Failure;
 use super::lease::Lease;
+use super::outcome::Told;
 use super::payload::Payload;
 use super::post::Posts;
-use crate::http::{
-    ATTEMPT, DEADLINE_MS, End, HttpBody, LEAVING, LOAD, SendError, empty, number_of, set,
-};
+use crate::http::{ATTEMPT, DEADLINE_MS, End, HttpBody, LEAVING, LOAD, SendError, number_of, set};
 use crate::peer::{Ask, AskKind, ClaimAsk};
 
 const MAX_ATTEMPTS: u32 = 4;
@@ -31,6 +30,8 @@
     pub(crate) service: Arc<Service>,
     pub(crate) arrived: Micros,
     pub(crate) deadline: Micros,
+    /// Whether an attempt that is given up may have run it.
+    pub(crate) may_have_run: bool,
 }
 
 /// What became of one attempt.
@@ -209,9 +210,15 @@
     let second = Box::pin(attempt(entry, &service, lease, request));
     let (ended, won) = match select(first, second).await {
         Either::Left((ended @ Tried::Answer(_), _)) => (ended, false),
-        Either::Left((_, second)) => (second.await, true),
+        Either::Left((failed, second)) => {
+            call.may_have_run |= !matches!(failed, Tried::NotRun(..));
+            (second.await, true)
+        }
         Either::Right((ended @ Tried::Answer(_), _)) => (ended, true),
-        Either::Right((_, first)) => (first.await, false),
+        Either::Right((failed, first)) => {
+            call.may_have_run |= !matches!(failed, Tried::NotRun(..));
+            (first.await, false)
+        }
     };
     if won {
         entry.stats.add_hedge_won();
@@ -282,13 +289,15 @@
 }
 
 impl Call {
-    /// Returns a request without a body that could be sent, for checks.
-    pub(crate) fn is_sendable(&self) -> bool {
-        Request::builder()
-            .method(&self.method)
-            .uri(&self.uri)
-            .body(empty())
-            .is_ok()
+    /// Returns what the caller is told of a failure: never "not run" where an earlier attempt may
+    /// have run.
+    pub(crate) fn honest(&self, failure: Failure) -> Failure {
+        match failure.get_told() {
+            Told::NotRun if self.may_have_run => {
+                Failure::Cut("an earlier attempt may have run it".to_owned())
+            }
+            _ => failure,
+        }
     }
 
     /// Sets a header of every attempt.
--- a/src/entry/borrow.rs
+++ b/src/entry/borrow.rs
@@ -131,7 +131,8 @@
     }
 }
 
-async fn wait_lost(entry: &Entry, home: &Name) {
+/// Waits until an entry's heartbeats no longer arrive.
+pub(crate) async fn wait_lost(entry: &Entry, home: &Name) {
     while entry.is_live(home) {
         tokio::time::sleep(LOSS_CHECK).await;
     }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -1,21 +1,19 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use hyper::Response;
 use lentilcart_util::Name;
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::Call;
+use super::borrow::wait_lost;
 use super::entry::Entry;
 use super::failure::Failure;
 use crate::http::{FORWARDED, HttpBody, SendError};
 
-const LOSS_CHECK: Duration = Duration::from_millis(25);
-
 /// Sends a request to an entry that dispatches for its service.
 ///
-/// Returns `None` where no such entry took it and it was certainly not run there; the caller then
-/// dispatches it itself. A request that may repeat leaves an entry that is lost; one that may not
+/// Returns `None` where no such entry answered; the caller then dispatches it itself. The call
+/// keeps whether it may have run there. A request that may repeat leaves an entry that is lost; one that may not
 /// waits for that entry until its deadline.
 pub(crate) async fn forward(
     entry: &Arc<Entry>,
@@ -42,13 +40,16 @@
         };
         let sent = tokio::select! {
             sent = timeout_at(deadline, entry.dialer.send(address, request)) => sent,
-            () = lost => continue,
+            () = lost => {
+                call.may_have_run = true;
+                continue;
+            }
         };
         match sent {
             Err(_) => return Err(Failure::Deadline(true)),
             Ok(Ok(reply)) => return Ok(Some(reply.into_streamed(|_| ()))),
             Ok(Err(SendError::NotSent(_, unsent))) => call.payload.put_back(unsent.into_body()),
-            Ok(Err(SendError::Cut(_))) if may_repeat => {}
+            Ok(Err(SendError::Cut(_))) if may_repeat => call.may_have_run = true,
             Ok(Err(SendError::Cut(reason))) => {
                 return Err(Failure::Cut(format!("entry {home}: {reason}")));
             }
@@ -57,9 +58,3 @@
     call.headers.remove(FORWARDED);
     Ok(None)
 }
-
-async fn wait_lost(entry: &Entry, home: &Name) {
-    while entry.is_live(home) {
-        tokio::time::sleep(LOSS_CHECK).await;
-    }
-}
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -145,11 +145,6 @@
     };
     *label = Some((service.clone(), route.class));
     let mut call = prepare(entry, request, &host, route, service).await?;
-    if !call.is_sendable() {
-        return Err(Failure::Bad(
-            "the request's method or target cannot be sent on",
-        ));
-    }
     let mut homes = entry.get_homes(&call.service);
     if origin == Origin::Entry || homes.contains(&entry.settings.name) {
         homes.clear();
@@ -164,7 +159,8 @@
     let mut posts = Posts::new(homes);
     let key = text_of(&call.headers, IDEMPOTENCY_KEY).filter(|_| call.is_once());
     let Some(key) = key else {
-        return dispatch(entry, &mut posts, &mut call, None).await;
+        let result = dispatch(entry, &mut posts, &mut call, None).await;
+        return result.map_err(|failure| call.honest(failure));
     };
     let mut claim = Claimed::new(entry, &call.service, key);
     let result = dispatch(entry, &mut posts, &mut call, Some(&claim.ask)).await;
@@ -201,5 +197,6 @@
         service,
         arrived,
         deadline: arrived + length,
+        may_have_run: false,
     })
 }
