--- a/lentilcart_bench/src/scenario/slopes.rs
+++ b/lentilcart_bench/src/scenario/slopes.rs
@@ -89,7 +89,12 @@
         if under_way.len() > servers * 3 / 2
             && let Some((job, server)) = under_way.pop_front()
         {
-            pool.settle(now, job, server, Outcome::answered(Some(1)));
+            pool.settle(
+                now,
+                job,
+                server,
+                Outcome::answered(Some(lentilcart_route::Load::of_requests(1))),
+            );
         }
     }
     nanos(started.elapsed(), DECISIONS)
--- a/lentilcart_route/src/lib.rs
+++ b/lentilcart_route/src/lib.rs
@@ -27,5 +27,5 @@
 pub use self::limits::{Bucket, EjectLimits, Hedger, LoadBudget, RetryLimits};
 pub use self::policy::{Choice, POLICIES, Policy, get_policy, get_policy_names};
 pub use self::pool::{
-    Job, Outcome, Phase, Pool, PoolConfig, Refusal, Row, RowView, ServerConfig, Share, Step,
+    Job, Load, Outcome, Phase, Pool, PoolConfig, Refusal, Row, RowView, ServerConfig, Share, Step,
 };
--- a/lentilcart_route/src/policy/policy.rs
+++ b/lentilcart_route/src/policy/policy.rs
@@ -11,6 +11,8 @@
     pub late: bool,
     /// Whether entries send each other digests of their outstanding requests.
     pub digests: bool,
+    /// Whether servers' own reports count against their limit.
+    pub reports: bool,
     /// Whether the policy measures load by probes.
     pub probes: bool,
     /// Chooses among the rows that may take one more request.
@@ -28,13 +30,14 @@
         name,
         late: false,
         digests: false,
+        reports: false,
         probes: false,
         pick,
     }
 }
 
 /// Every policy; the first is the default.
-pub static POLICIES: [Policy; 10] = [
+pub static POLICIES: [Policy; 11] = [
     Policy {
         late: true,
         ..rule("late-near", rules::near_wait)
@@ -56,6 +59,11 @@
         late: true,
         ..rule("late-shares", rules::own_slots)
     },
+    Policy {
+        late: true,
+        reports: true,
+        ..rule("late-paced", rules::paced)
+    },
     rule("random", rules::random),
     rule("round-robin", rules::round_robin),
     rule("least", rules::least),
--- a/lentilcart_route/src/policy/rules.rs
+++ b/lentilcart_route/src/policy/rules.rs
@@ -7,6 +7,10 @@
 const WAIT_WEIGHT: f64 = 10.0;
 const FAR_WEIGHT: f64 = 1.0;
 const BORROWED_WEIGHT: f64 = 1.0;
+/// Cost of a failed attempt, in usual work times.
+const FAILURE_COST: f64 = 8.0;
+/// Cost of a server in another data centre, in usual work times.
+const FAR_COST: f64 = 0.1;
 
 pub(super) fn random(choice: &mut Choice<'_>) -> usize {
     choice.any()
@@ -40,6 +44,17 @@
     choice.lowest(|c, index| c.load(index, c.rows[index].get_peers(c.now)))
 }
 
+/// Shortest expected time at the server by its own reports of load and speed, each of which counts
+/// the less the older it is.
+pub(super) fn paced(choice: &mut Choice<'_>) -> usize {
+    choice.lowest(|c, index| {
+        let row = &c.rows[index];
+        let far = f64::from(u8::from(c.is_far(index)));
+        let failing = row.get_failing(c.now);
+        row.get_expected(c.now) * (1.0 + failing * FAILURE_COST) + far * FAR_COST
+    })
+}
+
 /// Own slots first, then the slots of other entries.
 pub(super) fn own_slots(choice: &mut Choice<'_>) -> usize {
     choice.lowest(|c, index| {
--- a/lentilcart_route/src/pool/config.rs
+++ b/lentilcart_route/src/pool/config.rs
@@ -20,6 +20,8 @@
     pub wait: f64,
     /// Time over which a new server comes to its full share.
     pub ramp: Micros,
+    /// Retries that a new pool has before it has seen a success.
+    pub first_retries: f64,
     /// Budget of load measurement.
     pub load: LoadBudget,
     /// Limits of retries and hedges.
@@ -37,6 +39,7 @@
             connections: 40,
             wait: 0.5,
             ramp: Micros::ZERO,
+            first_retries: 10.0,
             load: LoadBudget::default(),
             retry: RetryLimits::default(),
             eject: EjectLimits::default(),
@@ -47,8 +50,14 @@
 /// Settings of a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerConfig {
-    /// Address that identifies the server.
+    /// Address that identifies the server, with its incarnation.
     pub address: SocketAddr,
+    /// Identifier that the server answers to; empty where it has none.
+    pub id: Name,
+    /// Start of this incarnation, in Unix milliseconds; 0 where it is not known.
+    pub born: u64,
+    /// Until when the server is slow after its start.
+    pub warm: Micros,
     /// Data centre of the server.
     pub data_center: Name,
     /// Requests that it runs at once.
@@ -61,10 +70,19 @@
     pub fn new(address: SocketAddr, slots: u32) -> Self {
         Self {
             address,
+            id: Name::default(),
+            born: 0,
+            warm: Micros::ZERO,
             data_center: Name::default(),
             slots,
         }
     }
+
+    /// Returns whether both name the same incarnation of a server.
+    #[must_use]
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.address == other.address && self.id == other.id && self.born == other.born
+    }
 }
 
 common! { value,
--- a/lentilcart_route/src/pool/job.rs
+++ b/lentilcart_route/src/pool/job.rs
@@ -66,17 +66,58 @@
     }
 }
 
+common! { message,
+    /// A server's report of its load.
+    #[derive(Copy)]
+    pub struct Load {
+        /// Requests that it runs.
+        pub running: u32,
+        /// Requests that wait there.
+        pub waiting: u32,
+        /// Requests that it runs at once, where it tells.
+        pub slots: Option<u32>,
+        /// How long work takes there now, as a multiple of the usual time, where it tells.
+        pub slowness: Option<f64>,
+    }
+}
+
+impl Load {
+    /// Creates a report of requests only.
+    #[must_use]
+    pub const fn of_requests(requests: u32) -> Self {
+        Self {
+            running: requests,
+            waiting: 0,
+            slots: None,
+            slowness: None,
+        }
+    }
+
+    /// Returns the requests running or waiting.
+    #[must_use]
+    pub const fn get_requests(&self) -> u32 {
+        self.running + self.waiting
+    }
+}
+
 common! { message,
     /// What became of an attempt.
-    #[derive(Copy, Eq)]
+    #[derive(Copy)]
     pub enum Outcome {
-        /// The server answered; holds the load that it reported, in requests.
+        /// The server answered; holds the load that it reported.
         Answered {
-            /// Requests running or waiting at the server, by its own report.
-            load: Option<u32>,
+            /// Load by the server's own report.
+            load: Option<Load>,
+        },
+        /// The server was full and did not run the request.
+        Full {
+            /// Load by the server's own report.
+            load: Option<Load>,
         },
         /// The server failed, or answered with a failure.
         Failed,
+        /// The server could not be reached.
+        Unreachable,
         /// The server said that it is leaving and did not run the request.
         Leaving,
         /// The attempt was cancelled and says nothing of the server.
@@ -87,7 +128,7 @@
 impl Outcome {
     /// Creates the outcome of an answered attempt.
     #[must_use]
-    pub const fn answered(load: Option<u32>) -> Self {
+    pub const fn answered(load: Option<Load>) -> Self {
         Self::Answered { load }
     }
 }
--- a/lentilcart_route/src/pool/mod.rs
+++ b/lentilcart_route/src/pool/mod.rs
@@ -8,7 +8,7 @@
 mod row;
 
 pub use self::config::{PoolConfig, ServerConfig, Share};
-pub use self::job::{Job, Outcome, Refusal, Step};
+pub use self::job::{Job, Load, Outcome, Refusal, Step};
 pub use self::phase::Phase;
 pub use self::pool::Pool;
 pub use self::row::{Row, RowView};
--- a/lentilcart_route/src/pool/pool.rs
+++ b/lentilcart_route/src/pool/pool.rs
@@ -1,13 +1,16 @@
 use lentilcart_util::{Micros, Name, Rng, seeded};
 
 use super::row::PROBE_BYTES;
-use super::{Job, Outcome, Phase, PoolConfig, Refusal, Row, RowView, ServerConfig, Share, Step};
+use super::{
+    Job, Load, Outcome, Phase, PoolConfig, Refusal, Row, RowView, ServerConfig, Share, Step,
+};
 use crate::limits::{Bucket, Hedger};
 use crate::policy::Choice;
 use crate::queue::Queue;
 
 const MAX_BACKOFF_DOUBLINGS: u32 = 5;
-const FIRST_RETRIES: f64 = 10.0;
+/// Failures that an unanswered question about load counts for.
+const DOUBT_WEIGHT: u32 = 3;
 const MEAN_WEIGHT: f64 = 0.02;
 const TYPICAL_QUANTILE: f64 = 0.5;
 
@@ -31,7 +34,7 @@
     #[must_use]
     pub fn new(config: PoolConfig, seed: u64) -> Self {
         let mut retries = Bucket::new(0.0, config.retry.burst, Micros::ZERO);
-        retries.deposit(FIRST_RETRIES);
+        retries.deposit(config.first_retries);
         Self {
             rows: Vec::new(),
             queue: Queue::default(),
@@ -60,13 +63,10 @@
     pub fn set_servers(&mut self, now: Micros, servers: &[ServerConfig]) {
         let first = self.rows.is_empty();
         for row in &mut self.rows {
-            row.listed = servers.iter().any(|s| s.address == row.config.address);
+            row.listed = servers.iter().any(|s| s.is_same(&row.config));
         }
         for server in servers {
-            let known = self
-                .rows
-                .iter_mut()
-                .find(|row| row.config.address == server.address);
+            let known = self.rows.iter_mut().find(|row| row.config.is_same(server));
             match known {
                 Some(row) if row.config == *server => {}
                 Some(row) => {
@@ -207,7 +207,15 @@
                 self.mean += MEAN_WEIGHT * (took.0 as f64 - self.mean);
                 self.recover(now, server);
             }
-            Outcome::Failed => self.fail(now, server),
+            Outcome::Full { load } => row.hear(now, load),
+            Outcome::Failed => {
+                row.note(now, true);
+                self.fail(now, server, 1);
+            }
+            Outcome::Unreachable => {
+                row.note(now, true);
+                self.fail(now, server, self.config.eject.failures);
+            }
             Outcome::Leaving => row.phase = Phase::Leaving,
             Outcome::Cancelled => {}
         }
@@ -291,6 +299,21 @@
         }
     }
 
+    /// Takes a server's report of its load that came by another way than an answer.
+    pub fn report(&mut self, now: Micros, server: usize, load: Load) {
+        if let Some(row) = self.rows.get_mut(server) {
+            row.hear(now, Some(load));
+        }
+    }
+
+    /// Records that a server did not answer a question about its load.
+    pub fn doubt(&mut self, now: Micros, server: usize) {
+        if let Some(row) = self.rows.get_mut(server) {
+            row.note(now, true);
+            self.fail(now, server, DOUBT_WEIGHT);
+        }
+    }
+
     /// Records another entry's outstanding requests.
     pub fn learn(
         &mut self,
@@ -389,14 +412,23 @@
     fn is_any_open(&self, now: Micros) -> bool {
         self.rows
             .iter()
-            .any(|row| row.get_outstanding() < row.get_limit(now, &self.config))
+            .any(|row| self.get_load(now, row) < row.get_limit(now, &self.config))
     }
 
     fn is_row_open(&self, now: Micros, job: &Job, index: usize) -> bool {
         let row = &self.rows[index];
         let untried = !job.tried.contains(&index);
         let trusted = !job.once || row.phase != Phase::Probation;
-        row.get_outstanding() < row.get_limit(now, &self.config) && untried && trusted
+        self.get_load(now, row) < row.get_limit(now, &self.config) && untried && trusted
+    }
+
+    /// Returns the requests at a server that count against its limit.
+    fn get_load(&self, now: Micros, row: &Row) -> u32 {
+        let others = match self.config.policy.reports {
+            true => row.get_others(now).round() as u32,
+            false => 0,
+        };
+        row.get_outstanding() + others
     }
 
     fn is_open(&self, now: Micros, job: &Job) -> bool {
@@ -429,9 +461,9 @@
         picked
     }
 
-    /// Counts a failure, and ejects the server after too many in a row unless too many are
+    /// Counts a failure of some weight, and ejects the server after too many in a row unless too many are
     /// ejected already.
-    fn fail(&mut self, now: Micros, server: usize) {
+    fn fail(&mut self, now: Micros, server: usize, weight: u32) {
         let limits = self.config.eject;
         let listed = self.rows.iter().filter(|row| row.listed).count();
         let out = |row: &&Row| matches!(row.phase, Phase::Ejected { .. } | Phase::Probation);
@@ -444,7 +476,7 @@
         let may_eject = (ejected + 1) as f64 <= limits.share * listed as f64;
         let row = &mut self.rows[server];
         row.failed += 1;
-        row.failures += 1;
+        row.failures += weight;
         let doubtful = match row.phase {
             Phase::Probation => true,
             Phase::Serving | Phase::Ramping { .. } => row.failures >= limits.failures && may_eject,
--- a/lentilcart_route/src/pool/row.rs
+++ b/lentilcart_route/src/pool/row.rs
@@ -1,6 +1,6 @@
 use lentilcart_util::{Map, Micros, Name};
 
-use super::{Phase, PoolConfig, ServerConfig, Share};
+use super::{Load, Phase, PoolConfig, ServerConfig, Share};
 use crate::limits::Bucket;
 
 const LATENCY_WEIGHT: f64 = 0.1;
@@ -8,6 +8,24 @@
 const LIMIT_DECREASE: f64 = 0.9;
 const LIMIT_INCREASE: f64 = 0.1;
 const PROBE_BURST: f64 = 2.0;
+/// Time constant with which a report of requests loses its meaning: about a request's work.
+const QUEUE_MEMORY: Micros = Micros::from_millis(60);
+/// Time constant with which a report of speed loses its meaning; noise changes about as often.
+const SPEED_MEMORY: Micros = Micros::from_millis(225);
+/// Slowness that is expected of a server without a fresh report.
+const MEAN_SLOWNESS: f64 = 1.75;
+/// Slowness of a server that has just started.
+const COLD_SLOWNESS: f64 = 2.0;
+/// Share of its slots beyond which a server slows down.
+const BUSY_SHARE: f64 = 0.8;
+/// Cost of such a slowdown, in usual work times.
+const BUSY_COST: f64 = 0.7;
+/// Cost of a server's load below that share, for each of its slots that is taken; breaks ties.
+const SHARED_COST: f64 = 0.05;
+/// Weight of the newest outcome in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.2;
+/// Time constant with which failures are forgotten.
+const FAILURE_MEMORY: Micros = Micros::from_millis(2000);
 
 /// Bytes of a probe, its answer and their headers, as charged before the answer is known.
 pub(crate) const PROBE_BYTES: f64 = 300.0;
@@ -24,12 +42,14 @@
     /// Requests of other entries under way there, with the age of that knowledge.
     pub(crate) peers: Map<Name, (u32, Micros)>,
     /// Load by the server's own report.
-    pub(crate) report: Option<(u32, Micros)>,
+    pub(crate) report: Option<Report>,
     /// Load and latency by the last probe.
     pub(crate) probe: Option<(u32, Micros, Micros)>,
     pub(crate) latency: f64,
     pub(crate) limit: f64,
     pub(crate) failures: u32,
+    /// Share of the recent attempts that failed, and when it was last changed.
+    pub(crate) failing: (f64, Micros),
     pub(crate) ejections: u32,
     pub(crate) answered: u64,
     pub(crate) failed: u64,
@@ -38,6 +58,15 @@
     pub(crate) bytes: Bucket,
 }
 
+/// What a server told of its load.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Report {
+    pub(crate) load: Load,
+    pub(crate) at: Micros,
+    /// Requests of this entry under way there at that time.
+    pub(crate) own: u32,
+}
+
 /// What an operator is shown of one server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RowView {
@@ -56,7 +85,7 @@
     /// When the server last answered.
     pub heard: Option<Micros>,
     /// Load by its own report, and when that came.
-    pub report: Option<(u32, Micros)>,
+    pub report: Option<(Load, Micros)>,
 }
 
 impl Row {
@@ -72,6 +101,7 @@
             probe: None,
             latency: 0.0,
             failures: 0,
+            failing: (0.0, now),
             ejections: 0,
             answered: 0,
             failed: 0,
@@ -97,6 +127,46 @@
         fresh.map(|(count, _)| count).sum()
     }
 
+    /// Returns the requests of others at the server by its own report, as far as it is fresh.
+    #[must_use]
+    pub fn get_others(&self, now: Micros) -> f64 {
+        self.report.map_or(0.0, |report| {
+            let others = report.load.get_requests().saturating_sub(report.own);
+            f64::from(others) * get_freshness(now - report.at, QUEUE_MEMORY)
+        })
+    }
+
+    /// Returns how long work takes at the server, as a multiple of its usual time: by its own
+    /// report while that is fresh, and as long as on average later.
+    #[must_use]
+    pub fn get_slowness(&self, now: Micros) -> f64 {
+        let told = self.report.and_then(|report| {
+            let slowness = report.load.slowness?;
+            let fresh = get_freshness(now - report.at, SPEED_MEMORY);
+            Some(MEAN_SLOWNESS + (slowness - MEAN_SLOWNESS) * fresh)
+        });
+        let slowness = told.unwrap_or(MEAN_SLOWNESS);
+        if now < self.config.warm {
+            slowness * COLD_SLOWNESS
+        } else {
+            slowness
+        }
+    }
+
+    /// Returns the time that one more request would take at the server, in usual work times.
+    #[must_use]
+    pub fn get_expected(&self, now: Micros) -> f64 {
+        let slots = f64::from(self.config.slots.max(1));
+        let load = f64::from(self.get_outstanding()) + self.get_others(now) + 1.0;
+        let wait = (load - slots).max(0.0) / slots;
+        let busy = if load > slots * BUSY_SHARE {
+            BUSY_COST
+        } else {
+            load / slots * SHARED_COST
+        };
+        self.get_slowness(now) * (1.0 + busy + wait)
+    }
+
     /// Returns the load and latency of a probe younger than `life`.
     #[must_use]
     pub fn get_probe(&self, now: Micros, life: Micros) -> Option<(u32, Micros)> {
@@ -158,7 +228,13 @@
 
     /// Records an answer, and follows the server's real slots: the limit falls while the server
     /// reports more requests than this entry may give it, and grows back otherwise.
-    pub(crate) fn answer(&mut self, now: Micros, took: Micros, load: Option<u32>, overcommit: u32) {
+    pub(crate) fn answer(
+        &mut self,
+        now: Micros,
+        took: Micros,
+        load: Option<Load>,
+        overcommit: u32,
+    ) {
         self.answered += 1;
         self.failures = 0;
         self.heard = Some(now);
@@ -168,12 +244,34 @@
         };
         let slots = f64::from(self.config.slots);
         self.limit = match load {
-            Some(load) if load > self.config.slots + overcommit => {
+            Some(load) if load.get_requests() > self.config.slots + overcommit => {
                 (self.limit * LIMIT_DECREASE).max(1.0)
             }
             _ => (self.limit + LIMIT_INCREASE).min(slots),
         };
-        self.report = load.map(|load| (load, now)).or(self.report);
+        self.note(now, false);
+        self.hear(now, load);
+    }
+
+    /// Takes a server's report of its load, from an answer or a probe.
+    pub(crate) fn hear(&mut self, now: Micros, load: Option<Load>) {
+        let own = self.get_outstanding();
+        let report = load.map(|load| Report { load, at: now, own });
+        self.report = report.or(self.report);
+    }
+
+    /// Records whether an attempt failed.
+    pub(crate) fn note(&mut self, now: Micros, failed: bool) {
+        let before = self.get_failing(now);
+        let target = f64::from(u8::from(failed));
+        self.failing = (before + FAILURE_WEIGHT * (target - before), now);
+    }
+
+    /// Returns the share of the recent attempts that failed.
+    #[must_use]
+    pub fn get_failing(&self, now: Micros) -> f64 {
+        let (share, at) = self.failing;
+        share * (-(now - at).as_secs() / FAILURE_MEMORY.as_secs()).exp()
     }
 
     pub(crate) fn view(&self) -> RowView {
@@ -185,7 +283,12 @@
             answered: self.answered,
             failed: self.failed,
             heard: self.heard,
-            report: self.report,
+            report: self.report.map(|report| (report.load, report.at)),
         }
     }
 }
+
+/// Returns how much a report still counts, from 1 to 0.
+fn get_freshness(age: Micros, memory: Micros) -> f64 {
+    (-age.as_secs() / memory.as_secs()).exp()
+}
--- a/lentilcart_route/tests/testsuite/pool.rs
+++ b/lentilcart_route/tests/testsuite/pool.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use lentilcart_route::{
-    Job, Outcome, Phase, Pool, PoolConfig, Refusal, ServerConfig, Step, get_policy,
+    Job, Load, Outcome, Phase, Pool, PoolConfig, Refusal, ServerConfig, Step, get_policy,
 };
 use lentilcart_util::Micros;
 
@@ -213,7 +213,12 @@
             let Step::Start { job, server } = step else {
                 panic!("refused")
             };
-            pool.settle(now, job, server, Outcome::answered(Some(5)));
+            pool.settle(
+                now,
+                job,
+                server,
+                Outcome::answered(Some(Load::of_requests(5))),
+            );
         }
     }
 }
--- a/lentilcart_route/tests/testsuite/property.rs
+++ b/lentilcart_route/tests/testsuite/property.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use lentilcart_route::{Job, Outcome, POLICIES, Phase, Pool, PoolConfig, ServerConfig, Step};
+use lentilcart_route::{Job, Load, Outcome, POLICIES, Phase, Pool, PoolConfig, ServerConfig, Step};
 use lentilcart_util::Micros;
 use proptest::prelude::*;
 
@@ -122,7 +122,7 @@
                 let outcome = match outcome {
                     0 => Outcome::Failed,
                     1 => Outcome::Cancelled,
-                    2 => Outcome::answered(Some(9)),
+                    2 => Outcome::answered(Some(Load::of_requests(9))),
                     _ => Outcome::answered(None),
                 };
                 let steps = self.pool.settle(self.now, job, server, outcome);
--- a/lentilcart_state/src/lib.rs
+++ b/lentilcart_state/src/lib.rs
@@ -6,10 +6,13 @@
 
 mod accept;
 mod claim;
+mod directory;
 mod error;
 mod member;
+mod mirror;
 mod parse;
 mod platform;
+mod routing;
 mod ticket;
 
 pub use self::accept::{
@@ -17,10 +20,15 @@
     diff, number_key, ticket_key,
 };
 pub use self::claim::{Claim, ClaimLog, ClaimState, Digest, Op, Verdict};
+pub use self::directory::{Directory, Instance};
 pub use self::error::{Fault, StateError, TicketError};
 pub use self::member::{Member, Members, rendezvous};
+pub use self::mirror::{
+    Change, Expect, Item, Mirror, Put, Snapshot, StoreCall, StoreEvent, StoreReply,
+};
 pub use self::parse::parse;
 pub use self::platform::{Ask, Reply, Versioned};
+pub use self::routing::{CallerLimits, HeaderNames, PathRule, RouteTable, RulePart, ServiceRules};
 pub use self::ticket::{
     Class, EjectLimits, LoadBudget, RetryLimits, Route, Server, Service, Ticket,
 };
--- /dev/null
+++ b/lentilcart_state/src/mirror/mirror.rs
@@ -0,0 +1,200 @@
+use lentilcart_util::{Map, Micros, Name, Set, common};
+
+use super::{Item, StoreCall, StoreEvent, StoreReply};
+
+/// A change of a mirrored prefix.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// The key has this value now.
+    Put(Item),
+    /// The key is gone.
+    Gone(Name),
+}
+
+common! { message,
+    /// Everything under a prefix as of a revision.
+    #[derive(Default, Eq)]
+    pub struct Snapshot {
+        /// Revision.
+        pub revision: u64,
+        /// Items.
+        pub items: Vec<Item>,
+    }
+}
+
+/// Copy of the items under a prefix.
+///
+/// It emits the next call to the store and takes the answers; copies of other entries can be
+/// merged at any time. Nothing older than what is known is ever taken: items are compared by their
+/// revision, whole copies by the store's.
+#[derive(Debug)]
+pub struct Mirror {
+    prefix: Name,
+    items: Map<Name, Item>,
+    revision: u64,
+    /// Newest revision of any change that was taken.
+    latest: u64,
+    listing: Option<Listing>,
+}
+
+#[derive(Debug, Default)]
+struct Listing {
+    /// Revision of the first page; changes after it come by a watch.
+    base: Option<u64>,
+    after: Option<Name>,
+    items: Vec<Item>,
+}
+
+impl Mirror {
+    /// Creates an empty copy that begins with a list.
+    #[must_use]
+    pub fn new(prefix: Name) -> Self {
+        Self {
+            prefix,
+            items: Map::default(),
+            revision: 0,
+            latest: 0,
+            listing: Some(Listing::default()),
+        }
+    }
+
+    /// Returns the revision up to which the copy is complete; 0 before the first list.
+    #[must_use]
+    pub fn get_revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the newest revision of any change that was taken; a copy that is complete up to it
+    /// lacks nothing that this one has.
+    #[must_use]
+    pub fn get_latest(&self) -> u64 {
+        self.latest
+    }
+
+    /// Returns whether the next call is a watch.
+    #[must_use]
+    pub fn is_watching(&self) -> bool {
+        self.listing.is_none()
+    }
+
+    /// Reads everything anew; what is known stays until then.
+    pub fn restart(&mut self) {
+        self.listing = Some(Listing::default());
+    }
+
+    /// Returns the next call to the store.
+    #[must_use]
+    pub fn next_call(&self, wait: Micros) -> StoreCall {
+        match &self.listing {
+            Some(listing) => StoreCall::List {
+                prefix: self.prefix.clone(),
+                after: listing.after.clone(),
+            },
+            None => StoreCall::Watch {
+                prefix: self.prefix.clone(),
+                after: self.revision,
+                wait,
+            },
+        }
+    }
+
+    /// Takes the answer to the last call and returns what changed.
+    pub fn take(&mut self, reply: StoreReply) -> Vec<Change> {
+        match reply {
+            StoreReply::Page {
+                items,
+                more,
+                revision,
+            } => self.take_page(items, more, revision),
+            StoreReply::Events { events, revision } => self.take_events(events, revision),
+            StoreReply::Compacted => {
+                self.restart();
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Takes another entry's copy if it is newer, and returns what changed.
+    pub fn merge(&mut self, snapshot: Snapshot) -> Vec<Change> {
+        if snapshot.revision <= self.revision {
+            return Vec::new();
+        }
+        self.replace(snapshot.items, snapshot.revision)
+    }
+
+    /// Returns the whole copy.
+    #[must_use]
+    pub fn get_snapshot(&self) -> Snapshot {
+        Snapshot {
+            revision: self.revision,
+            items: self.items.values().cloned().collect(),
+        }
+    }
+
+    fn take_page(&mut self, items: Vec<Item>, more: bool, revision: u64) -> Vec<Change> {
+        let mut listing = self.listing.take().unwrap_or_default();
+        let base = *listing.base.get_or_insert(revision);
+        let last = items.last().map(|item| item.key.clone());
+        listing.items.extend(items);
+        match last {
+            Some(last) if more => {
+                listing.after = Some(last);
+                self.listing = Some(listing);
+                Vec::new()
+            }
+            // Another entry's newer copy has come meanwhile.
+            _ if base < self.revision => Vec::new(),
+            _ => self.replace(listing.items, base),
+        }
+    }
+
+    fn take_events(&mut self, events: Vec<StoreEvent>, revision: u64) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for event in events {
+            match event {
+                StoreEvent::Written(item) => changes.extend(self.put(item)),
+                StoreEvent::Removed(key, at) => {
+                    let known = self.items.get(&key).is_some_and(|item| item.revision < at);
+                    self.latest = self.latest.max(at);
+                    if known {
+                        self.items.remove(&key);
+                        changes.push(Change::Gone(key));
+                    }
+                }
+            }
+        }
+        self.revision = self.revision.max(revision);
+        changes
+    }
+
+    fn replace(&mut self, items: Vec<Item>, revision: u64) -> Vec<Change> {
+        let named: Set<Name> = items.iter().map(|item| item.key.clone()).collect();
+        let gone = self
+            .items
+            .values()
+            .filter(|item| item.revision <= revision && !named.contains(&item.key))
+            .map(|item| item.key.clone());
+        let gone: Vec<Name> = gone.collect();
+        let mut changes = Vec::new();
+        for key in gone {
+            self.items.remove(&key);
+            changes.push(Change::Gone(key));
+        }
+        for item in items {
+            changes.extend(self.put(item));
+        }
+        self.revision = self.revision.max(revision);
+        changes
+    }
+
+    fn put(&mut self, item: Item) -> Option<Change> {
+        let known = self.items.get(&item.key).map(|known| known.revision);
+        if known.is_some_and(|known| known >= item.revision) {
+            return None;
+        }
+        self.latest = self.latest.max(item.revision);
+        self.items.insert(item.key.clone(), item.clone());
+        Some(Change::Put(item))
+    }
+}
--- /dev/null
+++ b/lentilcart_state/src/mirror/mod.rs
@@ -0,0 +1,8 @@
+//! A copy of the store's items under a prefix, kept current by watches and by other entries.
+
+mod call;
+#[allow(clippy::module_inception)]
+mod mirror;
+
+pub use self::call::{Expect, Item, Put, StoreCall, StoreEvent, StoreReply};
+pub use self::mirror::{Change, Mirror, Snapshot};
--- /dev/null
+++ b/lentilcart_state/src/routing/limits.rs
@@ -0,0 +1,26 @@
+use lentilcart_util::Micros;
+
+/// What a caller may send, and how long it may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest header section, in bytes.
+    pub header_bytes: usize,
+    /// Largest body, in bytes.
+    pub body_bytes: u64,
+    /// Time in which a header section must arrive.
+    pub header_wait: Micros,
+    /// Time after which an idle connection is closed.
+    pub idle: Micros,
+}
+
+impl Default for CallerLimits {
+    /// What holds before the first table: generous enough for any caller.
+    fn default() -> Self {
+        Self {
+            header_bytes: 32 * 1024,
+            body_bytes: 64 * 1024 * 1024,
+            header_wait: Micros::from_millis(10_000),
+            idle: Micros::from_millis(60_000),
+        }
+    }
+}
--- a/src/bin/lentilcartd.rs
+++ b/src/bin/lentilcartd.rs
@@ -1,13 +1,21 @@
 //! The entry daemon of lentilcart.
 
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
-use lentilcart::{Settings, entry, init_logs, ops, options_help, platform};
-use tokio::signal::unix::{SignalKind, signal};
+use lentilcart::{
+    GatewaySettings, Settings, entry, gateway, init_logs, ops, options_help, platform,
+};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::task::TaskTracker;
 
 const USAGE: u8 = 2;
 const FAILED: u8 = 1;
+/// Environment variable with the path of a gateway's settings file.
+const SETTINGS_VARIABLE: &str = "LENTILCART_SETTINGS";
+/// Time between two looks at the settings file, which may change without a signal.
+const SETTINGS_EVERY: Duration = Duration::from_secs(1);
 
 fn main() -> ExitCode {
     let mut args: Vec<_> = std::env::args_os().skip(1).collect();
@@ -18,20 +26,85 @@
     let before = args.len();
     args.retain(|arg| arg != "--check");
     let is_check = args.len() < before;
-    let settings = match Settings::read(args, |name| std::env::var(name).ok()) {
-        Ok(settings) => settings,
+    if let Some(path) = std::env::var_os(SETTINGS_VARIABLE) {
+        let path = PathBuf::from(path);
+        return match GatewaySettings::read(&path) {
+            Ok(_) if is_check => valid(),
+            Ok(settings) => start_gateway(settings, &path),
+            Err(error) => invalid(&error),
+        };
+    }
+    match Settings::read(args, |name| std::env::var(name).ok()) {
+        Ok(_) if is_check => valid(),
+        Ok(settings) => {
+            init_logs(&settings.name);
+            ops::install_metrics();
+            run(settings)
+        }
+        Err(error) => invalid(&error),
+    }
+}
+
+fn valid() -> ExitCode {
+    println!("settings are valid");
+    ExitCode::SUCCESS
+}
+
+fn invalid(error: &impl std::fmt::Display) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(USAGE)
+}
+
+/// Runs a gateway on one thread: a host has a part of one core, and a second thread would only add
+/// switches.
+fn start_gateway(settings: GatewaySettings, path: &Path) -> ExitCode {
+    init_logs(&settings.name);
+    ops::install_metrics();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(run_gateway(settings, path)),
+        Err(error) => {
+            eprintln!("cannot start the runtime: {error}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+async fn run_gateway(settings: GatewaySettings, path: &Path) -> ExitCode {
+    let signals = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+        signal(SignalKind::hangup()),
+    );
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = signals else {
+        return no_signals();
+    };
+    let tasks = TaskTracker::new();
+    let (address, timeout) = (settings.store.address, settings.store.timeout);
+    let store = platform::open_store(address, settings.get_source(), timeout.into(), tasks);
+    let running = match gateway::start_gateway(settings, store).await {
+        Ok(running) => running,
         Err(error) => {
             eprintln!("{error}");
-            return ExitCode::from(USAGE);
+            return ExitCode::from(FAILED);
         }
     };
-    if is_check {
-        println!("settings are valid");
-        return ExitCode::SUCCESS;
+    let mut timer = tokio::time::interval(SETTINGS_EVERY);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => {}
+            _ = timer.tick() => {}
+        }
+        match GatewaySettings::read(path) {
+            Ok(settings) => running.reload(settings),
+            Err(error) => log::warn!("settings not reloaded: {error}"),
+        }
     }
-    init_logs(&settings.name);
-    ops::install_metrics();
-    run(settings)
+    end(running.stop().await)
 }
 
 #[tokio::main]
@@ -43,9 +116,8 @@
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
     );
-    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
-        eprintln!("cannot receive signals");
-        return ExitCode::from(FAILED);
+    let (Ok(terminate), Ok(interrupt)) = signals else {
+        return no_signals();
     };
     let running = match entry::start(settings, platform).await {
         Ok(running) => running,
@@ -54,11 +126,23 @@
             return ExitCode::from(FAILED);
         }
     };
+    wait_stop(terminate, interrupt).await;
+    end(running.stop().await)
+}
+
+async fn wait_stop(mut terminate: Signal, mut interrupt: Signal) {
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    let complete = running.stop().await;
+}
+
+fn no_signals() -> ExitCode {
+    eprintln!("cannot receive signals");
+    ExitCode::from(FAILED)
+}
+
+fn end(complete: bool) -> ExitCode {
     if complete {
         ExitCode::SUCCESS
     } else {
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -4,7 +4,7 @@
 use futures::future::{Either, select};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use lentilcart_route::Outcome;
+use lentilcart_route::{Load, Outcome};
 use lentilcart_state::{Class, Route, Service};
 use lentilcart_util::Micros;
 use tokio::time::{Instant, timeout_at};
@@ -249,7 +249,7 @@
     let status = reply.answer.status();
     let headers = reply.answer.headers();
     let leaving = headers.contains_key(LEAVING);
-    let load = number_of(headers, LOAD);
+    let load = number_of(headers, LOAD).map(Load::of_requests);
     let address = lease.address;
     if leaving {
         entry.set_leaving(address, true, true);
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -5,9 +5,9 @@
 use lentilcart_util::{Map, Name};
 use tokio::sync::oneshot;
 
-use super::control::Backoff;
 use super::entry::Entry;
 use crate::peer::ClaimAsk;
+use crate::util::Backoff;
 use crate::util::unix_millis;
 
 /// Claims of idempotency keys: collects the changes of a service's log and writes them together.
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -1,6 +1,7 @@
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use lentilcart_route::{Job, Outcome, Pool, Refusal, Step};
+use lentilcart_route::{Job, Load, Outcome, Pool, Refusal, Step};
 use lentilcart_util::{Map, Micros, Name};
 use tokio::sync::oneshot;
 
@@ -88,6 +89,24 @@
         result
     }
 
+    /// Takes a server's report of its load.
+    pub(crate) fn report(&self, address: SocketAddr, load: Load) {
+        self.with(|pool, now| {
+            if let Some(server) = pool.get_index(address) {
+                pool.report(now, server, load);
+            }
+        });
+    }
+
+    /// Records that a server did not answer a question about its load.
+    pub(crate) fn doubt(&self, address: SocketAddr) {
+        self.with(|pool, now| {
+            if let Some(server) = pool.get_index(address) {
+                pool.doubt(now, server);
+            }
+        });
+    }
+
     /// Runs a function that only looks at the pool.
     pub(crate) fn look<T>(&self, run: impl FnOnce(&Pool) -> T) -> T {
         run(&self.lock().pool)
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -23,6 +23,8 @@
 use crate::util::{Clock, unix_millis};
 
 const HISTORY: usize = 64;
+/// Retries of a service that a new daemon may make before it has seen a success.
+const FIRST_RETRIES: f64 = 10.0;
 const LEAVING_NEWS: Micros = Micros::from_millis(1000);
 const WANT_EVERY: Micros = Micros::from_millis(50);
 const WATCHERS: usize = 2;
@@ -217,6 +219,7 @@
             connections: service.get_connections(),
             wait: service.wait,
             ramp: service.ramp,
+            first_retries: FIRST_RETRIES,
             load: service.load,
             retry: service.retry,
             eject: service.eject,
@@ -464,9 +467,8 @@
 
 fn servers_of(service: &Service) -> Vec<ServerConfig> {
     let row = |server: &lentilcart_state::Server| ServerConfig {
-        address: server.address,
         data_center: server.data_center.clone(),
-        slots: server.slots,
+        ..ServerConfig::new(server.address, server.slots)
     };
     service.servers.iter().map(row).collect()
 }
--- a/src/entry/lease.rs
+++ b/src/entry/lease.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use lentilcart_route::Outcome;
-use lentilcart_util::Micros;
+use lentilcart_util::{Micros, Name};
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::desk::Desk;
@@ -12,6 +12,8 @@
 #[derive(Debug)]
 pub(crate) struct Lease {
     pub(crate) address: SocketAddr,
+    /// Identifier that the server answers to; empty where it has none.
+    pub(crate) id: Name,
     /// Time after which a hedge of the attempt is due.
     pub(crate) hedge_after: Option<Micros>,
     lender: Lender,
@@ -34,12 +36,17 @@
 impl Lease {
     /// Creates a lease of this entry's own desk.
     pub(crate) fn of_desk(desk: Arc<Desk>, job: u64, server: usize) -> Self {
-        let (address, hedge_after) = desk.look(|pool| {
-            let row = pool.get_row(server).map(|row| row.get_config().address);
-            (row, pool.get_hedge_delay())
+        let (config, hedge_after) = desk.look(|pool| {
+            let config = pool.get_row(server).map(|row| row.get_config());
+            (config.cloned(), pool.get_hedge_delay())
         });
+        let (address, id) = config.map_or_else(
+            || (SocketAddr::from(([0, 0, 0, 0], 0)), Name::default()),
+            |config| (config.address, config.id),
+        );
         Self {
-            address: address.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0))),
+            address,
+            id,
             hedge_after,
             lender: Lender::Desk { desk, job, server },
             ended: false,
@@ -55,12 +62,21 @@
     ) -> Self {
         Self {
             address,
+            id: Name::default(),
             hedge_after,
             lender: Lender::Link { outbox, id },
             ended: false,
         }
     }
 
+    /// Returns the row of the server, where this entry gave it.
+    pub(crate) fn get_server(&self) -> Option<usize> {
+        match &self.lender {
+            Lender::Desk { server, .. } => Some(*server),
+            Lender::Link { .. } => None,
+        }
+    }
+
     /// Ends the attempt.
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.settle(outcome);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod stats;
 mod tick;
 
+pub(crate) use self::desk::Desk;
 pub(crate) use self::entry::Entry;
 pub(crate) use self::grant::grant;
 pub(crate) use self::lease::Lease;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -1,7 +1,5 @@
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::JoinHandle;
 use tokio_util::task::TaskTracker;
 
@@ -10,14 +8,12 @@
 use super::serve::{serve_caller, serve_peer};
 use super::tick::tick;
 use crate::error::DaemonError;
-use crate::http::{Limits, Stop, listen};
+use crate::http::{Limits, Stop, bind, listen};
 use crate::ops::serve_operator;
 use crate::peer::keep_links;
 use crate::platform::Platform;
 use crate::settings::Settings;
 
-const BACKLOG: u32 = 4096;
-
 /// A running entry daemon.
 #[derive(Debug)]
 pub struct Running {
@@ -55,17 +51,23 @@
         serving: entry.stop.clone(),
     };
     let tasks = vec![
-        tokio::spawn(listen(caller_listener, limits, stop, tracker, serve_caller)),
+        tokio::spawn(listen(
+            caller_listener,
+            move || limits,
+            stop,
+            tracker,
+            serve_caller,
+        )),
         tokio::spawn(listen(
             peer_listener,
-            limits,
+            move || limits,
             stopped.clone(),
             background.clone(),
             serve_peer,
         )),
         tokio::spawn(listen(
             ops_listener,
-            limits,
+            move || limits,
             stopped,
             background,
             serve_operator,
@@ -122,16 +124,3 @@
         complete
     }
 }
-
-fn bind(setting: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
-    let open = || {
-        let socket = match address {
-            SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
-    };
-    open().map_err(|error| DaemonError::Listen(setting, address, error))
-}
--- /dev/null
+++ b/src/gateway/answer.rs
@@ -0,0 +1,104 @@
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame};
+use hyper::header::CONTENT_ENCODING;
+use hyper::{Response, StatusCode};
+use lentilcart_platform::HEADERS;
+use lentilcart_state::Class;
+
+use crate::http::{BoxError, HttpBody, full, stream, text_of};
+
+/// Largest body that is read whole before the caller gets any of it, in bytes: up to there a broken
+/// answer is never seen by the caller, and memory stays bounded.
+const WHOLE_BYTES: usize = 64 * 1024;
+
+/// What a server's answer means for its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// The server's own answer.
+    Good,
+    /// The server's own answer, a failure that another server may not have.
+    Failed,
+    /// The server did not run the request since it is full or busy.
+    Full,
+    /// Another server has the address; the request did not run.
+    Elsewhere,
+    /// No answer to this request: its connection cannot be used any more.
+    Foreign(&'static str),
+}
+
+/// Judges the head of an answer to a request of a class.
+pub(crate) fn judge<B>(answer: &Response<B>, request: &str, class: Class) -> Verdict {
+    let (status, headers) = (answer.status(), answer.headers());
+    let is_signed = headers.contains_key(HEADERS.signature);
+    let is_refusal = matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    );
+    match text_of(headers, HEADERS.request) {
+        _ if status == StatusCode::MISDIRECTED_REQUEST => Verdict::Elsewhere,
+        Some(id) if id != request => Verdict::Foreign("it belongs to another request"),
+        _ if headers.contains_key(HEADERS.not_run) => Verdict::Full,
+        None => Verdict::Foreign("it names no request"),
+        // The caller would take the status as a promise that the server does not make.
+        _ if is_refusal && class == Class::Once => Verdict::Foreign("it may have run"),
+        _ if !is_signed => Verdict::Foreign("it is not signed"),
+        _ if headers.contains_key(CONTENT_ENCODING) => Verdict::Foreign("its body is encoded"),
+        _ if status.is_server_error() => Verdict::Failed,
+        _ => Verdict::Good,
+    }
+}
+
+/// Reads an answer's body whole, or its beginning where it is long.
+///
+/// # Errors
+///
+/// Fails where the body ends early.
+pub(crate) async fn read_answer(
+    answer: Response<HttpBody>,
+) -> Result<Response<HttpBody>, BoxError> {
+    let (parts, mut body) = answer.into_parts();
+    let mut read = BytesMut::new();
+    loop {
+        match body.frame().await {
+            None => return Ok(Response::from_parts(parts, full(read.freeze()))),
+            Some(frame) => {
+                if let Ok(data) = frame?.into_data() {
+                    read.extend_from_slice(&data);
+                }
+            }
+        }
+        if read.len() > WHOLE_BYTES {
+            let first = Some(read.freeze());
+            let rest = stream(Begun { first, rest: body });
+            return Ok(Response::from_parts(parts, rest));
+        }
+    }
+}
+
+/// A body whose beginning has been read.
+struct Begun {
+    first: Option<Bytes>,
+    rest: HttpBody,
+}
+
+impl Body for Begun {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        match self.first.take() {
+            Some(first) => Poll::Ready(Some(Ok(Frame::data(first)))),
+            None => Poll::Ready(ready!(Pin::new(&mut self.rest).poll_frame(cx))),
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,289 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::{Either, select};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, Uri};
+use lentilcart_platform::{HEADERS, decode_load};
+use lentilcart_route::{Job, Outcome, Refusal as Denial};
+use lentilcart_state::{Class, PathRule};
+use lentilcart_util::{Micros, Name};
+use tokio::time::{Instant, timeout_at};
+
+use super::answer::{Verdict, judge, read_answer};
+use super::gateway::Gateway;
+use super::refusal::{Reason, Refusal};
+use crate::entry::{Desk, Lease};
+use crate::http::{End, HttpBody, SendError, full, set, text_of};
+
+/// Servers that may turn out to be unreachable before a request is given up.
+const MOST_UNREACHABLE: u32 = 3;
+/// Highest rank of a pool's queue; it serves higher numbers first.
+const TOP_PRIORITY: u8 = 9;
+
+/// A caller's request, read whole.
+pub(crate) struct Call {
+    pub(crate) id: Name,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: bytes::Bytes,
+    pub(crate) rule: Arc<PathRule>,
+    pub(crate) arrived: Micros,
+    pub(crate) deadline: Micros,
+    /// Servers that a byte of it was sent to.
+    pub(crate) sent: u32,
+    /// Whether a server may have run it.
+    pub(crate) may_have_run: bool,
+}
+
+/// What became of one attempt.
+enum Tried {
+    /// The server's own answer.
+    Answer(Response<HttpBody>),
+    /// The server's own failure, which another server may not have.
+    Failure(Response<HttpBody>),
+    /// The server did not run it.
+    NotRun(String),
+    /// No byte was sent.
+    Unsent(String),
+    /// It was sent, and no usable answer came.
+    Cut(String),
+}
+
+impl Call {
+    fn may_repeat(&self) -> bool {
+        self.rule.class == Class::Idempotent
+    }
+
+    fn get_job(&self, gateway: &Gateway, tried: &[usize]) -> Job {
+        Job {
+            id: gateway.next_serial(),
+            priority: TOP_PRIORITY.saturating_sub(self.rule.rank),
+            once: !self.may_repeat(),
+            arrived: self.arrived,
+            deadline: self.deadline,
+            near: None,
+            tried: tried.to_vec(),
+        }
+    }
+
+    /// Returns the request for one attempt at a server.
+    fn get_request(&self, server: &Name, now: Micros) -> Request<HttpBody> {
+        let mut request = Request::new(full(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let headers = request.headers_mut();
+        let left = (self.deadline - now).0 / 1000;
+        headers.insert(HEADERS.deadline, HeaderValue::from(left));
+        set(headers, HEADERS.instance_wanted, server);
+        if !headers.contains_key(HOST) {
+            headers.insert(HOST, HeaderValue::from_static(""));
+        }
+        request
+    }
+
+    /// Returns what the caller is told where no further attempt is made.
+    fn end(&self, last: Option<Tried>, reason: Reason) -> Result<Response<HttpBody>, Refusal> {
+        let refusal = match last {
+            Some(Tried::Answer(answer) | Tried::Failure(answer)) => return Ok(answer),
+            Some(Tried::Cut(detail)) => Refusal::new(Reason::Cut, detail),
+            Some(Tried::NotRun(detail)) if reason == Reason::NotRun => {
+                Refusal::new(Reason::NotRun, detail)
+            }
+            Some(Tried::NotRun(detail) | Tried::Unsent(detail)) => Refusal::new(reason, detail),
+            None => Refusal::new(reason, ""),
+        };
+        Err(match refusal.reason {
+            // Only what no server may have run is refused with a promise.
+            Reason::TimeoutUnsent if self.may_have_run => Refusal {
+                reason: Reason::TimeoutSent,
+                ..refusal
+            },
+            reason if self.may_have_run && reason != Reason::TimeoutSent => Refusal {
+                reason: Reason::Cut,
+                ..refusal
+            },
+            _ => refusal,
+        })
+    }
+}
+
+/// Sends a request to a server of its service, and again where that is allowed.
+pub(crate) async fn dispatch(
+    gateway: &Arc<Gateway>,
+    desk: &Arc<Desk>,
+    call: &mut Call,
+) -> Result<Response<HttpBody>, Refusal> {
+    let deadline = Instant::from_std(gateway.clock.at(call.deadline));
+    let mut tried = Vec::new();
+    let mut unreachable = 0;
+    let mut last = None;
+    loop {
+        if call.sent >= call.rule.attempts {
+            return call.end(last, Reason::NotRun);
+        }
+        if call.sent > 0 && !desk.with(|pool, _| pool.retry()) {
+            return call.end(last, Reason::NoBudget);
+        }
+        let job = call.get_job(gateway, &tried);
+        let lease = match timeout_at(deadline, desk.acquire(job)).await {
+            Ok(Ok(lease)) => lease,
+            Ok(Err(Denial::NoServer)) => return call.end(last, Reason::NoServer),
+            Ok(Err(_)) => return call.end(last, Reason::Overload),
+            Err(_) => return call.end(last, Reason::TimeoutUnsent),
+        };
+        // A process that stood still must not send what its caller has given up on.
+        if gateway.clock.now() >= call.deadline {
+            return call.end(last, Reason::TimeoutUnsent);
+        }
+        tried.extend(lease.get_server());
+        let ended = timeout_at(deadline, run(gateway, desk, call, lease, &mut tried)).await;
+        let Ok(ended) = ended else {
+            call.may_have_run = true;
+            return call.end(last, Reason::TimeoutSent);
+        };
+        let may_go_on = match &ended {
+            Tried::Answer(_) => false,
+            Tried::Failure(_) => call.may_repeat(),
+            Tried::Cut(_) => {
+                call.may_have_run = true;
+                call.may_repeat()
+            }
+            Tried::NotRun(_) => true,
+            Tried::Unsent(_) => {
+                unreachable += 1;
+                unreachable <= MOST_UNREACHABLE
+            }
+        };
+        last = match (last, ended) {
+            // A server's own failure says more than what came after it.
+            (
+                Some(kept @ Tried::Failure(_)),
+                Tried::NotRun(_) | Tried::Unsent(_) | Tried::Cut(_),
+            ) => Some(kept),
+            (_, ended) => Some(ended),
+        };
+        if !may_go_on {
+            return call.end(last, Reason::Unreachable);
+        }
+    }
+}
+
+/// Runs an attempt, and a hedge of it where the request and the budgets allow one.
+async fn run(
+    gateway: &Arc<Gateway>,
+    desk: &Arc<Desk>,
+    call: &mut Call,
+    lease: Lease,
+    tried: &mut Vec<usize>,
+) -> Tried {
+    let delay = lease.hedge_after.filter(|_| call.may_repeat());
+    let (id, class) = (call.id.clone(), call.rule.class);
+    let request = call.get_request(&lease.id, gateway.clock.now());
+    let first = Box::pin(attempt(gateway, id.clone(), class, lease, request));
+    let Some(delay) = delay.filter(|_| call.sent + 1 < call.rule.attempts) else {
+        let ended = first.await;
+        call.sent += u32::from(!matches!(ended, Tried::Unsent(_)));
+        return ended;
+    };
+    let timer = Box::pin(tokio::time::sleep(delay.into()));
+    let first = match select(first, timer).await {
+        Either::Left((ended, _)) => {
+            call.sent += u32::from(!matches!(ended, Tried::Unsent(_)));
+            return ended;
+        }
+        Either::Right(((), first)) => first,
+    };
+    call.sent += 1;
+    let job = call.get_job(gateway, tried);
+    let has_budget = desk.with(|pool, _| pool.retry());
+    let Some(lease) = has_budget.then(|| desk.hedge(&job)).flatten() else {
+        return first.await;
+    };
+    tried.extend(lease.get_server());
+    call.sent += 1;
+    let request = call.get_request(&lease.id, gateway.clock.now());
+    let second = Box::pin(attempt(gateway, id, class, lease, request));
+    let (ended, won) = match select(first, second).await {
+        Either::Left((ended @ Tried::Answer(_), _)) => (ended, false),
+        Either::Left((_, second)) => (second.await, true),
+        Either::Right((ended @ Tried::Answer(_), _)) => (ended, true),
+        Either::Right((_, first)) => (first.await, false),
+    };
+    metrics::counter!("lentilcart_hedges_total", "won" => if won { "yes" } else { "no" })
+        .increment(1);
+    desk.with(|pool, _| pool.settle_hedge(won));
+    ended
+}
+
+/// Sends a request to the server of a lease and reads its answer.
+async fn attempt(
+    gateway: &Arc<Gateway>,
+    request_id: Name,
+    class: Class,
+    lease: Lease,
+    request: Request<HttpBody>,
+) -> Tried {
+    let idle: Duration = {
+        let servers = &gateway.settings.load().servers;
+        match class {
+            Class::Idempotent => servers.idle.into(),
+            Class::Once => servers.idle_once.into(),
+        }
+    };
+    let (address, server) = (lease.address, lease.id.clone());
+    let reply = match gateway.dialer.send_within(address, request, idle).await {
+        Ok(reply) => reply,
+        Err(SendError::NotSent(reason, _)) => {
+            log::info!(request:% = request_id, server:% = server, reason; "server unreachable");
+            lease.end(Outcome::Unreachable);
+            return Tried::Unsent(reason);
+        }
+        Err(SendError::Cut(reason)) => {
+            log::info!(request:% = request_id, server:% = server, reason; "answer lost");
+            lease.end(Outcome::Failed);
+            return Tried::Cut(reason);
+        }
+    };
+    let load = text_of(reply.answer.headers(), HEADERS.load).and_then(decode_load);
+    let verdict = judge(&reply.answer, &request_id, class);
+    let status = reply.answer.status().as_u16();
+    match verdict {
+        Verdict::Good | Verdict::Failed => {}
+        Verdict::Foreign(reason) => {
+            log::info!(request:% = request_id, server:% = server, status, reason; "answer dropped");
+            // The reply is dropped, and its connection with it.
+            lease.end(Outcome::Failed);
+            return Tried::Cut(format!("the answer cannot be used: {reason}"));
+        }
+        Verdict::Full | Verdict::Elsewhere => {
+            log::info!(request:% = request_id, server:% = server, status; "request not run");
+            lease.end(match verdict {
+                Verdict::Full => Outcome::Full { load },
+                _ => Outcome::Leaving,
+            });
+            let rest = read_answer(reply.into_streamed(|_: End| ())).await;
+            if let Err(reason) = rest {
+                log::debug!(server:% = server; "connection ended: {reason}");
+            }
+            return Tried::NotRun(format!("server {server} answered {status}"));
+        }
+    }
+    match read_answer(reply.into_streamed(|_: End| ())).await {
+        Ok(answer) if verdict == Verdict::Good => {
+            lease.end(Outcome::answered(load));
+            Tried::Answer(answer)
+        }
+        Ok(answer) => {
+            lease.end(Outcome::Failed);
+            Tried::Failure(answer)
+        }
+        Err(reason) => {
+            log::info!(request:% = request_id, server:% = server, reason:% = reason; "answer cut short");
+            lease.end(Outcome::Failed);
+            Tried::Cut(reason.to_string())
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/control.rs
@@ -0,0 +1,42 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::gateway::{Gateway, Kind};
+use crate::util::Backoff;
+
+/// Keeps the mirror of a prefix current by watches.
+pub(crate) async fn keep_mirror(gateway: Arc<Gateway>, kind: Kind) {
+    let mut backoff = Backoff::default();
+    loop {
+        let wait = gateway.settings.load().store.watch;
+        let call = gateway.mirror(kind).next_call(wait);
+        let name = call.as_str();
+        let answer = tokio::select! {
+            () = gateway.stop.cancelled() => return,
+            () = gateway.relist.notified() => {
+                gateway.mirror(kind).restart();
+                continue;
+            }
+            answer = (gateway.store.ask)(call) => answer,
+        };
+        match answer {
+            Ok(reply) => {
+                backoff = Backoff::default();
+                gateway.hear_store();
+                let changes = gateway.mirror(kind).take(reply);
+                gateway.take_changes(kind, changes, false);
+            }
+            Err(reason) => {
+                gateway.miss_store(name, &reason);
+                rest(&gateway, backoff.next()).await;
+            }
+        }
+    }
+}
+
+pub(super) async fn rest(gateway: &Gateway, pause: Duration) {
+    tokio::select! {
+        () = gateway.stop.cancelled() => {}
+        () = tokio::time::sleep(pause) => {}
+    }
+}
--- /dev/null
+++ b/src/gateway/probe.rs
@@ -0,0 +1,154 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::Request;
+use lentilcart_platform::{HEADERS, decode_load};
+use lentilcart_route::Load;
+use lentilcart_state::rendezvous;
+use lentilcart_util::{Map, Micros, Name};
+use tokio::net::UdpSocket;
+use tokio::time::MissedTickBehavior;
+
+use super::beat::{Gram, LoadNews};
+use super::gateway::Gateway;
+use super::peers::send;
+use crate::entry::Desk;
+use crate::http::{empty, text_of};
+
+/// Time between two looks at which servers this entry asks.
+const OWNED_EVERY: Micros = Micros::from_millis(500);
+/// Time between two digests to the other entries.
+const DIGEST_EVERY: Duration = Duration::from_millis(25);
+
+/// A server that this entry asks about its load.
+struct Owned {
+    service: Name,
+    desk: Arc<Desk>,
+    address: SocketAddr,
+    path: Name,
+}
+
+/// Asks the servers that fall to this entry about their load, each at a fixed rate.
+pub(crate) async fn keep_probing(gateway: Arc<Gateway>) {
+    let mut owned: Vec<Arc<Owned>> = Vec::new();
+    let mut looked: Option<Micros> = None;
+    let mut next = 0;
+    loop {
+        let settings = gateway.settings.load_full();
+        let now = gateway.clock.now();
+        if looked.is_none_or(|at| now - at >= OWNED_EVERY) {
+            owned = get_owned(&gateway, now);
+            looked = Some(now);
+        }
+        // The questions are spread over the period.
+        let count = owned.len().max(1) as u32;
+        let pause = Duration::from(settings.servers.probe) / count;
+        tokio::select! {
+            () = gateway.stop.cancelled() => return,
+            () = tokio::time::sleep(pause) => {}
+        }
+        next += 1;
+        if let Some(server) = owned.get(next % owned.len().max(1)).cloned() {
+            let (gateway, wait) = (gateway.clone(), settings.servers.probe_wait);
+            let tasks = gateway.tasks.clone();
+            tasks.spawn(async move { probe(&gateway, &server, wait).await });
+        }
+    }
+}
+
+/// Returns the servers that this entry asks: each falls to one live entry of its data centre, or
+/// of all where that has none.
+fn get_owned(gateway: &Gateway, now: Micros) -> Vec<Arc<Owned>> {
+    let view = gateway.get_view();
+    let own = gateway.settings.load().name.clone();
+    let mut centers: Map<Name, Vec<Name>> = Map::default();
+    let mut all: Vec<Name> = Vec::new();
+    {
+        let members = gateway.members();
+        for name in members.get_live(now) {
+            all.push(name.clone());
+            if let Some(row) = members.get(name) {
+                let center = centers.entry(row.data_center.clone()).or_default();
+                center.push(name.clone());
+            }
+        }
+    }
+    let directory = gateway.directory();
+    let serving = directory.iter().filter(|row| !row.leaving);
+    let owned = serving.filter_map(|row| {
+        let entries = centers.get(&row.data_center).unwrap_or(&all);
+        let owner = rendezvous(&row.id, entries.iter(), 1);
+        if owner.first().is_none_or(|owner| **owner != own) {
+            return None;
+        }
+        Some(Arc::new(Owned {
+            service: row.service.clone(),
+            desk: view.desks.get(&row.service)?.clone(),
+            address: row.address,
+            path: view.table.services.get(&row.service)?.health_path.clone(),
+        }))
+    });
+    owned.collect()
+}
+
+async fn probe(gateway: &Gateway, server: &Owned, wait: Micros) {
+    let asked = tokio::time::timeout(wait.into(), ask_load(gateway, server)).await;
+    let outcome = match &asked {
+        Ok(Ok(_)) => "answered",
+        Ok(Err(_)) => "failed",
+        Err(_) => "silent",
+    };
+    metrics::counter!("lentilcart_probes_total", "outcome" => outcome).increment(1);
+    match asked {
+        Ok(Ok(Some(load))) => {
+            server.desk.report(server.address, load);
+            let news = LoadNews {
+                service: server.service.clone(),
+                server: server.address,
+                load,
+            };
+            let mut digest = gateway.digest.lock().expect("no panic under lock");
+            digest.push_back(news);
+        }
+        Ok(Ok(None)) => {}
+        Ok(Err(reason)) => {
+            log::debug!(server:% = server.address; "probe failed: {reason}");
+            server.desk.doubt(server.address);
+        }
+        Err(_) => server.desk.doubt(server.address),
+    }
+}
+
+async fn ask_load(gateway: &Gateway, server: &Owned) -> Result<Option<Load>, String> {
+    let request = Request::get(&*server.path)
+        .header("host", server.address.to_string())
+        .body(empty())
+        .map_err(|e| e.to_string())?;
+    let reply = gateway.prober.send(server.address, request).await;
+    let answer = reply.map_err(|e| e.to_string())?.into_streamed(|_| ());
+    let load = text_of(answer.headers(), HEADERS.load).and_then(decode_load);
+    let body = answer.into_body().collect().await;
+    body.map_err(|e| e.to_string())?;
+    Ok(load)
+}
+
+/// Tells the other entries what the probes have brought.
+pub(crate) async fn send_digests(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
+    let mut timer = tokio::time::interval(DIGEST_EVERY);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = gateway.stop.cancelled() => return,
+            _ = timer.tick() => {}
+        }
+        let news: Vec<LoadNews> = {
+            let mut digest = gateway.digest.lock().expect("no panic under lock");
+            digest.drain(..).collect()
+        };
+        if !news.is_empty() {
+            send(&gateway, &socket, &Gram::Loads(news)).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/register.rs
@@ -0,0 +1,70 @@
+use std::sync::Arc;
+
+use lentilcart_state::{Put, StoreCall, StoreReply};
+use lentilcart_util::Name;
+
+use super::control::rest;
+use super::gateway::{Gateway, Kind};
+
+/// Keeps this entry registered under a lease, so that the others find it.
+///
+/// The renewals also show whether the store answers while the watches wait.
+pub(crate) async fn keep_registered(gateway: Arc<Gateway>) {
+    let mut lease = None;
+    while !gateway.stop.is_cancelled() {
+        lease = match step(&gateway, lease).await {
+            Ok(next) => next,
+            Err(reason) => {
+                gateway.miss_store("renew", &reason);
+                lease
+            }
+        };
+        let renew = gateway.settings.load().store.renew;
+        rest(&gateway, renew.into()).await;
+    }
+    if let Some(lease) = lease
+        && let Err(reason) = (gateway.store.ask)(StoreCall::End(lease)).await
+    {
+        log::info!(reason; "lease left to expire");
+    }
+}
+
+/// Renews the lease or opens one; returns the lease that is held then.
+async fn step(gateway: &Gateway, lease: Option<u64>) -> Result<Option<u64>, String> {
+    let ask = &gateway.store.ask;
+    let Some(lease) = lease else {
+        let length = gateway.settings.load().store.lease;
+        let StoreReply::Leased(lease) = ask(StoreCall::Lease(length)).await? else {
+            return Err("the store gave no lease".to_owned());
+        };
+        gateway.hear_store();
+        let put = Put {
+            key: get_key(gateway),
+            value: gateway.get_beat().encode(),
+            lease,
+        };
+        let write = StoreCall::Write {
+            expect: Vec::new(),
+            puts: vec![put],
+            deletes: Vec::new(),
+        };
+        return match ask(write).await? {
+            StoreReply::Written(_) => Ok(Some(lease)),
+            _ => Ok(None),
+        };
+    };
+    let reply = ask(StoreCall::Renew(lease)).await?;
+    gateway.hear_store();
+    Ok(match reply {
+        StoreReply::NoLease => {
+            log::info!("lease lost");
+            None
+        }
+        _ => Some(lease),
+    })
+}
+
+fn get_key(gateway: &Gateway) -> Name {
+    let name = gateway.settings.load().name.clone();
+    format!("{}{name}", Kind::Hosts.get_prefix()).into()
+}
--- /dev/null
+++ b/src/gateway/run.rs
@@ -0,0 +1,183 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::task::JoinHandle;
+use tokio_util::task::TaskTracker;
+
+use super::control::keep_mirror;
+use super::gateway::{Gateway, Kind};
+use super::ops::{serve_ops, serve_ready};
+use super::peers::{send_beats, serve_peer, take_grams};
+use super::probe::{keep_probing, send_digests};
+use super::register::keep_registered;
+use super::serve::serve;
+use super::tick::tick;
+use crate::error::DaemonError;
+use crate::http::{Limits, Stop, bind, listen};
+use crate::platform::Store;
+use crate::settings::GatewaySettings;
+
+/// Limits of the listeners that only the platform, operators and other entries use.
+const INTERNAL_LIMITS: Limits = Limits {
+    header_bytes: 16 * 1024,
+    header_wait: Duration::from_secs(30),
+    connections: 256,
+};
+/// Part of the grace time that is left for the end of the process itself.
+const EXIT_SHARE: u32 = 12;
+const POLL: Duration = Duration::from_millis(10);
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct GatewayRunning {
+    gateway: Arc<Gateway>,
+    stop_callers: Stop,
+    stop_ready: Stop,
+    callers: TaskTracker,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// Starts a gateway.
+///
+/// # Errors
+///
+/// Fails where a listener cannot be opened.
+pub async fn start_gateway(
+    settings: GatewaySettings,
+    store: Store,
+) -> Result<GatewayRunning, DaemonError> {
+    let addresses = settings.listen.clone();
+    let (callers, background) = (TaskTracker::new(), TaskTracker::new());
+    let callers_at = bind("listen.callers", addresses.callers)?;
+    let ready_at = bind("listen.ready", addresses.ready)?;
+    let peer_at = bind("listen.peer", addresses.peer)?;
+    let ops_at = bind("listen.ops", addresses.ops)?;
+    let grams = bind_grams(addresses.peer).await?;
+    let gateway = Arc::new(Gateway::new(settings, store, background.clone()));
+    let (stop_callers, stop_ready) = (Stop::default(), Stop::default());
+    let stopped = Stop {
+        accepting: gateway.stop.clone(),
+        serving: gateway.stop.clone(),
+    };
+    let g = gateway.clone();
+    let limits = move || get_limits(&g);
+    let [c, r, p, o] = [(); 4].map(|()| gateway.clone());
+    let serve_caller = move |_: SocketAddr, request| serve(c.clone(), request);
+    let serve_ready = move |_: SocketAddr, request| serve_ready(r.clone(), request);
+    let serve_peer = move |_: SocketAddr, request| serve_peer(p.clone(), request);
+    let serve_ops = move |_: SocketAddr, request| serve_ops(o.clone(), request);
+    let internal = || INTERNAL_LIMITS;
+    let mut tasks = vec![
+        tokio::spawn(listen(
+            callers_at,
+            limits,
+            stop_callers.clone(),
+            callers.clone(),
+            serve_caller,
+        )),
+        tokio::spawn(listen(
+            ready_at,
+            internal,
+            stop_ready.clone(),
+            background.clone(),
+            serve_ready,
+        )),
+        tokio::spawn(listen(
+            peer_at,
+            internal,
+            stopped.clone(),
+            background.clone(),
+            serve_peer,
+        )),
+        tokio::spawn(listen(ops_at, internal, stopped, background, serve_ops)),
+        tokio::spawn(send_beats(gateway.clone(), grams.clone())),
+        tokio::spawn(take_grams(gateway.clone(), grams.clone())),
+        tokio::spawn(keep_registered(gateway.clone())),
+        tokio::spawn(keep_probing(gateway.clone())),
+        tokio::spawn(send_digests(gateway.clone(), grams)),
+        tokio::spawn(tick(gateway.clone())),
+    ];
+    let mirrors = Kind::ALL.map(|kind| tokio::spawn(keep_mirror(gateway.clone(), kind)));
+    tasks.extend(mirrors);
+    log::info!(callers:% = addresses.callers; "started");
+    Ok(GatewayRunning {
+        gateway,
+        stop_callers,
+        stop_ready,
+        callers,
+        tasks,
+    })
+}
+
+async fn bind_grams(address: SocketAddr) -> Result<Arc<UdpSocket>, DaemonError> {
+    let socket = UdpSocket::bind(address).await;
+    socket
+        .map(Arc::new)
+        .map_err(|error| DaemonError::Listen("listen.peer", address, error))
+}
+
+fn get_limits(gateway: &Gateway) -> Limits {
+    let limits = gateway.get_view().table.limits;
+    Limits {
+        header_bytes: limits.header_bytes,
+        header_wait: limits.idle.into(),
+        connections: gateway.settings.load().listen.connections,
+    }
+}
+
+impl GatewayRunning {
+    /// Takes changed settings; what cannot change while running stays as it is.
+    pub fn reload(&self, settings: GatewaySettings) {
+        if **self.gateway.settings.load() == settings {
+            return;
+        }
+        self.gateway.settings.store(Arc::new(settings));
+        log::info!("settings reloaded");
+    }
+
+    /// Stops without cutting off a request: says that it is not ready, serves on until no new
+    /// connections come, lets requests in flight finish, and joins all tasks.
+    ///
+    /// Returns whether every request finished in time.
+    pub async fn stop(self) -> bool {
+        let stop = self.gateway.settings.load().stop.clone();
+        let (grace, notice) = (Duration::from(stop.grace), Duration::from(stop.notice));
+        let ends = tokio::time::Instant::now() + (grace - grace / EXIT_SHARE);
+        log::info!("leaving");
+        self.gateway.leave();
+        tokio::time::sleep(notice).await;
+        self.stop_callers.accepting.cancel();
+        self.stop_callers.serving.cancel();
+        self.callers.close();
+        let drained = async {
+            self.callers.wait().await;
+            while self.gateway.in_flight.load(Ordering::Relaxed) > 0 {
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        let complete = tokio::time::timeout_at(ends, drained).await.is_ok();
+        self.stop_ready.accepting.cancel();
+        self.stop_ready.serving.cancel();
+        self.gateway.stop.cancel();
+        for dialer in [
+            &self.gateway.dialer,
+            &self.gateway.prober,
+            &self.gateway.peering,
+        ] {
+            dialer.close();
+        }
+        let joined = async {
+            for task in self.tasks {
+                if let Err(error) = task.await {
+                    log::warn!("task failed: {error}");
+                }
+            }
+        };
+        let joined = tokio::time::timeout_at(ends + grace / EXIT_SHARE / 2, joined).await;
+        log::info!(complete, joined = joined.is_ok(); "stopped");
+        complete
+    }
+}
--- /dev/null
+++ b/src/gateway/tick.rs
@@ -0,0 +1,70 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use lentilcart_util::Micros;
+use tokio::time::MissedTickBehavior;
+
+use super::gateway::Gateway;
+use crate::ops::upkeep;
+
+const TICK: Duration = Duration::from_millis(10);
+/// Gap between two ticks that tells that the process stood still.
+const PAUSE: Duration = Duration::from_millis(700);
+/// Ticks between two looks at rarer matters.
+const RARE: u64 = 50;
+/// Ticks between two merges of recorded metrics.
+const UPKEEP: u64 = 500;
+/// Age at which an unused connection to another entry or a server is closed.
+const CONNECTION_AGE: Duration = Duration::from_secs(9);
+
+/// Runs the systems over the tables at fixed times, and notices when the process stood still.
+pub(crate) async fn tick(gateway: Arc<Gateway>) {
+    let mut timer = tokio::time::interval(TICK);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last = Instant::now();
+    let mut count = 0_u64;
+    let mut entries = 0;
+    loop {
+        tokio::select! {
+            () = gateway.stop.cancelled() => return,
+            _ = timer.tick() => {}
+        }
+        let gap = last.elapsed();
+        last = Instant::now();
+        if gap > PAUSE {
+            log::warn!(pause_ms = gap.as_millis() as u64; "the process stood still");
+            gateway.relist.notify_waiters();
+        }
+        count += 1;
+        let view = gateway.get_view();
+        for desk in view.desks.values() {
+            desk.tick();
+        }
+        gateway.tick_directory();
+        if count.is_multiple_of(RARE) {
+            gateway.dialer.sweep(CONNECTION_AGE);
+            gateway.prober.sweep(CONNECTION_AGE);
+            let live = gateway.members().get_live(gateway.clock.now()).len();
+            if live != entries {
+                log::info!(entries = live, before = entries; "live entries changed");
+                entries = live;
+                for (service, desk) in &view.desks {
+                    let config = gateway.get_pool_config(&view.table, service);
+                    desk.with(|pool, _| pool.set_config(config));
+                }
+            }
+            note_ages(&gateway);
+        }
+        if count.is_multiple_of(UPKEEP) {
+            upkeep();
+        }
+    }
+}
+
+fn note_ages(gateway: &Gateway) {
+    let age = gateway
+        .get_store_age()
+        .map_or(f64::INFINITY, Micros::as_secs);
+    metrics::gauge!("lentilcart_store_age_seconds").set(age);
+    metrics::gauge!("lentilcart_server_connections_opened").set(gateway.dialer.get_opened() as f64);
+}
--- a/src/http/dialer.rs
+++ b/src/http/dialer.rs
@@ -1,5 +1,7 @@
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -10,7 +12,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::body::{End, HttpBody, Tail, stream};
-use super::source::connect;
+use super::source::{ConnectLimits, connect};
 
 const MOST_KEPT: usize = 1000;
 const STALE_ATTEMPTS: usize = 3;
@@ -31,7 +33,14 @@
     }
 }
 
-type Idle = Mutex<Map<SocketAddr, Vec<SendRequest<HttpBody>>>>;
+type Idle = Mutex<Map<SocketAddr, Vec<Kept>>>;
+
+/// A connection that is not in use, and since when.
+#[derive(Debug)]
+struct Kept {
+    sender: SendRequest<HttpBody>,
+    since: Instant,
+}
 
 /// Sends requests over kept HTTP/1.1 connections, each to one address at a time.
 ///
@@ -40,7 +49,9 @@
 #[derive(Debug)]
 pub struct Dialer {
     source: IpAddr,
+    limits: ConnectLimits,
     idle: Arc<Idle>,
+    opened: AtomicU64,
     tasks: TaskTracker,
 }
 
@@ -60,23 +71,52 @@
     pub fn new(source: IpAddr, tasks: TaskTracker) -> Self {
         Self {
             source,
+            limits: ConnectLimits::default(),
             idle: Arc::default(),
+            opened: AtomicU64::new(0),
             tasks,
         }
     }
 
-    /// Sends a request.
+    /// Sets the limits of new connections.
+    #[must_use]
+    pub fn with_limits(mut self, limits: ConnectLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Returns the number of connections opened.
+    #[must_use]
+    pub fn get_opened(&self) -> u64 {
+        self.opened.load(Ordering::Relaxed)
+    }
+
+    /// Sends a request over a kept connection or a new one.
     ///
     /// # Errors
     ///
     /// Tells whether the request may have reached the other side.
     pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<HttpBody>,
+    ) -> Result<Reply, SendError> {
+        self.send_within(address, request, Duration::MAX).await
+    }
+
+    /// Sends a request over a connection that was in use within `idle`, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the request may have reached the other side.
+    pub async fn send_within(
         &self,
         address: SocketAddr,
         mut request: Request<HttpBody>,
+        idle: Duration,
     ) -> Result<Reply, SendError> {
         for _ in 0..STALE_ATTEMPTS {
-            let mut sender = match self.take_idle(address).await {
+            let mut sender = match self.take_idle(address, idle).await {
                 Some(sender) => sender,
                 None => match self.open(address).await {
                     Ok(sender) => sender,
@@ -118,11 +158,25 @@
             .remove(&address);
     }
 
-    async fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<HttpBody>> {
+    /// Closes the kept connections that were not in use for a time.
+    pub fn sweep(&self, age: Duration) {
+        let mut idle = self.idle.lock().expect("no panic under lock");
+        idle.retain(|_, kept| {
+            kept.retain(|kept| !kept.sender.is_closed() && kept.since.elapsed() < age);
+            !kept.is_empty()
+        });
+    }
+
+    async fn take_idle(&self, address: SocketAddr, age: Duration) -> Option<SendRequest<HttpBody>> {
         loop {
             let mut sender = {
                 let mut idle = self.idle.lock().expect("no panic under lock");
-                idle.get_mut(&address)?.pop()?
+                let kept = idle.get_mut(&address)?;
+                // The last one was in use most recently.
+                if kept.last()?.since.elapsed() > age {
+                    return None;
+                }
+                kept.pop()?.sender
             };
             if !sender.is_closed() && sender.ready().await.is_ok() {
                 return Some(sender);
@@ -131,7 +185,8 @@
     }
 
     async fn open(&self, address: SocketAddr) -> Result<SendRequest<HttpBody>, String> {
-        let stream = connect(self.source, address)
+        self.opened.fetch_add(1, Ordering::Relaxed);
+        let stream = connect(self.source, address, self.limits)
             .await
             .map_err(|e| e.to_string())?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
@@ -173,7 +228,8 @@
                     let mut idle = idle.lock().expect("no panic under lock");
                     let senders = idle.entry(address).or_default();
                     if senders.len() < kept {
-                        senders.push(sender);
+                        let since = Instant::now();
+                        senders.push(Kept { sender, since });
                     }
                 }
                 at_end(end);
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -8,13 +8,15 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::body::HttpBody;
+use crate::error::DaemonError;
 
+const BACKLOG: u32 = 4096;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Limits of a listener.
@@ -41,28 +43,21 @@
 /// Serves HTTP/1.1 and HTTP/2 on a listener until it is stopped.
 ///
 /// Connections are spawned on `tasks`, which the caller joins.
-pub async fn listen<S, F>(
+///
+/// The limits of a connection are those at its start; the number of connections that of the
+/// listener's.
+pub async fn listen<L, S, F>(
     listener: TcpListener,
-    limits: Limits,
+    limits: L,
     stop: Stop,
     tasks: TaskTracker,
     serve: S,
 ) where
+    L: Fn() -> Limits + Send + 'static,
     S: Fn(SocketAddr, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<HttpBody>> + Send + 'static,
 {
-    let open = Arc::new(Semaphore::new(limits.connections));
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_wait)
-        .max_buf_size(limits.header_bytes.max(8192));
-    builder
-        .http2()
-        .timer(TokioTimer::new())
-        .max_header_list_size(limits.header_bytes as u32)
-        .max_concurrent_streams(1000);
+    let open = Arc::new(Semaphore::new(limits().connections));
     loop {
         let accepted = tokio::select! {
             biased;
@@ -73,7 +68,8 @@
         let Some((stream, remote, permit)) = accepted else {
             continue;
         };
-        let (builder, stop, serve) = (builder.clone(), stop.serving.clone(), serve.clone());
+        let builder = builder_of(limits());
+        let (stop, serve) = (stop.serving.clone(), serve.clone());
         tasks.spawn(async move {
             let service = service_fn(move |request| {
                 let answer = serve(remote, request);
@@ -96,6 +92,21 @@
     }
 }
 
+fn builder_of(limits: Limits) -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_wait)
+        .max_buf_size(limits.header_bytes.max(8192));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(limits.header_bytes as u32)
+        .max_concurrent_streams(1000);
+    builder
+}
+
 async fn accept(
     listener: &TcpListener,
     open: &Arc<Semaphore>,
@@ -113,3 +124,21 @@
         }
     }
 }
+
+/// Opens a listener at the address of a setting.
+///
+/// # Errors
+///
+/// Fails where the address cannot be bound.
+pub fn bind(setting: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    let open = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().map_err(|error| DaemonError::Listen(setting, address, error))
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -12,5 +12,5 @@
     ATTEMPT, DEADLINE_MS, FORWARDED, IDEMPOTENCY_KEY, LEAVING, LOAD, OUTCOME, REQUEST_ID,
     check_request, millis_of, number_of, set, strip_hop_by_hop, text_of,
 };
-pub use self::listener::{Limits, Stop, listen};
-pub use self::source::connect;
+pub use self::listener::{Limits, Stop, bind, listen};
+pub use self::source::{ConnectLimits, connect};
--- a/src/http/source.rs
+++ b/src/http/source.rs
@@ -1,21 +1,55 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
 
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::timeout;
+
+/// Limits of a new connection.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectLimits {
+    /// Longest time until it is established.
+    pub connect: Duration,
+    /// Time after which a connection whose bytes are not acknowledged is given up; none where the
+    /// system's default holds.
+    pub silence: Option<Duration>,
+}
+
+impl Default for ConnectLimits {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_secs(60),
+            silence: None,
+        }
+    }
+}
 
 /// Opens a TCP connection from one of this host's addresses.
 ///
 /// # Errors
 ///
-/// Fails where the address cannot be bound or the other side does not accept.
-pub async fn connect(source: IpAddr, target: SocketAddr) -> io::Result<TcpStream> {
+/// Fails where the address cannot be bound or the other side does not accept in time.
+pub async fn connect(
+    source: IpAddr,
+    target: SocketAddr,
+    limits: ConnectLimits,
+) -> io::Result<TcpStream> {
     let socket = match source {
         IpAddr::V4(_) => TcpSocket::new_v4()?,
         IpAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
     socket.bind(SocketAddr::new(source, 0))?;
-    let stream = socket.connect(target).await?;
+    let established = timeout(limits.connect, socket.connect(target)).await;
+    let stream = established.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
+    if let Some(silence) = limits.silence {
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_user_timeout(limits.silence)?;
+        // A side that only waits for an answer notices silence by probes.
+        let probes = TcpKeepalive::new().with_time(silence / 2);
+        socket.set_tcp_keepalive(&probes.with_interval(silence / 2))?;
+    }
     Ok(stream)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cli;
 pub mod entry;
 mod error;
+pub mod gateway;
 mod http;
 pub mod ops;
 mod peer;
@@ -19,5 +20,5 @@
 
 pub use self::error::{DaemonError, SettingsError};
 pub use self::http::{BoxError, Dialer, HttpBody, SendError, full};
-pub use self::settings::{Settings, options_help};
+pub use self::settings::{GatewaySettings, Settings, options_help};
 pub use self::util::{Clock, init_logs};
--- a/src/ops/metrics.rs
+++ b/src/ops/metrics.rs
@@ -23,7 +23,7 @@
 }
 
 /// Returns the metrics in the Prometheus text format.
-pub(super) fn render() -> String {
+pub(crate) fn render() -> String {
     HANDLE
         .get()
         .map(PrometheusHandle::render)
--- a/src/ops/serve.rs
+++ b/src/ops/serve.rs
@@ -141,7 +141,7 @@
         failed: row.failed,
         mean_ms: row.latency / 1e3,
         heard_ms: row.heard.map(|at| millis(now - at)),
-        load: row.report.map(|(load, _)| load),
+        load: row.report.map(|(load, _)| load.get_requests()),
     }
 }
 
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -8,7 +8,7 @@
 
 use super::exchange::exchange;
 use crate::entry::Entry;
-use crate::http::connect;
+use crate::http::{ConnectLimits, connect};
 
 const REVIEW_EVERY: Duration = Duration::from_millis(100);
 const REDIAL_PAUSE: Duration = Duration::from_millis(50);
@@ -59,7 +59,9 @@
     entry: &Entry,
     address: SocketAddr,
 ) -> Option<tokio_tungstenite::WebSocketStream<tokio::net::TcpStream>> {
-    let stream = connect(entry.settings.source, address).await.ok()?;
+    let stream = connect(entry.settings.source, address, ConnectLimits::default())
+        .await
+        .ok()?;
     let (link, _) = client_async(format!("ws://{address}/link"), stream)
         .await
         .ok()?;
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -5,8 +5,7 @@
 
 use bytes::Bytes;
 use futures::FutureExt;
-use http_body_util::BodyExt;
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, StatusCode};
 use lentilcart_state::{Ask, Reply, Versioned};
 use lentilcart_util::Name;
 use serde::de::DeserializeOwned;
@@ -15,11 +14,11 @@
 
 use super::model::{Hosts, Watched};
 use super::platform::{Calls, Platform};
-use crate::http::{Dialer, full};
+use super::transport::Transport;
+use crate::http::Dialer;
 
 struct Client {
-    dialer: Dialer,
-    address: SocketAddr,
+    transport: Transport,
     timeout: Duration,
     calls: Arc<Calls>,
 }
@@ -50,8 +49,7 @@
     let calls = Arc::<Calls>::default();
     let dialer = Dialer::new(source, tasks);
     let client = Arc::new(Client {
-        dialer,
-        address,
+        transport: Transport { dialer, address },
         timeout,
         calls: calls.clone(),
     });
@@ -158,33 +156,11 @@
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), String> {
         Calls::count(counter);
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", self.address.to_string())
-            .body(full(body))
-            .map_err(|e| e.to_string())?;
-        let exchange = async {
-            let reply = self
-                .dialer
-                .send(self.address, request)
-                .await
-                .map_err(|e| e.to_string())?;
-            let answer = reply.into_streamed(|_| ());
-            let status = answer.status();
-            let body = answer
-                .into_body()
-                .collect()
-                .await
-                .map_err(|e| e.to_string())?;
-            Ok((status, body.to_bytes()))
-        };
-        let ended = tokio::time::timeout(timeout, exchange).await;
-        let ended = ended.unwrap_or_else(|_| Err(format!("no answer in {timeout:?}")));
+        let ended = self.transport.call(method, path, body, timeout).await;
         if ended.is_err() {
             Calls::count(&self.calls.lost);
         }
-        ended.map_err(|reason| format!("platform {}: {reason}", self.address))
+        ended
     }
 }
 
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,74 @@
+use std::fmt;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use hyper::Method;
+use lentilcart_platform::{decode_reply, encode_call};
+use lentilcart_state::{StoreCall, StoreReply};
+use tokio_util::task::TaskTracker;
+
+use super::transport::Transport;
+use crate::http::{ConnectLimits, Dialer};
+
+type Ask = Box<dyn Fn(StoreCall) -> BoxFuture<'static, Result<StoreReply, String>> + Send + Sync>;
+
+/// The platform's store as a function, so that an embedder or a test can put another behind it.
+pub struct Store {
+    /// Makes a call; fails with the reason where no usable answer came. A write that failed may
+    /// have taken effect, or may still do so.
+    pub ask: Ask,
+}
+
+impl fmt::Debug for Store {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Store").finish_non_exhaustive()
+    }
+}
+
+/// Creates a client of the store at an address. Nothing is sent until the first call.
+#[must_use]
+pub fn open_store(
+    address: SocketAddr,
+    source: IpAddr,
+    timeout: Duration,
+    tasks: TaskTracker,
+) -> Store {
+    let limits = ConnectLimits {
+        connect: timeout,
+        silence: Some(timeout * 2),
+    };
+    let dialer = Dialer::new(source, tasks).with_limits(limits);
+    let transport = Arc::new(Transport { dialer, address });
+    Store {
+        ask: Box::new(move |call| {
+            let transport = transport.clone();
+            async move { ask(&transport, timeout, &call).await }.boxed()
+        }),
+    }
+}
+
+async fn ask(
+    transport: &Transport,
+    timeout: Duration,
+    call: &StoreCall,
+) -> Result<StoreReply, String> {
+    let timeout = match call {
+        StoreCall::Watch { wait, .. } => timeout + Duration::from(*wait),
+        _ => timeout,
+    };
+    let request = encode_call(call);
+    let method = Method::from_bytes(request.method.as_bytes()).map_err(|e| e.to_string())?;
+    let body = Bytes::from(request.body);
+    let answer = transport.call(method, &request.path, body, timeout).await;
+    let result = answer.and_then(|(status, body)| {
+        decode_reply(call, status.as_u16(), &body).map_err(|e| e.to_string())
+    });
+    let outcome = if result.is_ok() { "answered" } else { "failed" };
+    metrics::counter!("lentilcart_store_calls_total", "call" => call.as_str(), "outcome" => outcome)
+        .increment(1);
+    result
+}
--- /dev/null
+++ b/src/settings/file.rs
@@ -0,0 +1,271 @@
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+
+use lentilcart_util::{Micros, Name, Span};
+use serde::Deserialize;
+use serde_with::serde_as;
+
+use crate::error::SettingsError;
+
+/// Settings of a gateway: an entry whose routes and servers come from the platform's store.
+///
+/// They are read from a TOML file; times carry a unit.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Name of this host.
+    pub name: Name,
+    /// Data centre of this host.
+    pub data_center: Name,
+    /// Listeners.
+    pub listen: Listeners,
+    /// Other entries.
+    #[serde(default)]
+    pub peers: PeerSettings,
+    /// Store of the platform.
+    pub store: StoreSettings,
+    /// Connections to servers.
+    #[serde(default)]
+    pub servers: ServerSettings,
+    /// Budget of retries of a service, all entries together.
+    pub retries: RetrySettings,
+    /// Shutdown.
+    pub stop: StopSettings,
+}
+
+/// Addresses that the process listens on.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Listeners {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// The platform's question whether this entry takes connections.
+    pub ready: SocketAddr,
+    /// Other entries, over TCP and UDP.
+    pub peer: SocketAddr,
+    /// Metrics and read-back for operators.
+    pub ops: SocketAddr,
+    /// Connections of callers open at once.
+    pub connections: usize,
+}
+
+/// How entries hear of each other.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct PeerSettings {
+    /// Hosts to try before the store has told any; their port is that of `listen.peer`.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between beats.
+    #[serde_as(as = "Span")]
+    pub beat: Micros,
+    /// Silence after which an entry counts as lost.
+    #[serde_as(as = "Span")]
+    pub silence: Micros,
+}
+
+impl Default for PeerSettings {
+    fn default() -> Self {
+        Self {
+            seeds: Vec::new(),
+            beat: Micros::from_millis(200),
+            silence: Micros::from_millis(1500),
+        }
+    }
+}
+
+/// How the store is used.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct StoreSettings {
+    /// Address.
+    pub address: SocketAddr,
+    /// Time in which a call must be answered.
+    #[serde_as(as = "Span")]
+    #[serde(default = "default_timeout")]
+    pub timeout: Micros,
+    /// Longest wait of a watch.
+    #[serde_as(as = "Span")]
+    #[serde(default = "default_watch")]
+    pub watch: Micros,
+    /// Length of the lease under which this entry registers.
+    #[serde_as(as = "Span")]
+    #[serde(default = "default_lease")]
+    pub lease: Micros,
+    /// Time between renewals of that lease, each of which also shows that the store answers.
+    #[serde_as(as = "Span")]
+    #[serde(default = "default_renew")]
+    pub renew: Micros,
+}
+
+const fn default_timeout() -> Micros {
+    Micros::from_millis(1000)
+}
+
+const fn default_watch() -> Micros {
+    Micros::from_millis(25_000)
+}
+
+const fn default_lease() -> Micros {
+    Micros::from_millis(8000)
+}
+
+const fn default_renew() -> Micros {
+    Micros::from_millis(1500)
+}
+
+/// Connections to servers and questions about their load.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct ServerSettings {
+    /// Name of the policy that chooses a server.
+    pub policy: Name,
+    /// Longest time until a connection is established.
+    #[serde_as(as = "Span")]
+    pub connect: Micros,
+    /// Longest time that a connection may have been idle before it takes a request that may be
+    /// repeated.
+    #[serde_as(as = "Span")]
+    pub idle: Micros,
+    /// The same for requests that run at most once: a server may have dropped the connection.
+    #[serde_as(as = "Span")]
+    pub idle_once: Micros,
+    /// Requests beyond its slots that a server may be given.
+    pub overcommit: u32,
+    /// Time between two questions about a server's load, all entries together.
+    #[serde_as(as = "Span")]
+    pub probe: Micros,
+    /// Time in which a server must answer such a question.
+    #[serde_as(as = "Span")]
+    pub probe_wait: Micros,
+}
+
+impl Default for ServerSettings {
+    fn default() -> Self {
+        Self {
+            policy: "late-paced".into(),
+            connect: Micros::from_millis(300),
+            idle: Micros::from_millis(4000),
+            idle_once: Micros::from_millis(150),
+            overcommit: 1,
+            probe: Micros::from_millis(100),
+            probe_wait: Micros::from_millis(250),
+        }
+    }
+}
+
+/// Budget of retries of a service, all entries together.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct RetrySettings {
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Retries beyond that.
+    pub burst: f64,
+}
+
+/// Shutdown.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct StopSettings {
+    /// Time after which the platform kills a process that was told to stop.
+    #[serde_as(as = "Span")]
+    pub grace: Micros,
+    /// Time until no new connections come to an entry that says that it is not ready.
+    #[serde_as(as = "Span")]
+    #[serde(default = "default_notice")]
+    pub notice: Micros,
+}
+
+const fn default_notice() -> Micros {
+    Micros::from_millis(2500)
+}
+
+impl GatewaySettings {
+    /// Reads and checks the settings of a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the file and every fault in it.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path);
+        let text = text
+            .map_err(|error| SettingsError::Faults(vec![format!("{}: {error}", path.display())]))?;
+        Self::parse(&text).map_err(|SettingsError::Faults(faults)| {
+            let faults = faults.into_iter();
+            SettingsError::Faults(
+                faults
+                    .map(|fault| format!("{}: {fault}", path.display()))
+                    .collect(),
+            )
+        })
+    }
+
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every fault: the setting, its value and what is allowed.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let settings: Self =
+            toml::from_str(text).map_err(|error| SettingsError::Faults(vec![error.to_string()]))?;
+        match settings.get_faults() {
+            faults if faults.is_empty() => Ok(settings),
+            faults => Err(SettingsError::Faults(faults)),
+        }
+    }
+
+    /// Returns the address that connections are made from.
+    #[must_use]
+    pub fn get_source(&self) -> IpAddr {
+        self.listen.callers.ip()
+    }
+
+    fn get_faults(&self) -> Vec<String> {
+        let policies = lentilcart_route::get_policy_names().join(", ");
+        let (lease, renew) = (self.store.lease, self.store.renew);
+        let (grace, notice) = (self.stop.grace, self.stop.notice);
+        let rules = [
+            (
+                self.name.is_empty(),
+                "name = \"\": expected a name that is not empty".to_owned(),
+            ),
+            (
+                self.listen.connections == 0,
+                "listen.connections = 0: expected a number above 0".to_owned(),
+            ),
+            (
+                lease < renew + renew,
+                format!(
+                    "store.lease = {:?}: expected at least twice store.renew ({:?})",
+                    Span::format(lease),
+                    Span::format(renew)
+                ),
+            ),
+            (
+                notice >= grace,
+                format!(
+                    "stop.notice = {:?}: expected less than stop.grace ({:?})",
+                    Span::format(notice),
+                    Span::format(grace)
+                ),
+            ),
+            (
+                self.retries.ratio < 0.0 || self.retries.burst < 0.0,
+                "retries: expected numbers from 0".to_owned(),
+            ),
+            (
+                lentilcart_route::get_policy(&self.servers.policy).is_none(),
+                format!(
+                    "servers.policy = {:?}: expected one of {policies}",
+                    self.servers.policy
+                ),
+            ),
+        ];
+        let broken = rules.into_iter().filter(|(is_broken, _)| *is_broken);
+        broken.map(|(_, fault)| fault).collect()
+    }
+}
