feat(route): servers are chosen by the probability of a late answer

Cause: the linear score spread work over all data centres, and ticks, beats and digests cost more wake-ups than requests. Choice by a logistic of the expected time over the time left, with a cost for other data centres; reports that answers brought spare a probe; digests are tuples every 100 ms.

--- a/lentilcart_route/src/policy/choice.rs
+++ b/lentilcart_route/src/policy/choice.rs
@@ -25,6 +25,10 @@
     pub turn: u64,
     /// Mean latency over the pool, in microseconds.
     pub mean: f64,
+    /// Usual time of work at a server at its usual speed, in microseconds.
+    pub work: f64,
+    /// When the answer to the request is no longer prompt.
+    pub objective: Micros,
     /// Source of randomness.
     pub rng: &'a mut Rng,
 }
--- a/lentilcart_route/src/policy/rules.rs
+++ b/lentilcart_route/src/policy/rules.rs
@@ -9,8 +9,12 @@
 const BORROWED_WEIGHT: f64 = 1.0;
 /// Cost of a failed attempt, in usual work times.
 const FAILURE_COST: f64 = 8.0;
-/// Cost of a server in another data centre, in usual work times.
-const FAR_COST: f64 = 0.1;
+/// Spread of the time that a request takes around what is expected, as a share of the time left.
+const LATE_SPREAD: f64 = 0.2;
+/// Cost of time itself, for all of the time left, as a probability of a late answer.
+const TIME_COST: f64 = 0.15;
+/// Shortest time left that is reckoned with.
+const LEAST_LEFT: Micros = Micros::from_millis(10);
 
 pub(super) fn random(choice: &mut Choice<'_>) -> usize {
     choice.any()
@@ -44,14 +48,18 @@
     choice.lowest(|c, index| c.load(index, c.rows[index].get_peers(c.now)))
 }
 
-/// Shortest expected time at the server by its own reports of load and speed, each of which counts
-/// the less the older it is.
+/// Lowest probability of a late answer, by the servers' own reports of load and speed, each of which
+/// counts the less the older it is; then the shortest time, and the sender's data centre.
 pub(super) fn paced(choice: &mut Choice<'_>) -> usize {
     choice.lowest(|c, index| {
         let row = &c.rows[index];
         let far = f64::from(u8::from(c.is_far(index)));
         let failing = row.get_failing(c.now);
-        row.get_expected(c.now) * (1.0 + failing * FAILURE_COST) + far * FAR_COST
+        let expected = row.get_expected(c.now) * c.work * (1.0 + failing * FAILURE_COST);
+        let left = (c.objective - c.now).0.max(LEAST_LEFT.0) as f64;
+        let share = expected / left;
+        let late = 1.0 / (1.0 + ((1.0 - share) / LATE_SPREAD).exp());
+        late + share * TIME_COST + far * c.config.far_cost
     })
 }
 
--- a/lentilcart_route/src/pool/config.rs
+++ b/lentilcart_route/src/pool/config.rs
@@ -14,6 +14,10 @@
     pub data_center: Name,
     /// Requests beyond its slots that a server may be given.
     pub overcommit: u32,
+    /// Slots of each server that are left free, since servers slow down when they are nearly full.
+    pub reserve: u32,
+    /// Cost of a server in another data centre, as a probability of a late answer.
+    pub far_cost: f64,
     /// Connections to each server that this entry may hold.
     pub connections: u32,
     /// Longest wait in the queue as a share of the deadline.
@@ -36,6 +40,8 @@
             policy: &POLICIES[0],
             data_center: Name::default(),
             overcommit: 2,
+            reserve: 0,
+            far_cost: 0.0,
             connections: 40,
             wait: 0.5,
             ramp: Micros::ZERO,
--- a/lentilcart_route/src/pool/job.rs
+++ b/lentilcart_route/src/pool/job.rs
@@ -13,6 +13,8 @@
     pub arrived: Micros,
     /// When its answer must be complete.
     pub deadline: Micros,
+    /// When its answer is no longer prompt; the deadline where nothing else is wanted.
+    pub objective: Micros,
     /// Data centre that it is sent from, where that is not the entry's own.
     pub near: Option<Name>,
     /// Servers that it was sent to already.
@@ -29,6 +31,7 @@
             once: false,
             arrived,
             deadline,
+            objective: deadline,
             near: None,
             tried: Vec::new(),
         }
--- a/lentilcart_route/src/pool/pool.rs
+++ b/lentilcart_route/src/pool/pool.rs
@@ -11,6 +11,8 @@
 const MAX_BACKOFF_DOUBLINGS: u32 = 5;
 /// Failures that an unanswered question about load counts for.
 const DOUBT_WEIGHT: u32 = 3;
+/// Time of work that is reckoned with before the first answer, in microseconds.
+const FIRST_WORK: f64 = 50_000.0;
 const MEAN_WEIGHT: f64 = 0.02;
 const TYPICAL_QUANTILE: f64 = 0.5;
 
@@ -24,6 +26,8 @@
     hedger: Hedger,
     share: Share,
     mean: f64,
+    /// Usual time of work at the usual speed, in microseconds.
+    work: f64,
     turn: u64,
     rng: Rng,
     open: Vec<usize>,
@@ -42,6 +46,7 @@
             hedger: Hedger::new(config.retry.hedge, Micros::ZERO),
             share: Share::default(),
             mean: 0.0,
+            work: FIRST_WORK,
             turn: 0,
             rng: seeded(seed),
             open: Vec::new(),
@@ -201,7 +206,10 @@
         };
         match outcome {
             Outcome::Answered { load } => {
+                let slowness = row.get_slowness(now);
                 row.answer(now, took, load, self.config.overcommit);
+                let slowness = (slowness + row.get_slowness(now)) / 2.0;
+                self.work += MEAN_WEIGHT * (took.0 as f64 / slowness - self.work);
                 self.hedger.record(now, took);
                 self.retries.deposit(self.config.retry.ratio);
                 self.mean += MEAN_WEIGHT * (took.0 as f64 - self.mean);
@@ -449,6 +457,8 @@
                 share: self.share,
                 turn: self.turn,
                 mean: self.mean,
+                work: self.work,
+                objective: job.objective,
                 rng: &mut self.rng,
             };
             (self.config.policy.pick)(&mut choice)
--- a/lentilcart_route/src/pool/row.rs
+++ b/lentilcart_route/src/pool/row.rs
@@ -127,6 +127,12 @@
         fresh.map(|(count, _)| count).sum()
     }
 
+    /// Returns the age of the server's last report of its load.
+    #[must_use]
+    pub fn get_report_age(&self, now: Micros) -> Option<Micros> {
+        self.report.map(|report| now - report.at)
+    }
+
     /// Returns the requests of others at the server by its own report, as far as it is fresh.
     #[must_use]
     pub fn get_others(&self, now: Micros) -> f64 {
@@ -203,7 +209,10 @@
     #[must_use]
     pub fn get_limit(&self, now: Micros, config: &PoolConfig) -> u32 {
         let full = match (config.policy.late, self.limit) {
-            (true, limit) => limit.round().max(1.0) as u32 + config.overcommit,
+            (true, limit) => {
+                let slots = limit.round().max(1.0) as u32 + config.overcommit;
+                slots.saturating_sub(config.reserve).max(1)
+            }
             (false, _) => config.connections,
         };
         let limit = match self.phase {
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -98,6 +98,21 @@
         });
     }
 
+    /// Returns whether a server's last report of its load is older than a time.
+    pub(crate) fn is_stale(&self, address: SocketAddr, age: Micros) -> bool {
+        let now = self.clock.now();
+        self.look(|pool| {
+            let row = pool.get_index(address).and_then(|i| pool.get_row(i));
+            row.and_then(|row| row.get_report_age(now))
+                .is_none_or(|old| old >= age)
+        })
+    }
+
+    /// Returns whether requests wait.
+    pub(crate) fn is_waiting(&self) -> bool {
+        self.look(|pool| pool.get_waiting() > 0)
+    }
+
     /// Records that a server did not answer a question about its load.
     pub(crate) fn doubt(&self, address: SocketAddr) {
         self.with(|pool, now| {
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -216,6 +216,8 @@
             policy: get_policy(&service.policy).unwrap_or(&lentilcart_route::POLICIES[0]),
             data_center: self.settings.data_center.clone(),
             overcommit: service.overcommit,
+            reserve: 0,
+            far_cost: 0.0,
             connections: service.get_connections(),
             wait: service.wait,
             ramp: service.ramp,
--- a/src/entry/grant.rs
+++ b/src/entry/grant.rs
@@ -42,6 +42,7 @@
         once: ask.once,
         arrived: now - ask.age,
         deadline: now + ask.left,
+        objective: now + ask.left,
         near,
         tried,
     };
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -63,6 +63,7 @@
             once: !self.may_repeat(),
             arrived: self.arrived,
             deadline: self.deadline,
+            objective: self.arrived + self.rule.objective,
             near: None,
             tried: tried.to_vec(),
         }
--- a/src/gateway/beat.rs
+++ b/src/gateway/beat.rs
@@ -3,6 +3,8 @@
 use lentilcart_route::Load;
 use lentilcart_util::{Name, common};
 
+const PERCENT: f64 = 100.0;
+
 common! { message,
     /// What an entry tells the others several times a second, and registers with the store.
     #[derive(Eq)]
@@ -19,11 +21,40 @@
 }
 
 common! { message,
-    /// A server's load, as its owner heard it.
-    pub(crate) struct LoadNews {
-        pub(crate) service: Name,
-        pub(crate) server: SocketAddr,
-        pub(crate) load: Load,
+    /// A server's load, as its owner heard it: address, requests running and waiting, and slowness
+    /// in percent. A tuple, since it is sent many times a second.
+    #[derive(Copy, Eq)]
+    pub(crate) struct LoadNews(u32, u16, u32, u32, Option<u16>);
+}
+
+impl LoadNews {
+    /// Creates news of a server; `None` for addresses that are not IPv4.
+    pub(crate) fn new(server: SocketAddr, load: &Load) -> Option<Self> {
+        let SocketAddr::V4(server) = server else {
+            return None;
+        };
+        let slowness = load.slowness.map(|times| (times * PERCENT).round() as u16);
+        let address = u32::from(*server.ip());
+        Some(Self(
+            address,
+            server.port(),
+            load.running,
+            load.waiting,
+            slowness,
+        ))
+    }
+
+    pub(crate) fn get_server(&self) -> SocketAddr {
+        SocketAddr::from((std::net::Ipv4Addr::from(self.0), self.1))
+    }
+
+    pub(crate) fn get_load(&self) -> Load {
+        Load {
+            running: self.2,
+            waiting: self.3,
+            slots: None,
+            slowness: self.4.map(|percent| f64::from(percent) / PERCENT),
+        }
     }
 }
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -4,6 +4,9 @@
 use super::gateway::{Gateway, Kind};
 use crate::util::Backoff;
 
+/// Time in which changes gather before the next watch, to save calls.
+const GATHER: Duration = Duration::from_millis(150);
+
 /// Keeps the mirror of a prefix current by watches.
 pub(crate) async fn keep_mirror(gateway: Arc<Gateway>, kind: Kind) {
     let mut backoff = Backoff::default();
@@ -25,6 +28,11 @@
                 gateway.hear_store();
                 let changes = gateway.mirror(kind).take(reply);
                 gateway.take_changes(kind, changes, false);
+                // Servers often come and go several at a time.
+                let is_watching = gateway.mirror(kind).is_watching();
+                if kind == Kind::Servers && is_watching {
+                    rest(&gateway, GATHER).await;
+                }
             }
             Err(reason) => {
                 gateway.miss_store(name, &reason);
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -22,8 +22,6 @@
 const BUDGET_SHARE: f64 = 0.8;
 /// Longest wait for a server as a share of the time that a request has.
 const WAIT_SHARE: f64 = 0.5;
-/// Largest share of hedged requests.
-const HEDGE_SHARE: f64 = 0.05;
 
 /// What of the store is mirrored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -297,13 +295,15 @@
             policy: policy.unwrap_or(&lentilcart_route::POLICIES[0]),
             data_center: settings.data_center.clone(),
             overcommit: settings.servers.overcommit,
+            reserve: settings.servers.reserve,
+            far_cost: settings.servers.far_cost,
             connections: rules.map_or(1, |rules| rules.connections).max(1),
             wait: WAIT_SHARE,
             first_retries: 0.0,
             retry: RetryLimits {
                 ratio: settings.retries.ratio * BUDGET_SHARE,
                 burst: settings.retries.burst * BUDGET_SHARE / entries,
-                hedge: HEDGE_SHARE,
+                hedge: settings.servers.hedge,
             },
             eject: EjectLimits::default(),
             ..PoolConfig::default()
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -83,8 +83,8 @@
             Ok(Gram::Loads(news)) => {
                 let view = gateway.get_view();
                 for row in news {
-                    if let Some(desk) = view.desks.get(&row.service) {
-                        desk.report(row.server, row.load);
+                    for desk in view.desks.values() {
+                        desk.report(row.get_server(), row.get_load());
                     }
                 }
             }
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -19,12 +19,9 @@
 
 /// Time between two looks at which servers this entry asks.
 const OWNED_EVERY: Micros = Micros::from_millis(500);
-/// Time between two digests to the other entries.
-const DIGEST_EVERY: Duration = Duration::from_millis(25);
 
 /// A server that this entry asks about its load.
 struct Owned {
-    service: Name,
     desk: Arc<Desk>,
     address: SocketAddr,
     path: Name,
@@ -50,7 +47,10 @@
             () = tokio::time::sleep(pause) => {}
         }
         next += 1;
-        if let Some(server) = owned.get(next % owned.len().max(1)).cloned() {
+        let server = owned.get(next % owned.len().max(1)).cloned();
+        // An answer that has come meanwhile told the same.
+        let fresh = settings.servers.probe;
+        if let Some(server) = server.filter(|s| s.desk.is_stale(s.address, fresh)) {
             let (gateway, wait) = (gateway.clone(), settings.servers.probe_wait);
             let tasks = gateway.tasks.clone();
             tasks.spawn(async move { probe(&gateway, &server, wait).await });
@@ -84,7 +84,6 @@
             return None;
         }
         Some(Arc::new(Owned {
-            service: row.service.clone(),
             desk: view.desks.get(&row.service)?.clone(),
             address: row.address,
             path: view.table.services.get(&row.service)?.health_path.clone(),
@@ -104,13 +103,8 @@
     match asked {
         Ok(Ok(Some(load))) => {
             server.desk.report(server.address, load);
-            let news = LoadNews {
-                service: server.service.clone(),
-                server: server.address,
-                load,
-            };
             let mut digest = gateway.digest.lock().expect("no panic under lock");
-            digest.push_back(news);
+            digest.extend(LoadNews::new(server.address, &load));
         }
         Ok(Ok(None)) => {}
         Ok(Err(reason)) => {
@@ -136,7 +130,8 @@
 
 /// Tells the other entries what the probes have brought.
 pub(crate) async fn send_digests(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
-    let mut timer = tokio::time::interval(DIGEST_EVERY);
+    let digest = gateway.settings.load().peers.digest;
+    let mut timer = tokio::time::interval(digest.into());
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -2,32 +2,38 @@
 use std::time::{Duration, Instant};
 
 use lentilcart_util::Micros;
-use tokio::time::MissedTickBehavior;
 
 use super::gateway::Gateway;
 use crate::ops::upkeep;
 
-const TICK: Duration = Duration::from_millis(10);
+/// Time between two ticks while requests wait, and while none do.
+const BUSY_TICK: Duration = Duration::from_millis(15);
+const IDLE_TICK: Duration = Duration::from_millis(60);
 /// Gap between two ticks that tells that the process stood still.
 const PAUSE: Duration = Duration::from_millis(700);
-/// Ticks between two looks at rarer matters.
-const RARE: u64 = 50;
-/// Ticks between two merges of recorded metrics.
-const UPKEEP: u64 = 500;
+/// Time between two looks at rarer matters.
+const RARE: Duration = Duration::from_millis(500);
+/// Looks between two merges of recorded metrics.
+const UPKEEP: u64 = 10;
 /// Age at which an unused connection to another entry or a server is closed.
 const CONNECTION_AGE: Duration = Duration::from_secs(9);
 
 /// Runs the systems over the tables at fixed times, and notices when the process stood still.
 pub(crate) async fn tick(gateway: Arc<Gateway>) {
-    let mut timer = tokio::time::interval(TICK);
-    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last = Instant::now();
+    let mut looked = Instant::now();
     let mut count = 0_u64;
     let mut entries = 0;
     loop {
+        let is_busy = gateway
+            .get_view()
+            .desks
+            .values()
+            .any(|desk| desk.is_waiting());
+        let pause = if is_busy { BUSY_TICK } else { IDLE_TICK };
         tokio::select! {
             () = gateway.stop.cancelled() => return,
-            _ = timer.tick() => {}
+            () = tokio::time::sleep(pause) => {}
         }
         let gap = last.elapsed();
         last = Instant::now();
@@ -35,13 +41,14 @@
             log::warn!(pause_ms = gap.as_millis() as u64; "the process stood still");
             gateway.relist.notify_waiters();
         }
-        count += 1;
         let view = gateway.get_view();
         for desk in view.desks.values() {
             desk.tick();
         }
         gateway.tick_directory();
-        if count.is_multiple_of(RARE) {
+        if looked.elapsed() >= RARE {
+            looked = Instant::now();
+            count += 1;
             gateway.dialer.sweep(CONNECTION_AGE);
             gateway.prober.sweep(CONNECTION_AGE);
             let live = gateway.members().get_live(gateway.clock.now()).len();
@@ -54,9 +61,9 @@
                 }
             }
             note_ages(&gateway);
-        }
-        if count.is_multiple_of(UPKEEP) {
-            upkeep();
+            if count.is_multiple_of(UPKEEP) {
+                upkeep();
+            }
         }
     }
 }
--- a/src/settings/file.rs
+++ b/src/settings/file.rs
@@ -59,6 +59,9 @@
     /// Time between beats.
     #[serde_as(as = "Span")]
     pub beat: Micros,
+    /// Time between two digests of the servers' load.
+    #[serde_as(as = "Span")]
+    pub digest: Micros,
     /// Silence after which an entry counts as lost.
     #[serde_as(as = "Span")]
     pub silence: Micros,
@@ -68,8 +71,9 @@
     fn default() -> Self {
         Self {
             seeds: Vec::new(),
-            beat: Micros::from_millis(200),
-            silence: Micros::from_millis(1500),
+            beat: Micros::from_millis(500),
+            digest: Micros::from_millis(100),
+            silence: Micros::from_millis(1800),
         }
     }
 }
@@ -134,6 +138,12 @@
     pub idle_once: Micros,
     /// Requests beyond its slots that a server may be given.
     pub overcommit: u32,
+    /// Slots of each server that are left free.
+    pub reserve: u32,
+    /// Cost of a server in another data centre, as a probability of a late answer, from 0 to 1.
+    pub far_cost: f64,
+    /// Largest share of the requests that may be sent a second time before the first answer.
+    pub hedge: f64,
     /// Time between two questions about a server's load, all entries together.
     #[serde_as(as = "Span")]
     pub probe: Micros,
@@ -150,6 +160,9 @@
             idle: Micros::from_millis(4000),
             idle_once: Micros::from_millis(150),
             overcommit: 1,
+            reserve: 0,
+            far_cost: 0.08,
+            hedge: 0.05,
             probe: Micros::from_millis(100),
             probe_wait: Micros::from_millis(250),
         }
