feat(route): trunk reservation for other data centres, newest first in an overload

Far servers keep a slot free; requests that can still be prompt go first, the newest of them once the oldest has no time to spare; a refusal that no load caused asks the caller back within 10 ms; probes every 50 ms.

--- a/lentilcart_route/src/pool/config.rs
+++ b/lentilcart_route/src/pool/config.rs
@@ -16,6 +16,9 @@
     pub overcommit: u32,
     /// Slots of each server that are left free, since servers slow down when they are nearly full.
     pub reserve: u32,
+    /// Slots of each server in another data centre that are left to the requests of that one (trunk
+    /// reservation): in an overload, requests would otherwise only change places.
+    pub far_reserve: u32,
     /// Cost of a server in another data centre, as a probability of a late answer.
     pub far_cost: f64,
     /// Connections to each server that this entry may hold.
@@ -41,6 +44,7 @@
             data_center: Name::default(),
             overcommit: 2,
             reserve: 0,
+            far_reserve: 0,
             far_cost: 0.0,
             connections: 40,
             wait: 0.5,
--- a/lentilcart_route/src/pool/pool.rs
+++ b/lentilcart_route/src/pool/pool.rs
@@ -215,7 +215,13 @@
                 self.mean += MEAN_WEIGHT * (took.0 as f64 - self.mean);
                 self.recover(now, server);
             }
-            Outcome::Full { load } => row.hear(now, load),
+            Outcome::Full { load } => {
+                row.hear(now, load);
+                // A server that sheds with free slots has another reason than load.
+                let slots = row.config.slots;
+                let has_room = load.is_some_and(|load| load.get_requests() < slots);
+                row.note(now, has_room);
+            }
             Outcome::Failed => {
                 row.note(now, true);
                 self.fail(now, server, 1);
@@ -382,7 +388,7 @@
     fn drain(&mut self, now: Micros) -> Vec<Step> {
         let mut steps = Vec::new();
         while self.queue.len() > 0 && self.is_any_open(now) {
-            match self.pop(|pool, job| pool.is_open(now, job)) {
+            match self.pop_next(now) {
                 None => break,
                 Some(job) => steps.extend(self.begin(now, &job)),
             }
@@ -403,6 +409,17 @@
         steps
     }
 
+    fn pop_next(&mut self, now: Micros) -> Option<Job> {
+        if !self.config.policy.reports {
+            return self.pop(|pool, job| pool.is_open(now, job));
+        }
+        let typical = self.get_typical();
+        let mut queue = std::mem::take(&mut self.queue);
+        let job = queue.pop_prompt(now, typical, |job| self.is_open(now, job));
+        self.queue = queue;
+        job
+    }
+
     fn pop(&mut self, is_wanted: impl Fn(&Self, &Job) -> bool) -> Option<Job> {
         let mut queue = std::mem::take(&mut self.queue);
         let job = queue.pop(|job| is_wanted(self, job));
@@ -427,7 +444,12 @@
         let row = &self.rows[index];
         let untried = !job.tried.contains(&index);
         let trusted = !job.once || row.phase != Phase::Probation;
-        self.get_load(now, row) < row.get_limit(now, &self.config) && untried && trusted
+        let near = job.near.as_ref().unwrap_or(&self.config.data_center);
+        let reserved = match row.config.data_center == *near {
+            true => 0,
+            false => self.config.far_reserve,
+        };
+        self.get_load(now, row) + reserved < row.get_limit(now, &self.config) && untried && trusted
     }
 
     /// Returns the requests at a server that count against its limit.
--- a/lentilcart_route/src/queue/mod.rs
+++ b/lentilcart_route/src/queue/mod.rs
@@ -2,11 +2,16 @@
 
 use std::collections::VecDeque;
 
+use lentilcart_util::Micros;
+
 use crate::pool::Job;
 
 /// Number of priorities; 9 is served first.
 pub(crate) const PRIORITIES: usize = 10;
 
+/// Share of the time until its objective that the oldest request must have to spare, to go first.
+const SPARE_SHARE: f64 = 0.2;
+
 /// Waiting requests.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
@@ -43,6 +48,40 @@
         None
     }
 
+    /// Removes and returns the request that is served next where answers have an objective: those
+    /// that can still meet it come first, by priority.
+    ///
+    /// The oldest goes first while it has time to spare. In an overload the newest does, since it
+    /// alone is sure to be answered in time (adaptive LIFO, after Maurer, "Fail at Scale", ACM
+    /// Queue, 2015).
+    pub(crate) fn pop_prompt(
+        &mut self,
+        now: Micros,
+        typical: Micros,
+        mut is_wanted: impl FnMut(&Job) -> bool,
+    ) -> Option<Job> {
+        for level in self.levels.iter_mut().rev() {
+            let slack = |job: &Job| job.objective - (now + typical);
+            let has_time = |job: &Job| slack(job) > Micros::ZERO;
+            let oldest = level.iter().position(|job| has_time(job) && is_wanted(job));
+            let Some(oldest) = oldest else {
+                continue;
+            };
+            let whole = level[oldest].objective - level[oldest].arrived;
+            let at = if slack(&level[oldest]) > whole.scaled(SPARE_SHARE) {
+                oldest
+            } else {
+                let newest = level
+                    .iter()
+                    .rposition(|job| has_time(job) && is_wanted(job));
+                newest.unwrap_or(oldest)
+            };
+            self.len -= 1;
+            return level.remove(at);
+        }
+        self.pop(is_wanted)
+    }
+
     /// Removes a request by its number.
     pub(crate) fn remove(&mut self, job: u64) -> bool {
         self.pop(|waiting| waiting.id == job).is_some()
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -217,6 +217,7 @@
             data_center: self.settings.data_center.clone(),
             overcommit: service.overcommit,
             reserve: 0,
+            far_reserve: 0,
             far_cost: 0.0,
             connections: service.get_connections(),
             wait: service.wait,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -274,6 +274,14 @@
     }
     match read_answer(reply.into_streamed(|_: End| ())).await {
         Ok(answer) if verdict == Verdict::Good => {
+            log::debug!(
+                request:% = request_id, server:% = server, address:% = address,
+                bytes = hyper::body::Body::size_hint(answer.body()).lower(),
+                running = load.map_or(0, |load| load.running),
+                waiting = load.map_or(0, |load| load.waiting),
+                slowness = load.and_then(|load| load.slowness).unwrap_or(1.0);
+                "server answered"
+            );
             lease.end(Outcome::answered(load));
             Tried::Answer(answer)
         }
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -296,6 +296,7 @@
             data_center: settings.data_center.clone(),
             overcommit: settings.servers.overcommit,
             reserve: settings.servers.reserve,
+            far_reserve: settings.servers.far_reserve,
             far_cost: settings.servers.far_cost,
             connections: rules.map_or(1, |rules| rules.connections).max(1),
             wait: WAIT_SHARE,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -24,6 +24,9 @@
 /// Shortest and usual longest pause of a refused caller.
 const RETURN_FROM: Micros = Micros::from_millis(30);
 const RETURN_TO: Micros = Micros::from_millis(250);
+/// The same where the service has room, but the servers asked did not run the request.
+const SOON_FROM: Micros = Micros::from_millis(2);
+const SOON_TO: Micros = Micros::from_millis(10);
 /// Time that a caller is given where neither it nor a route tells one.
 const NO_ROUTE_TIME: Micros = Micros::from_millis(1000);
 
@@ -62,7 +65,7 @@
         }
         Err(mut refusal) => {
             count(&label, refusal.reason.as_str(), took);
-            refusal.after = refusal.after.or(Some(get_pause(label.left)));
+            refusal.after = Some(get_pause(refusal.reason, label.left));
             log::info!(
                 request:% = label.id, route:% = label.route, service:% = label.service,
                 reason = refusal.reason.as_str(), status = refusal.reason.get_status().as_u16(),
@@ -104,10 +107,16 @@
     metrics::histogram!("lentilcart_request_seconds", "service" => service).record(took.as_secs());
 }
 
-/// Returns when a refused caller may come back, spread so that callers do not return together.
-fn get_pause(left: Micros) -> Micros {
-    let longest = left.scaled(RETURN_SHARE).min(RETURN_TO);
-    let shortest = RETURN_FROM.min(longest);
+/// Returns when a refused caller may come back, spread so that callers do not return together: at
+/// once where another try may find a server willing, later where the service or this entry needs
+/// time.
+fn get_pause(reason: Reason, left: Micros) -> Micros {
+    let (from, to) = match reason {
+        Reason::NotRun | Reason::NoBudget | Reason::Unreachable => (SOON_FROM, SOON_TO),
+        _ => (RETURN_FROM, RETURN_TO),
+    };
+    let longest = left.scaled(RETURN_SHARE).min(to);
+    let shortest = from.min(longest);
     let spread = (longest - shortest).scaled(rand::rng().random_range(0.0..1.0));
     shortest + spread
 }
--- a/src/settings/file.rs
+++ b/src/settings/file.rs
@@ -140,6 +140,8 @@
     pub overcommit: u32,
     /// Slots of each server that are left free.
     pub reserve: u32,
+    /// Slots of each server in another data centre that are left to the requests of that one.
+    pub far_reserve: u32,
     /// Cost of a server in another data centre, as a probability of a late answer, from 0 to 1.
     pub far_cost: f64,
     /// Largest share of the requests that may be sent a second time before the first answer.
@@ -161,9 +163,10 @@
             idle_once: Micros::from_millis(150),
             overcommit: 1,
             reserve: 0,
-            far_cost: 0.08,
+            far_reserve: 1,
+            far_cost: 0.25,
             hedge: 0.05,
-            probe: Micros::from_millis(100),
+            probe: Micros::from_millis(50),
             probe_wait: Micros::from_millis(250),
         }
     }
