feat(gateway): few entries watch the store, the others fetch what has changed

Cause: at 51 hosts every entry watched and listed, sent beats and digests to all others, and fetched whole mirrors on each change: 0.5 GB between data centres, 2,858 store calls, links full for 8 s after 61 servers had joined. Three entries watch and tell all others, the next ones step in one after the other; mirrors remember removals and hand over only what is new; beats and digests stay inside the data centre; servers with long work are asked less often.

--- a/lentilcart_route/src/pool/pool.rs
+++ b/lentilcart_route/src/pool/pool.rs
@@ -28,6 +28,7 @@
     mean: f64,
     /// Usual time of work at the usual speed, in microseconds.
     work: f64,
+    answers: u64,
     turn: u64,
     rng: Rng,
     open: Vec<usize>,
@@ -47,6 +48,7 @@
             share: Share::default(),
             mean: 0.0,
             work: FIRST_WORK,
+            answers: 0,
             turn: 0,
             rng: seeded(seed),
             open: Vec::new(),
@@ -163,6 +165,12 @@
         self.hedger.get_quantile(quantile)
     }
 
+    /// Returns the usual time of work at a server at its usual speed.
+    #[must_use]
+    pub fn get_work(&self) -> Micros {
+        Micros(self.work as u64)
+    }
+
     /// Returns how long to wait for an answer before asking for a hedge.
     #[must_use]
     pub fn get_hedge_delay(&self) -> Option<Micros> {
@@ -209,7 +217,10 @@
                 let slowness = row.get_slowness(now);
                 row.answer(now, took, load, self.config.overcommit);
                 let slowness = (slowness + row.get_slowness(now)) / 2.0;
-                self.work += MEAN_WEIGHT * (took.0 as f64 / slowness - self.work);
+                self.answers += 1;
+                // A plain mean until there are enough answers.
+                let weight = MEAN_WEIGHT.max(1.0 / self.answers as f64);
+                self.work += weight * (took.0 as f64 / slowness - self.work);
                 self.hedger.record(now, took);
                 self.retries.deposit(self.config.retry.ratio);
                 self.mean += MEAN_WEIGHT * (took.0 as f64 - self.mean);
--- a/lentilcart_state/src/mirror/mirror.rs
+++ b/lentilcart_state/src/mirror/mirror.rs
@@ -1,3 +1,5 @@
+use std::collections::VecDeque;
+
 use lentilcart_util::{Map, Micros, Name, Set, common};
 
 use super::{Item, StoreCall, StoreEvent, StoreReply};
@@ -12,16 +14,21 @@
 }
 
 common! { message,
-    /// Everything under a prefix as of a revision.
+    /// What is under a prefix as of a revision: everything, or what changed after another revision.
     #[derive(Default, Eq)]
     pub struct Snapshot {
         /// Revision.
         pub revision: u64,
         /// Items.
         pub items: Vec<Item>,
+        /// Keys that were removed, with the revision; `None` where the items are all there are.
+        pub gone: Option<Vec<(Name, u64)>>,
     }
 }
 
+/// Removals that a mirror remembers, so that it can tell another one only what has changed.
+const REMOVALS: usize = 512;
+
 /// Copy of the items under a prefix.
 ///
 /// It emits the next call to the store and takes the answers; copies of other entries can be
@@ -34,6 +41,10 @@
     revision: u64,
     /// Newest revision of any change that was taken.
     latest: u64,
+    /// Last removals, in the order in which they were taken.
+    removed: VecDeque<(Name, u64)>,
+    /// Revision up to which removals are not remembered.
+    horizon: u64,
     listing: Option<Listing>,
 }
 
@@ -54,6 +65,8 @@
             items: Map::default(),
             revision: 0,
             latest: 0,
+            removed: VecDeque::new(),
+            horizon: 0,
             listing: Some(Listing::default()),
         }
     }
@@ -120,15 +133,26 @@
         if snapshot.revision <= self.revision {
             return Vec::new();
         }
-        self.replace(snapshot.items, snapshot.revision)
+        let Some(gone) = snapshot.gone else {
+            return self.replace(snapshot.items, snapshot.revision);
+        };
+        let written = snapshot.items.into_iter().map(StoreEvent::Written);
+        let removed = gone
+            .into_iter()
+            .map(|(key, at)| StoreEvent::Removed(key, at));
+        self.take_events(removed.chain(written), snapshot.revision)
     }
 
-    /// Returns the whole copy.
+    /// Returns what has changed after a revision, or the whole copy where that is not remembered.
     #[must_use]
-    pub fn get_snapshot(&self) -> Snapshot {
+    pub fn get_snapshot(&self, after: u64) -> Snapshot {
+        let is_known = after >= self.horizon && after > 0;
+        let is_new = |item: &&Item| !is_known || item.revision > after;
+        let removed = self.removed.iter().filter(|(_, at)| *at > after);
         Snapshot {
             revision: self.revision,
-            items: self.items.values().cloned().collect(),
+            items: self.items.values().filter(is_new).cloned().collect(),
+            gone: is_known.then(|| removed.cloned().collect()),
         }
     }
 
@@ -149,7 +173,11 @@
         }
     }
 
-    fn take_events(&mut self, events: Vec<StoreEvent>, revision: u64) -> Vec<Change> {
+    fn take_events(
+        &mut self,
+        events: impl IntoIterator<Item = StoreEvent>,
+        revision: u64,
+    ) -> Vec<Change> {
         let mut changes = Vec::new();
         for event in events {
             match event {
@@ -158,7 +186,7 @@
                     let known = self.items.get(&key).is_some_and(|item| item.revision < at);
                     self.latest = self.latest.max(at);
                     if known {
-                        self.items.remove(&key);
+                        self.remove(&key, at);
                         changes.push(Change::Gone(key));
                     }
                 }
@@ -177,8 +205,11 @@
             .map(|item| item.key.clone());
         let gone: Vec<Name> = gone.collect();
         let mut changes = Vec::new();
+        if self.revision == 0 {
+            self.horizon = revision;
+        }
         for key in gone {
-            self.items.remove(&key);
+            self.remove(&key, revision);
             changes.push(Change::Gone(key));
         }
         for item in items {
@@ -188,6 +219,16 @@
         changes
     }
 
+    fn remove(&mut self, key: &Name, at: u64) {
+        self.items.remove(key);
+        self.removed.push_back((key.clone(), at));
+        if self.removed.len() > REMOVALS
+            && let Some((_, at)) = self.removed.pop_front()
+        {
+            self.horizon = self.horizon.max(at);
+        }
+    }
+
     fn put(&mut self, item: Item) -> Option<Change> {
         let known = self.items.get(&item.key).map(|known| known.revision);
         if known.is_some_and(|known| known >= item.revision) {
--- a/src/gateway/beat.rs
+++ b/src/gateway/beat.rs
@@ -17,6 +17,8 @@
         /// Newest revision known under each mirrored prefix.
         pub(crate) latest: [u64; 3],
         pub(crate) leaving: bool,
+        /// Whether it watches the store, and the store answers it.
+        pub(crate) watching: bool,
     }
 }
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -4,6 +4,8 @@
 use super::gateway::{Gateway, Kind};
 use crate::util::Backoff;
 
+/// Time between two looks at who watches.
+const ROLE_EVERY: Duration = Duration::from_millis(100);
 /// Time in which changes gather before the next watch, to save calls.
 const GATHER: Duration = Duration::from_millis(150);
 
@@ -11,6 +13,15 @@
 pub(crate) async fn keep_mirror(gateway: Arc<Gateway>, kind: Kind) {
     let mut backoff = Backoff::default();
     loop {
+        // An entry that has read everything once leaves the watching to a few.
+        let has_all = gateway.mirror(kind).get_revision() > 0;
+        if has_all && !gateway.is_watcher() {
+            rest(&gateway, ROLE_EVERY).await;
+            if gateway.stop.is_cancelled() {
+                return;
+            }
+            continue;
+        }
         let wait = gateway.settings.load().store.watch;
         let call = gateway.mirror(kind).next_call(wait);
         let name = call.as_str();
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwap;
 use lentilcart_route::{EjectLimits, Pool, PoolConfig, RetryLimits, ServerConfig, get_policy};
-use lentilcart_state::{Change, Directory, Member, Members, Mirror, RouteTable};
+use lentilcart_state::{Change, Directory, Member, Members, Mirror, RouteTable, rendezvous};
 use lentilcart_util::{Map, Micros, Name, Set};
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
@@ -20,6 +20,12 @@
 /// Share of the budget of retries that the entries hand out, so that counting at the servers'
 /// side, a little later, stays within it.
 const BUDGET_SHARE: f64 = 0.8;
+/// Entries that watch the store; the others learn from them.
+const WATCHERS: usize = 3;
+/// Silence of all watchers after which another entry watches, and how much later each further one
+/// does.
+const WATCHER_SILENCE: Micros = Micros::from_millis(1200);
+const TAKEOVER_STEP: Micros = Micros::from_millis(30);
 /// Longest wait for a server as a share of the time that a request has.
 const WAIT_SHARE: f64 = 0.5;
 
@@ -76,6 +82,10 @@
     leaving: AtomicBool,
     directory: Mutex<Directory>,
     members: Mutex<Members>,
+    /// When a watcher that the store answers was last heard, and its name.
+    watcher: Mutex<Option<(Name, Micros)>>,
+    /// Whether a mirror is being fetched from another entry.
+    pub(crate) fetching: [AtomicBool; 3],
     contact: Mutex<Contact>,
     serial: AtomicU64,
     seed: u64,
@@ -120,6 +130,8 @@
             leaving: AtomicBool::new(false),
             directory: Mutex::default(),
             members: Mutex::new(Members::new(settings.name.clone(), own, silence)),
+            watcher: Mutex::default(),
+            fetching: [const { AtomicBool::new(false) }; 3],
             contact: Mutex::default(),
             serial: AtomicU64::new(0),
             settings: ArcSwap::from_pointee(settings),
@@ -181,6 +193,7 @@
             number: self.get_view().table.number,
             latest: Kind::ALL.map(|kind| self.mirror(kind).get_latest()),
             leaving: self.is_leaving(),
+            watching: self.is_watcher() && self.is_store_near(),
         }
     }
 }
@@ -215,6 +228,44 @@
         }
     }
 
+    /// Returns whether the store answers this entry.
+    pub(crate) fn is_store_near(&self) -> bool {
+        let contact = self.contact();
+        contact.answered.is_some() && !contact.lost
+    }
+
+    /// Records that an entry watches the store, or does so no more.
+    pub(crate) fn hear_watcher(&self, name: &Name, watching: bool) {
+        let mut watcher = self.watcher.lock().expect("no panic under lock");
+        if watching {
+            *watcher = Some((name.clone(), self.clock.now()));
+        } else if watcher.as_ref().is_some_and(|(known, _)| known == name) {
+            *watcher = None;
+        }
+    }
+
+    /// Returns this entry's place in the order in which entries watch the store: the first ones do,
+    /// the others step in, one after the other, while no watcher is heard.
+    pub(crate) fn get_watch_rank(&self) -> usize {
+        let members = self.members();
+        let names = members.iter().map(|(name, _)| name);
+        let ranked = rendezvous("watch", names, usize::MAX);
+        let own = ranked.iter().position(|name| *name == members.get_me());
+        own.unwrap_or(0)
+    }
+
+    /// Returns whether this entry has to watch the store itself now.
+    pub(crate) fn is_watcher(&self) -> bool {
+        let rank = self.get_watch_rank();
+        if rank < WATCHERS {
+            return true;
+        }
+        let now = self.clock.now();
+        let patience = WATCHER_SILENCE + Micros(TAKEOVER_STEP.0 * (rank - WATCHERS) as u64);
+        let watcher = self.watcher.lock().expect("no panic under lock");
+        watcher.as_ref().is_none_or(|(_, at)| now - *at > patience)
+    }
+
     /// Returns how long ago the store last answered.
     pub(crate) fn get_store_age(&self) -> Option<Micros> {
         let now = self.clock.now();
@@ -288,8 +339,7 @@
     pub(crate) fn get_pool_config(&self, table: &RouteTable, service: &Name) -> PoolConfig {
         let settings = self.settings.load();
         let rules = table.services.get(service);
-        let now = self.clock.now();
-        let entries = self.members().get_live(now).len().max(1) as f64;
+        let entries = self.members().iter().count().max(1) as f64;
         let policy = get_policy(&settings.servers.policy);
         PoolConfig {
             policy: policy.unwrap_or(&lentilcart_route::POLICIES[0]),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -33,34 +34,58 @@
             _ = changed.changed() => {}
         }
         changed.mark_unchanged();
-        send(&gateway, &socket, &Gram::Beat(gateway.get_beat())).await;
+        send_beat(&gateway, &socket).await;
     }
     // The last one says that this entry is leaving.
-    send(&gateway, &socket, &Gram::Beat(gateway.get_beat())).await;
+    send_beat(&gateway, &socket).await;
 }
 
-/// Sends a datagram to every other entry.
-pub(crate) async fn send(gateway: &Gateway, socket: &UdpSocket, gram: &Gram) {
+/// Tells the entries of the own data centre, and all of them where this entry watches the store
+/// for the others.
+async fn send_beat(gateway: &Gateway, socket: &UdpSocket) {
+    let beat = gateway.get_beat();
+    let mut peers = if beat.watching {
+        get_peers(gateway, usize::MAX)
+    } else {
+        get_peers(gateway, 0)
+    };
+    if gateway.members().iter().count() <= 1 {
+        peers.extend(get_seeds(gateway));
+    }
+    send(socket, &Gram::Beat(beat), &peers).await;
+}
+
+/// Sends a datagram to some other entries.
+pub(crate) async fn send(socket: &UdpSocket, gram: &Gram, peers: &[SocketAddr]) {
     let bytes = gram.encode();
-    for address in get_peers(gateway) {
+    for address in peers {
         if let Err(error) = socket.send_to(&bytes, address).await {
             log::debug!(peer:% = address; "datagram not sent: {error}");
         }
     }
 }
 
-fn get_peers(gateway: &Gateway) -> Vec<SocketAddr> {
+/// Returns the other entries of the own data centre, and those of the others where they are no more
+/// than `far`.
+pub(crate) fn get_peers(gateway: &Gateway, far: usize) -> Vec<SocketAddr> {
+    let settings = gateway.settings.load();
+    let members = gateway.members();
+    let rows = members.iter().map(|(_, row)| row);
+    let others = rows.filter(|row| row.peer != settings.listen.peer);
+    let (mut near, away): (Vec<_>, Vec<_>) =
+        others.partition(|row| row.data_center == settings.data_center);
+    if away.len() <= far {
+        near.extend(away);
+    }
+    near.into_iter().map(|row| row.peer).collect()
+}
+
+fn get_seeds(gateway: &Gateway) -> Vec<SocketAddr> {
     let settings = gateway.settings.load();
     let own = settings.listen.peer;
     let seeds = settings.peers.seeds.iter();
-    let mut peers: Vec<SocketAddr> = seeds
-        .map(|seed| SocketAddr::new(seed.ip(), own.port()))
-        .collect();
-    peers.extend(gateway.members().iter().map(|(_, row)| row.peer));
-    peers.sort_unstable();
-    peers.dedup();
-    peers.retain(|peer| *peer != own);
-    peers
+    let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), own.port()));
+    seeds.filter(|seed| *seed != own).collect()
 }
 
 /// Takes the datagrams of the other entries.
@@ -79,7 +104,13 @@
             }
         };
         match Gram::decode(&buffer[..length]) {
-            Ok(Gram::Beat(beat)) => take_beat(&gateway, &beat),
+            Ok(Gram::Beat(beat)) => {
+                take_beat(&gateway, &beat);
+                if is_behind(&gateway, &beat) {
+                    let own = Gram::Beat(gateway.get_beat());
+                    send(&socket, &own, &[beat.peer]).await;
+                }
+            }
             Ok(Gram::Loads(news)) => {
                 let view = gateway.get_view();
                 for row in news {
@@ -93,8 +124,15 @@
     }
 }
 
+/// Returns whether an entry knows nothing of what this one knows: it may not reach the store, and
+/// has nobody else to ask.
+fn is_behind(gateway: &Gateway, beat: &Beat) -> bool {
+    beat.number == 0 && gateway.get_view().table.number > 0
+}
+
 fn take_beat(gateway: &Arc<Gateway>, beat: &Beat) {
     let now = gateway.clock.now();
+    gateway.hear_watcher(&beat.name, beat.watching);
     let is_new = {
         let mut members = gateway.members();
         let is_new = !members.is_live(&beat.name, now);
@@ -119,13 +157,18 @@
 async fn catch_up(gateway: &Gateway, kind: Kind, peer: SocketAddr, name: &Name, latest: u64) {
     // An entry that knows nothing yet has no watch to wait for.
     let own = gateway.mirror(kind).get_revision();
-    if own > 0 {
+    if own > 0 && gateway.is_watcher() {
         tokio::time::sleep(OWN_WATCH.into()).await;
     }
     if gateway.mirror(kind).get_revision() >= latest {
         return;
     }
+    let fetching = &gateway.fetching[kind as usize];
+    if fetching.swap(true, Ordering::Relaxed) {
+        return;
+    }
     let fetched = tokio::time::timeout(FETCH_WAIT.into(), fetch(gateway, kind, peer)).await;
+    fetching.store(false, Ordering::Relaxed);
     match fetched.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
         Ok(snapshot) => {
             let revision = snapshot.revision;
@@ -138,7 +181,8 @@
 }
 
 async fn fetch(gateway: &Gateway, kind: Kind, peer: SocketAddr) -> Result<Snapshot, String> {
-    let request = Request::get(format!("/mirror/{}", kind as usize))
+    let after = gateway.mirror(kind).get_revision();
+    let request = Request::get(format!("/mirror/{}?{after}", kind as usize))
         .header("host", peer.to_string())
         .body(empty())
         .map_err(|e| e.to_string())?;
@@ -161,10 +205,12 @@
     let number = request.uri().path().strip_prefix("/mirror/");
     let number = number.and_then(|number| number.parse::<usize>().ok());
     let kind = number.and_then(|number| Kind::ALL.get(number));
+    let after = request.uri().query().and_then(|after| after.parse().ok());
+    let after: u64 = after.unwrap_or_default();
     let (status, body) = match kind {
         Some(kind) => (
             StatusCode::OK,
-            encode(&gateway.mirror(*kind).get_snapshot()),
+            encode(&gateway.mirror(*kind).get_snapshot(after)),
         ),
         None => (
             StatusCode::NOT_FOUND,
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -13,13 +13,17 @@
 
 use super::beat::{Gram, LoadNews};
 use super::gateway::Gateway;
-use super::peers::send;
+use super::peers::{get_peers, send};
 use crate::entry::Desk;
 use crate::http::{empty, text_of};
 
 /// Time between two looks at which servers this entry asks.
 const OWNED_EVERY: Micros = Micros::from_millis(500);
 
+/// Entries of other data centres up to which they are told too; beyond, what it costs outgrows what
+/// it tells of the few servers that get requests from afar.
+const FAR_DIGESTS: usize = 8;
+
 /// A server that this entry asks about its load.
 struct Owned {
     desk: Arc<Desk>,
@@ -39,9 +43,14 @@
             owned = get_owned(&gateway, now);
             looked = Some(now);
         }
-        // The questions are spread over the period.
+        // The questions are spread over the period; longer work needs them less often.
         let count = owned.len().max(1) as u32;
-        let pause = Duration::from(settings.servers.probe) / count;
+        let work = owned
+            .iter()
+            .map(|server| server.desk.look(|pool| pool.get_work()));
+        let work = work.max().unwrap_or_default();
+        let period = settings.servers.probe.max(work);
+        let pause = Duration::from(period) / count;
         tokio::select! {
             () = gateway.stop.cancelled() => return,
             () = tokio::time::sleep(pause) => {}
@@ -49,7 +58,7 @@
         next += 1;
         let server = owned.get(next % owned.len().max(1)).cloned();
         // An answer that has come meanwhile told the same.
-        let fresh = settings.servers.probe;
+        let fresh = period;
         if let Some(server) = server.filter(|s| s.desk.is_stale(s.address, fresh)) {
             let (gateway, wait) = (gateway.clone(), settings.servers.probe_wait);
             let tasks = gateway.tasks.clone();
@@ -143,7 +152,8 @@
             digest.drain(..).collect()
         };
         if !news.is_empty() {
-            send(&gateway, &socket, &Gram::Loads(news)).await;
+            let peers = get_peers(&gateway, FAR_DIGESTS);
+            send(&socket, &Gram::Loads(news), &peers).await;
         }
     }
 }
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -1,11 +1,14 @@
 use std::sync::Arc;
 
 use lentilcart_state::{Put, StoreCall, StoreReply};
-use lentilcart_util::Name;
+use lentilcart_util::{Micros, Name};
 
 use super::control::rest;
 use super::gateway::{Gateway, Kind};
 
+/// Part of a lease after which an entry that does not watch renews it.
+const RENEW_SHARE: f64 = 0.4;
+
 /// Keeps this entry registered under a lease, so that the others find it.
 ///
 /// The renewals also show whether the store answers while the watches wait.
@@ -19,8 +22,7 @@
                 lease
             }
         };
-        let renew = gateway.settings.load().store.renew;
-        rest(&gateway, renew.into()).await;
+        rest(&gateway, get_pause(&gateway).into()).await;
     }
     if let Some(lease) = lease
         && let Err(reason) = (gateway.store.ask)(StoreCall::End(lease)).await
@@ -29,6 +31,17 @@
     }
 }
 
+/// Returns the time until the next renewal: watchers renew often, since that tells them of an
+/// outage; the others just in time.
+fn get_pause(gateway: &Gateway) -> Micros {
+    let store = &gateway.settings.load().store;
+    if gateway.is_watcher() {
+        store.renew
+    } else {
+        (store.lease.scaled(RENEW_SHARE)).max(store.renew)
+    }
+}
+
 /// Renews the lease or opens one; returns the lease that is held then.
 async fn step(gateway: &Gateway, lease: Option<u64>) -> Result<Option<u64>, String> {
     let ask = &gateway.store.ask;
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -51,9 +51,9 @@
             count += 1;
             gateway.dialer.sweep(CONNECTION_AGE);
             gateway.prober.sweep(CONNECTION_AGE);
-            let live = gateway.members().get_live(gateway.clock.now()).len();
+            let live = gateway.members().iter().count();
             if live != entries {
-                log::info!(entries = live, before = entries; "live entries changed");
+                log::info!(entries = live, before = entries; "entries changed");
                 entries = live;
                 for (service, desk) in &view.desks {
                     let config = gateway.get_pool_config(&view.table, service);
--- a/src/settings/file.rs
+++ b/src/settings/file.rs
@@ -112,7 +112,7 @@
 }
 
 const fn default_lease() -> Micros {
-    Micros::from_millis(8000)
+    Micros::from_millis(9000)
 }
 
 const fn default_renew() -> Micros {
