--- a/lentilcart_route/src/policy/mod.rs
+++ b/lentilcart_route/src/policy/mod.rs
@@ -6,4 +6,4 @@
 mod rules;
 
 pub use self::choice::Choice;
-pub use self::policy::{POLICIES, Policy, get_policy, get_policy_names};
+pub use self::policy::{POLICIES, Policy, Source, get_policy, get_policy_names};
--- a/lentilcart_route/src/policy/policy.rs
+++ b/lentilcart_route/src/policy/policy.rs
@@ -1,20 +1,32 @@
 use std::fmt;
 
+use lentilcart_util::common;
+
 use super::choice::Choice;
 use super::rules;
 
+common! { value,
+    /// Where knowledge of a server's load comes from, beside the own outstanding requests.
+    pub enum Source {
+        /// Nowhere else.
+        Own,
+        /// Digests that entries send each other of their outstanding requests.
+        Digests,
+        /// The server's own reports, which count against its limit.
+        Reports,
+        /// Probes within the load budget.
+        Probes,
+    }
+}
+
 /// A way to choose a server.
 pub struct Policy {
     /// Name used in tickets.
     pub name: &'static str,
     /// Whether a request waits in the entry until a server has a free slot.
     pub late: bool,
-    /// Whether entries send each other digests of their outstanding requests.
-    pub digests: bool,
-    /// Whether servers' own reports count against their limit.
-    pub reports: bool,
-    /// Whether the policy measures load by probes.
-    pub probes: bool,
+    /// Where its knowledge of a server's load comes from.
+    pub source: Source,
     /// Chooses among the rows that may take one more request.
     pub pick: fn(&mut Choice<'_>) -> usize,
 }
@@ -29,9 +41,7 @@
     Policy {
         name,
         late: false,
-        digests: false,
-        reports: false,
-        probes: false,
+        source: Source::Own,
         pick,
     }
 }
@@ -52,7 +62,7 @@
     },
     Policy {
         late: true,
-        digests: true,
+        source: Source::Digests,
         ..rule("late-digests", rules::least_with_peers)
     },
     Policy {
@@ -61,7 +71,7 @@
     },
     Policy {
         late: true,
-        reports: true,
+        source: Source::Reports,
         ..rule("late-paced", rules::paced)
     },
     rule("random", rules::random),
@@ -69,7 +79,7 @@
     rule("least", rules::least),
     rule("two-choices", rules::two_choices),
     Policy {
-        probes: true,
+        source: Source::Probes,
         ..rule("probe-pool", rules::probe_pool)
     },
 ];
--- a/lentilcart_route/src/pool/pool.rs
+++ b/lentilcart_route/src/pool/pool.rs
@@ -5,7 +5,7 @@
     Job, Load, Outcome, Phase, PoolConfig, Refusal, Row, RowView, ServerConfig, Share, Step,
 };
 use crate::limits::{Bucket, Hedger};
-use crate::policy::Choice;
+use crate::policy::{Choice, Source};
 use crate::queue::Queue;
 
 const MAX_BACKOFF_DOUBLINGS: u32 = 5;
@@ -216,7 +216,7 @@
             Outcome::Answered { load } => {
                 let slowness = row.get_slowness(now);
                 row.answer(now, took, load, self.config.overcommit);
-                let slowness = (slowness + row.get_slowness(now)) / 2.0;
+                let slowness = f64::midpoint(slowness, row.get_slowness(now));
                 self.answers += 1;
                 // A plain mean until there are enough answers.
                 let weight = MEAN_WEIGHT.max(1.0 / self.answers as f64);
@@ -291,7 +291,7 @@
 impl Pool {
     /// Returns the servers to probe now; each call spends the budget of the probes it returns.
     pub fn take_probes(&mut self, now: Micros) -> Vec<usize> {
-        if !self.config.policy.probes {
+        if self.config.policy.source != Source::Probes {
             return Vec::new();
         }
         let load = self.config.load;
@@ -421,7 +421,7 @@
     }
 
     fn pop_next(&mut self, now: Micros) -> Option<Job> {
-        if !self.config.policy.reports {
+        if self.config.policy.source != Source::Reports {
             return self.pop(|pool, job| pool.is_open(now, job));
         }
         let typical = self.get_typical();
@@ -456,18 +456,20 @@
         let untried = !job.tried.contains(&index);
         let trusted = !job.once || row.phase != Phase::Probation;
         let near = job.near.as_ref().unwrap_or(&self.config.data_center);
-        let reserved = match row.config.data_center == *near {
-            true => 0,
-            false => self.config.far_reserve,
+        let reserved = if row.config.data_center == *near {
+            0
+        } else {
+            self.config.far_reserve
         };
         self.get_load(now, row) + reserved < row.get_limit(now, &self.config) && untried && trusted
     }
 
     /// Returns the requests at a server that count against its limit.
     fn get_load(&self, now: Micros, row: &Row) -> u32 {
-        let others = match self.config.policy.reports {
-            true => row.get_others(now).round() as u32,
-            false => 0,
+        let others = if self.config.policy.source == Source::Reports {
+            row.get_others(now).round() as u32
+        } else {
+            0
         };
         row.get_outstanding() + others
     }
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use lentilcart_route::{Pool, PoolConfig, ServerConfig, get_policy};
+use lentilcart_route::{Pool, PoolConfig, ServerConfig, Source, get_policy};
 use lentilcart_state::{InForce, Member, Members, Numbered, Service};
 use lentilcart_util::{Map, Micros, Name};
 use tokio::sync::watch;
@@ -306,7 +306,7 @@
         let digesting = view
             .desks
             .values()
-            .filter(|desk| desk.look(|pool| pool.get_config().policy.digests));
+            .filter(|desk| desk.look(|pool| pool.get_config().policy.source == Source::Digests));
         let digest = |desk: &Arc<Desk>| Digest {
             service: desk.service.clone(),
             counts: desk.look(|pool| pool.get_digest().collect()),
--- a/src/entry/lease.rs
+++ b/src/entry/lease.rs
@@ -37,7 +37,7 @@
     /// Creates a lease of this entry's own desk.
     pub(crate) fn of_desk(desk: Arc<Desk>, job: u64, server: usize) -> Self {
         let (config, hedge_after) = desk.look(|pool| {
-            let config = pool.get_row(server).map(|row| row.get_config());
+            let config = pool.get_row(server).map(lentilcart_route::Row::get_config);
             (config.cloned(), pool.get_hedge_delay())
         });
         let (address, id) = config.map_or_else(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,6 @@
 //! A gateway: an entry whose routes and servers come from the platform's store.
 //!
-//! Requests go from [`serve`] to `attempt` to a desk of the service, and read what `control` keeps:
+//! Requests go from `serve` to `attempt` to a desk of the service, and read what `control` keeps:
 //! the routes in force, the registered servers and the other entries.
 
 mod answer;
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -47,7 +47,7 @@
         let count = owned.len().max(1) as u32;
         let work = owned
             .iter()
-            .map(|server| server.desk.look(|pool| pool.get_work()));
+            .map(|server| server.desk.look(lentilcart_route::Pool::get_work));
         let work = work.max().unwrap_or_default();
         let period = settings.servers.probe.max(work);
         let pause = Duration::from(period) / count;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -62,13 +62,13 @@
         accepting: gateway.stop.clone(),
         serving: gateway.stop.clone(),
     };
-    let g = gateway.clone();
-    let limits = move || get_limits(&g);
-    let [c, r, p, o] = [(); 4].map(|()| gateway.clone());
-    let serve_caller = move |_: SocketAddr, request| serve(c.clone(), request);
-    let serve_ready = move |_: SocketAddr, request| serve_ready(r.clone(), request);
-    let serve_peer = move |_: SocketAddr, request| serve_peer(p.clone(), request);
-    let serve_ops = move |_: SocketAddr, request| serve_ops(o.clone(), request);
+    let shared = gateway.clone();
+    let limits = move || get_limits(&shared);
+    let [callers_own, ready_own, peer_own, ops_own] = [(); 4].map(|()| gateway.clone());
+    let serve_caller = move |_: SocketAddr, request| serve(callers_own.clone(), request);
+    let serve_ready = move |_: SocketAddr, request| serve_ready(ready_own.clone(), request);
+    let serve_peer = move |_: SocketAddr, request| serve_peer(peer_own.clone(), request);
+    let serve_ops = move |_: SocketAddr, request| serve_ops(ops_own.clone(), request);
     let internal = || INTERNAL_LIMITS;
     let mut tasks = vec![
         tokio::spawn(listen(
@@ -145,7 +145,7 @@
     pub async fn stop(self) -> bool {
         let stop = self.gateway.settings.load().stop.clone();
         let (grace, notice) = (Duration::from(stop.grace), Duration::from(stop.notice));
-        let ends = tokio::time::Instant::now() + (grace - grace / EXIT_SHARE);
+        let ends = tokio::time::Instant::now() + grace.saturating_sub(grace / EXIT_SHARE);
         log::info!("leaving");
         self.gateway.leave();
         tokio::time::sleep(notice).await;
