feat(gateway): one entry of a data centre gives the requests of a service their servers

Each service has a desk in each data centre by rendezvous among its live entries; the others ask it by datagrams, and decide themselves when it says nothing within 40 ms.

--- a/lentilcart_route/src/policy/choice.rs
+++ b/lentilcart_route/src/policy/choice.rs
@@ -57,6 +57,20 @@
         best.3
     }
 
+    /// Returns a random one of the open rows whose score is no more than `close` above the lowest.
+    pub fn near_lowest(&mut self, close: f64, score: impl Fn(&Self, usize) -> f64) -> usize {
+        let scores: Vec<(f64, usize)> = self.open.iter().map(|&i| (score(self, i), i)).collect();
+        let lowest = scores
+            .iter()
+            .map(|(score, _)| *score)
+            .fold(f64::INFINITY, f64::min);
+        let is_close = |(score, _): &&(f64, usize)| *score <= lowest + close;
+        let count = scores.iter().filter(is_close).count().max(1);
+        let drawn = self.rng.random_range(0..count);
+        let row = scores.iter().filter(is_close).nth(drawn);
+        row.map_or(self.open[0], |(_, index)| *index)
+    }
+
     /// Returns whether a row's server stands in another data centre than the sender.
     #[must_use]
     pub fn is_far(&self, index: usize) -> bool {
--- a/lentilcart_route/src/policy/rules.rs
+++ b/lentilcart_route/src/policy/rules.rs
@@ -13,6 +13,9 @@
 const LATE_SPREAD: f64 = 0.2;
 /// Cost of time itself, for all of the time left, as a probability of a late answer.
 const TIME_COST: f64 = 0.15;
+/// Probabilities of a late answer that count as equal: entries that know the same would otherwise all
+/// choose the same server.
+const CLOSE: f64 = 0.04;
 /// Shortest time left that is reckoned with.
 const LEAST_LEFT: Micros = Micros::from_millis(10);
 
@@ -51,11 +54,11 @@
 /// Lowest probability of a late answer, by the servers' own reports of load and speed, each of which
 /// counts the less the older it is; then the shortest time, and the sender's data centre.
 pub(super) fn paced(choice: &mut Choice<'_>) -> usize {
-    choice.lowest(|c, index| {
+    choice.near_lowest(CLOSE, |c, index| {
         let row = &c.rows[index];
         let far = f64::from(u8::from(c.is_far(index)));
         let failing = row.get_failing(c.now);
-        let expected = row.get_expected(c.now) * c.work * (1.0 + failing * FAILURE_COST);
+        let expected = row.get_expected(c.now, c.work) * c.work * (1.0 + failing * FAILURE_COST);
         let left = (c.objective - c.now).0.max(LEAST_LEFT.0) as f64;
         let share = expected / left;
         let late = 1.0 / (1.0 + ((1.0 - share) / LATE_SPREAD).exp());
--- a/lentilcart_route/src/pool/pool.rs
+++ b/lentilcart_route/src/pool/pool.rs
@@ -331,6 +331,14 @@
         }
     }
 
+    /// Learns from an answer to a request of this entry that another one had given its server.
+    pub fn learn_answer(&mut self, now: Micros, took: Micros, outcome: &Outcome) {
+        if let Outcome::Answered { .. } = outcome {
+            self.hedger.record(now, took);
+            self.retries.deposit(self.config.retry.ratio);
+        }
+    }
+
     /// Records that a server did not answer a question about its load.
     pub fn doubt(&mut self, now: Micros, server: usize) {
         if let Some(row) = self.rows.get_mut(server) {
@@ -467,7 +475,7 @@
     /// Returns the requests at a server that count against its limit.
     fn get_load(&self, now: Micros, row: &Row) -> u32 {
         let others = if self.config.policy.source == Source::Reports {
-            row.get_others(now).round() as u32
+            row.get_others(now, self.work).round() as u32
         } else {
             0
         };
--- a/lentilcart_route/src/pool/row.rs
+++ b/lentilcart_route/src/pool/row.rs
@@ -8,7 +8,7 @@
 const LIMIT_DECREASE: f64 = 0.9;
 const LIMIT_INCREASE: f64 = 0.1;
 const PROBE_BURST: f64 = 2.0;
-/// Time constant with which a report of requests loses its meaning: about a request's work.
+/// Shortest time constant with which a report of requests loses its meaning.
 const QUEUE_MEMORY: Micros = Micros::from_millis(60);
 /// Time constant with which a report of speed loses its meaning; noise changes about as often.
 const SPEED_MEMORY: Micros = Micros::from_millis(225);
@@ -133,12 +133,14 @@
         self.report.map(|report| now - report.at)
     }
 
-    /// Returns the requests of others at the server by its own report, as far as it is fresh.
+    /// Returns the requests of others at the server by its own report, as far as it is fresh: they
+    /// end after about the usual time of work, in microseconds.
     #[must_use]
-    pub fn get_others(&self, now: Micros) -> f64 {
+    pub fn get_others(&self, now: Micros, work: f64) -> f64 {
         self.report.map_or(0.0, |report| {
             let others = report.load.get_requests().saturating_sub(report.own);
-            f64::from(others) * get_freshness(now - report.at, QUEUE_MEMORY)
+            let memory = QUEUE_MEMORY.max(Micros(work as u64));
+            f64::from(others) * get_freshness(now - report.at, memory)
         })
     }
 
@@ -161,9 +163,9 @@
 
     /// Returns the time that one more request would take at the server, in usual work times.
     #[must_use]
-    pub fn get_expected(&self, now: Micros) -> f64 {
+    pub fn get_expected(&self, now: Micros, work: f64) -> f64 {
         let slots = f64::from(self.config.slots.max(1));
-        let load = f64::from(self.get_outstanding()) + self.get_others(now) + 1.0;
+        let load = f64::from(self.get_outstanding()) + self.get_others(now, work) + 1.0;
         let wait = (load - slots).max(0.0) / slots;
         let busy = if load > slots * BUSY_SHARE {
             BUSY_COST
--- a/src/entry/lease.rs
+++ b/src/entry/lease.rs
@@ -31,6 +31,16 @@
         outbox: UnboundedSender<Message>,
         id: u64,
     },
+    Remote(Remote),
+}
+
+/// Tells another entry how the attempt that it granted has ended.
+struct Remote(Box<dyn FnMut(Outcome) + Send + Sync>);
+
+impl std::fmt::Debug for Remote {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Remote")
+    }
 }
 
 impl Lease {
@@ -69,11 +79,19 @@
         }
     }
 
-    /// Returns the row of the server, where this entry gave it.
-    pub(crate) fn get_server(&self) -> Option<usize> {
-        match &self.lender {
-            Lender::Desk { server, .. } => Some(*server),
-            Lender::Link { .. } => None,
+    /// Creates a lease whose end is told by a function.
+    pub(crate) fn of_remote(
+        address: SocketAddr,
+        id: Name,
+        hedge_after: Option<Micros>,
+        settle: impl FnMut(Outcome) + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            address,
+            id,
+            hedge_after,
+            lender: Lender::Remote(Remote(Box::new(settle))),
+            ended: false,
         }
     }
 
@@ -84,7 +102,8 @@
 
     fn settle(&mut self, outcome: Outcome) {
         self.ended = true;
-        match &self.lender {
+        match &mut self.lender {
+            Lender::Remote(Remote(settle)) => settle(outcome),
             Lender::Desk { desk, job, server } => desk.settle(*job, *server, outcome),
             Lender::Link { outbox, id } => {
                 outbox.send(Message::Settle(*id, outcome)).ok();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -5,12 +6,14 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
 use lentilcart_platform::{HEADERS, decode_load};
-use lentilcart_route::{Job, Outcome, Refusal as Denial};
+use lentilcart_route::{Outcome, Refusal as Denial};
 use lentilcart_state::{Class, PathRule};
 use lentilcart_util::{Micros, Name};
 use tokio::time::{Instant, timeout_at};
 
 use super::answer::{Verdict, judge, read_answer};
+use super::beat::Ask;
+use super::desks::{acquire, get_job};
 use super::gateway::Gateway;
 use super::refusal::{Reason, Refusal};
 use crate::entry::{Desk, Lease};
@@ -56,15 +59,16 @@
         self.rule.class == Class::Idempotent
     }
 
-    fn get_job(&self, gateway: &Gateway, tried: &[usize]) -> Job {
-        Job {
+    fn get_ask(&self, gateway: &Gateway, desk: &Desk, tried: &[SocketAddr]) -> Ask {
+        let now = gateway.clock.now();
+        Ask {
             id: gateway.next_serial(),
+            service: desk.service.clone(),
             priority: TOP_PRIORITY.saturating_sub(self.rule.rank),
             once: !self.may_repeat(),
-            arrived: self.arrived,
-            deadline: self.deadline,
-            objective: self.arrived + self.rule.objective,
-            near: None,
+            age: now - self.arrived,
+            prompt: self.arrived + self.rule.objective - now,
+            left: self.deadline - now,
             tried: tried.to_vec(),
         }
     }
@@ -128,8 +132,8 @@
         if call.sent > 0 && !desk.with(|pool, _| pool.retry()) {
             return call.end(last, Reason::NoBudget);
         }
-        let job = call.get_job(gateway, &tried);
-        let lease = match timeout_at(deadline, desk.acquire(job)).await {
+        let ask = call.get_ask(gateway, desk, &tried);
+        let lease = match timeout_at(deadline, acquire(gateway, desk, ask)).await {
             Ok(Ok(lease)) => lease,
             Ok(Err(Denial::NoServer)) => return call.end(last, Reason::NoServer),
             Ok(Err(_)) => return call.end(last, Reason::Overload),
@@ -139,7 +143,7 @@
         if gateway.clock.now() >= call.deadline {
             return call.end(last, Reason::TimeoutUnsent);
         }
-        tried.extend(lease.get_server());
+        tried.push(lease.address);
         let ended = timeout_at(deadline, run(gateway, desk, call, lease, &mut tried)).await;
         let Ok(ended) = ended else {
             call.may_have_run = true;
@@ -178,7 +182,7 @@
     desk: &Arc<Desk>,
     call: &mut Call,
     lease: Lease,
-    tried: &mut Vec<usize>,
+    tried: &mut Vec<SocketAddr>,
 ) -> Tried {
     let delay = lease.hedge_after.filter(|_| call.may_repeat());
     let (id, class) = (call.id.clone(), call.rule.class);
@@ -198,12 +202,13 @@
         Either::Right(((), first)) => first,
     };
     call.sent += 1;
-    let job = call.get_job(gateway, tried);
+    let ask = call.get_ask(gateway, desk, tried);
+    let job = get_job(desk, &ask, gateway.clock.now());
     let has_budget = desk.with(|pool, _| pool.retry());
     let Some(lease) = has_budget.then(|| desk.hedge(&job)).flatten() else {
         return first.await;
     };
-    tried.extend(lease.get_server());
+    tried.push(lease.address);
     call.sent += 1;
     let request = call.get_request(&lease.id, gateway.clock.now());
     let second = Box::pin(attempt(gateway, id, class, lease, request));
--- a/src/gateway/beat.rs
+++ b/src/gateway/beat.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
-use lentilcart_route::Load;
-use lentilcart_util::{Name, common};
+use lentilcart_route::{Load, Outcome};
+use lentilcart_util::{Micros, Name, common};
 
 const PERCENT: f64 = 100.0;
 
@@ -65,6 +65,38 @@
     pub(crate) enum Gram {
         Beat(Beat),
         Loads(Vec<LoadNews>),
+        /// Asks for a server.
+        Ask(Ask),
+        /// The request waits for a server.
+        Queued(u64),
+        /// The request gets this server.
+        Grant {
+            id: u64,
+            address: SocketAddr,
+            instance: Name,
+            hedge_after: Option<Micros>,
+        },
+        /// The request gets no server, since the service has none, or none in time.
+        Deny { id: u64, no_server: bool },
+        /// The request needs no server any more.
+        Settle(u64, Outcome),
+    }
+}
+
+common! { message,
+    /// A request for a server of a service.
+    pub(crate) struct Ask {
+        /// Number that the asking entry chose.
+        pub(crate) id: u64,
+        pub(crate) service: Name,
+        pub(crate) priority: u8,
+        pub(crate) once: bool,
+        /// Time since the request arrived.
+        pub(crate) age: Micros,
+        /// Time until its answer is no longer prompt, and until its deadline.
+        pub(crate) prompt: Micros,
+        pub(crate) left: Micros,
+        pub(crate) tried: Vec<SocketAddr>,
     }
 }
 
--- /dev/null
+++ b/src/gateway/desks.rs
@@ -0,0 +1,324 @@
+//! Which entry gives a request its server.
+//!
+//! In each data centre one live entry holds the desk of a service: it knows every request under way
+//! from there, and the others ask it. An entry whose question is not answered decides by itself.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lentilcart_route::{Job, Outcome, Refusal as Denial};
+use lentilcart_state::rendezvous;
+use lentilcart_util::{Map, Micros, Name};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use super::beat::{Ask, Gram};
+use super::gateway::Gateway;
+use crate::entry::{Desk, Lease};
+
+/// Time in which a desk must say anything: some round trips inside a data centre.
+const ASK_WAIT: Duration = Duration::from_millis(40);
+/// Longest wait for a desk that has a request in its queue.
+const QUEUE_WAIT: Duration = Duration::from_millis(1000);
+/// Time for which a desk that did not answer is not asked.
+const DOUBT: Micros = Micros::from_millis(1000);
+/// Time after a request's deadline at which its server counts as free, if nobody has said so.
+const LEASE_SLACK: Micros = Micros::from_millis(1000);
+
+type Told = Result<Granted, Denial>;
+
+/// A server that another entry granted.
+#[derive(Debug)]
+struct Granted {
+    address: SocketAddr,
+    instance: Name,
+    hedge_after: Option<Micros>,
+}
+
+/// Questions under way, and servers granted to other entries.
+#[derive(Debug, Default)]
+pub(crate) struct Desks {
+    asked: Map<u64, Asked>,
+    lent: Map<(SocketAddr, u64), Lent>,
+    doubted: Map<SocketAddr, Micros>,
+}
+
+#[derive(Debug)]
+struct Asked {
+    told: oneshot::Sender<Told>,
+    queued: bool,
+}
+
+/// What another entry has of this one.
+#[derive(Debug)]
+struct Lent {
+    /// The server, once there is one.
+    lease: Option<Lease>,
+    waiting: CancellationToken,
+    until: Micros,
+}
+
+/// Withdraws a question that nobody waits for any more.
+struct Question<'a> {
+    gateway: &'a Gateway,
+    owner: SocketAddr,
+    id: u64,
+}
+
+impl Drop for Question<'_> {
+    fn drop(&mut self) {
+        let open = self.gateway.desks().asked.remove(&self.id);
+        if open.is_some() {
+            let settle = Gram::Settle(self.id, Outcome::Cancelled);
+            self.gateway.post(&settle, self.owner);
+        }
+    }
+}
+
+/// Gets a server for a request from the desk of its service.
+pub(crate) async fn acquire(
+    gateway: &Arc<Gateway>,
+    desk: &Arc<Desk>,
+    ask: Ask,
+) -> Result<Lease, Denial> {
+    if let Some(owner) = get_owner(gateway, &desk.service)
+        && let Some(told) = question(gateway, owner, &ask).await
+    {
+        return told.map(|granted| borrow(gateway, desk, owner, ask.id, granted));
+    }
+    let now = gateway.clock.now();
+    desk.acquire(get_job(desk, &ask, now)).await
+}
+
+/// Returns the entry to ask, or `None` where this one decides.
+fn get_owner(gateway: &Gateway, service: &Name) -> Option<SocketAddr> {
+    let settings = gateway.settings.load();
+    if !settings.servers.desks {
+        return None;
+    }
+    let now = gateway.clock.now();
+    let address = {
+        let members = gateway.members();
+        let live = members.get_live(now);
+        let is_near = |name: &&Name| {
+            let row = members.get(name);
+            row.is_some_and(|row| row.data_center == settings.data_center)
+        };
+        let ranked = rendezvous(service, live.into_iter().filter(is_near), 1);
+        members.get(ranked.first()?)?.peer
+    };
+    let desks = gateway.desks();
+    let doubted = desks
+        .doubted
+        .get(&address)
+        .is_some_and(|until| *until > now);
+    (address != settings.listen.peer && !doubted).then_some(address)
+}
+
+/// Asks another entry for a server; returns `None` where it does not answer.
+async fn question(gateway: &Gateway, owner: SocketAddr, ask: &Ask) -> Option<Told> {
+    let id = ask.id;
+    let (told, mut answer) = oneshot::channel();
+    let asked = Asked {
+        told,
+        queued: false,
+    };
+    gateway.desks().asked.insert(id, asked);
+    let question = Question { gateway, owner, id };
+    gateway.post(&Gram::Ask(ask.clone()), owner);
+    let mut ended = timeout(ASK_WAIT, &mut answer).await;
+    let is_queued = gateway
+        .desks()
+        .asked
+        .get(&id)
+        .is_some_and(|asked| asked.queued);
+    if ended.is_err() && is_queued {
+        ended = timeout(QUEUE_WAIT, &mut answer).await;
+    }
+    drop(question);
+    if ended.is_err() {
+        let until = gateway.clock.now() + DOUBT;
+        gateway.desks().doubted.insert(owner, until);
+        log::info!(owner:% = owner, id, queued = is_queued; "desk does not answer");
+        metrics::counter!("lentilcart_desk_silent_total").increment(1);
+    }
+    ended.ok()?.ok()
+}
+
+fn borrow(
+    gateway: &Arc<Gateway>,
+    desk: &Arc<Desk>,
+    owner: SocketAddr,
+    id: u64,
+    granted: Granted,
+) -> Lease {
+    let (shared, desk) = (gateway.clone(), desk.clone());
+    let started = gateway.clock.now();
+    Lease::of_remote(
+        granted.address,
+        granted.instance,
+        granted.hedge_after,
+        move |outcome| {
+            let took = shared.clock.now() - started;
+            desk.with(|pool, now| pool.learn_answer(now, took, &outcome));
+            shared.post(&Gram::Settle(id, outcome), owner);
+        },
+    )
+}
+
+pub(crate) fn get_job(desk: &Desk, ask: &Ask, now: Micros) -> Job {
+    let tried = desk.look(|pool| {
+        ask.tried
+            .iter()
+            .filter_map(|at| pool.get_index(*at))
+            .collect()
+    });
+    Job {
+        id: ask.id,
+        priority: ask.priority,
+        once: ask.once,
+        arrived: now - ask.age,
+        deadline: now + ask.left,
+        objective: now + ask.prompt,
+        near: None,
+        tried,
+    }
+}
+
+/// Answers another entry's question for a server.
+pub(crate) fn lend(gateway: &Arc<Gateway>, asker: SocketAddr, ask: Ask) {
+    let Some(desk) = gateway.get_view().desks.get(&ask.service).cloned() else {
+        let id = ask.id;
+        gateway.post(
+            &Gram::Deny {
+                id,
+                no_server: true,
+            },
+            asker,
+        );
+        return;
+    };
+    let (gateway, tasks) = (gateway.clone(), gateway.tasks.clone());
+    tasks.spawn(async move {
+        let (id, now) = (ask.id, gateway.clock.now());
+        let waiting = CancellationToken::new();
+        let lent = Lent {
+            lease: None,
+            waiting: waiting.clone(),
+            until: now + ask.left + LEASE_SLACK,
+        };
+        gateway.desks().lent.insert((asker, id), lent);
+        // Numbers of other entries may be those of own requests.
+        let job = Job {
+            id: gateway.next_serial(),
+            ..get_job(&desk, &ask, now)
+        };
+        let mut acquired = Box::pin(desk.acquire(job));
+        let at_once = tokio::select! {
+            biased;
+            acquired = &mut acquired => Some(acquired),
+            () = std::future::ready(()) => None,
+        };
+        let acquired = match at_once {
+            Some(acquired) => acquired,
+            None => {
+                gateway.post(&Gram::Queued(id), asker);
+                tokio::select! {
+                    () = waiting.cancelled() => return,
+                    acquired = acquired => acquired,
+                }
+            }
+        };
+        let answer = match &acquired {
+            Ok(lease) => Gram::Grant {
+                id,
+                address: lease.address,
+                instance: lease.id.clone(),
+                hedge_after: lease.hedge_after,
+            },
+            Err(denial) => Gram::Deny {
+                id,
+                no_server: *denial == Denial::NoServer,
+            },
+        };
+        {
+            let mut desks = gateway.desks();
+            match (acquired, desks.lent.get_mut(&(asker, id))) {
+                (Ok(lease), Some(lent)) => lent.lease = Some(lease),
+                _ => {
+                    desks.lent.remove(&(asker, id));
+                }
+            }
+        }
+        gateway.post(&answer, asker);
+    });
+}
+
+/// Takes an answer to a question of this entry.
+pub(crate) fn take_answer(gateway: &Gateway, owner: SocketAddr, gram: Gram) {
+    let (id, told) = match gram {
+        Gram::Queued(id) => {
+            if let Some(asked) = gateway.desks().asked.get_mut(&id) {
+                asked.queued = true;
+            }
+            return;
+        }
+        Gram::Grant {
+            id,
+            address,
+            instance,
+            hedge_after,
+        } => {
+            let granted = Granted {
+                address,
+                instance,
+                hedge_after,
+            };
+            (id, Ok(granted))
+        }
+        Gram::Deny {
+            id,
+            no_server: true,
+        } => (id, Err(Denial::NoServer)),
+        Gram::Deny { id, .. } => (id, Err(Denial::Overload)),
+        _ => return,
+    };
+    let is_grant = told.is_ok();
+    let asked = gateway.desks().asked.remove(&id);
+    let is_taken = asked.is_some_and(|asked| asked.told.send(told).is_ok());
+    if is_grant && !is_taken {
+        gateway.post(&Gram::Settle(id, Outcome::Cancelled), owner);
+    }
+}
+
+/// Takes the end of an attempt, or of a question, of another entry.
+pub(crate) fn settle(gateway: &Gateway, asker: SocketAddr, id: u64, outcome: Outcome) {
+    let lent = gateway.desks().lent.remove(&(asker, id));
+    if let Some(lent) = lent {
+        lent.waiting.cancel();
+        if let Some(lease) = lent.lease {
+            lease.end(outcome);
+        }
+    }
+}
+
+/// Takes back the servers whose requests are over, though nobody has said so.
+pub(crate) fn sweep(gateway: &Gateway) {
+    let now = gateway.clock.now();
+    let due: Vec<Lent> = {
+        let mut desks = gateway.desks();
+        desks.doubted.retain(|_, until| *until > now);
+        let due = desks.lent.iter().filter(|(_, lent)| lent.until <= now);
+        let due: Vec<(SocketAddr, u64)> = due.map(|(key, _)| *key).collect();
+        due.iter()
+            .filter_map(|key| desks.lent.remove(key))
+            .collect()
+    };
+    if !due.is_empty() {
+        log::info!(count = due.len(); "servers taken back");
+    }
+    // Their pools are told as they are dropped, outside the lock.
+    drop(due);
+}
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -1,4 +1,5 @@
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -6,11 +7,13 @@
 use lentilcart_route::{EjectLimits, Pool, PoolConfig, RetryLimits, ServerConfig, get_policy};
 use lentilcart_state::{Change, Directory, Member, Members, Mirror, RouteTable, rendezvous};
 use lentilcart_util::{Map, Micros, Name, Set};
+use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::beat::Beat;
+use super::beat::{Beat, Gram};
+use super::desks::Desks;
 use crate::entry::Desk;
 use crate::http::{ConnectLimits, Dialer};
 use crate::platform::Store;
@@ -82,6 +85,9 @@
     leaving: AtomicBool,
     directory: Mutex<Directory>,
     members: Mutex<Members>,
+    desks: Mutex<Desks>,
+    /// Datagrams to and from other entries.
+    grams: Arc<UdpSocket>,
     /// When a watcher that the store answers was last heard, and its name.
     watcher: Mutex<Option<(Name, Micros)>>,
     /// Whether a mirror is being fetched from another entry.
@@ -99,7 +105,12 @@
 }
 
 impl Gateway {
-    pub(crate) fn new(settings: GatewaySettings, store: Store, tasks: TaskTracker) -> Self {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        store: Store,
+        grams: Arc<UdpSocket>,
+        tasks: TaskTracker,
+    ) -> Self {
         let own = Member {
             data_center: settings.data_center.clone(),
             peer: settings.listen.peer,
@@ -130,10 +141,12 @@
             leaving: AtomicBool::new(false),
             directory: Mutex::default(),
             members: Mutex::new(Members::new(settings.name.clone(), own, silence)),
+            desks: Mutex::default(),
+            grams,
             watcher: Mutex::default(),
             fetching: [const { AtomicBool::new(false) }; 3],
             contact: Mutex::default(),
-            serial: AtomicU64::new(0),
+            serial: AtomicU64::new(seed << 20),
             settings: ArcSwap::from_pointee(settings),
             seed,
             tasks,
@@ -174,6 +187,17 @@
         self.members.lock().expect("no panic under lock")
     }
 
+    pub(crate) fn desks(&self) -> MutexGuard<'_, Desks> {
+        self.desks.lock().expect("no panic under lock")
+    }
+
+    /// Sends a datagram without waiting; one that finds no room is lost, as it can be anywhere.
+    pub(crate) fn post(&self, gram: &Gram, peer: SocketAddr) {
+        if let Err(error) = self.grams.try_send_to(&gram.encode(), peer) {
+            log::debug!(peer:% = peer; "datagram not sent: {error}");
+        }
+    }
+
     pub(crate) fn directory(&self) -> MutexGuard<'_, Directory> {
         self.directory.lock().expect("no panic under lock")
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod beat;
 mod control;
+mod desks;
 #[allow(clippy::module_inception)]
 mod gateway;
 mod ops;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,6 +11,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::beat::{Beat, Gram, encode};
+use super::desks::{lend, settle, take_answer};
 use super::gateway::{Gateway, Kind};
 use crate::http::{HttpBody, empty, full};
 
@@ -111,6 +112,8 @@
                     send(&socket, &own, &[beat.peer]).await;
                 }
             }
+            Ok(Gram::Ask(ask)) => lend(&gateway, remote, ask),
+            Ok(Gram::Settle(id, outcome)) => settle(&gateway, remote, id, outcome),
             Ok(Gram::Loads(news)) => {
                 let view = gateway.get_view();
                 for row in news {
@@ -119,6 +122,7 @@
                     }
                 }
             }
+            Ok(gram) => take_answer(&gateway, remote, gram),
             Err(error) => log::warn!(remote:% = remote; "datagram ignored: {error}"),
         }
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -56,7 +56,12 @@
     let peer_at = bind("listen.peer", addresses.peer)?;
     let ops_at = bind("listen.ops", addresses.ops)?;
     let grams = bind_grams(addresses.peer).await?;
-    let gateway = Arc::new(Gateway::new(settings, store, background.clone()));
+    let gateway = Arc::new(Gateway::new(
+        settings,
+        store,
+        grams.clone(),
+        background.clone(),
+    ));
     let (stop_callers, stop_ready) = (Stop::default(), Stop::default());
     let stopped = Stop {
         accepting: gateway.stop.clone(),
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -3,6 +3,7 @@
 
 use lentilcart_util::Micros;
 
+use super::desks::sweep;
 use super::gateway::Gateway;
 use crate::ops::upkeep;
 
@@ -60,6 +61,7 @@
                     desk.with(|pool, _| pool.set_config(config));
                 }
             }
+            sweep(&gateway);
             note_ages(&gateway);
             if count.is_multiple_of(UPKEEP) {
                 upkeep();
--- a/src/settings/file.rs
+++ b/src/settings/file.rs
@@ -126,6 +126,9 @@
 pub struct ServerSettings {
     /// Name of the policy that chooses a server.
     pub policy: Name,
+    /// Whether one entry of a data centre gives the requests of a service their servers; otherwise
+    /// each entry does.
+    pub desks: bool,
     /// Longest time until a connection is established.
     #[serde_as(as = "Span")]
     pub connect: Micros,
@@ -158,6 +161,7 @@
     fn default() -> Self {
         Self {
             policy: "late-paced".into(),
+            desks: true,
             connect: Micros::from_millis(300),
             idle: Micros::from_millis(4000),
             idle_once: Micros::from_millis(150),
