fix(gateway): another entry watches within about a second when the store turns all watchers away

Ruled out: lost datagrams, since the watchers had not heard of version 11 themselves. Watchers renew every 500 ms with 600 ms to answer, say at once that the store is lost, count it as in reach for 2 s at most, and the others step in 30 ms apart. Mirrors cross data centres once, by one entry that fetches for the others.

--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -29,6 +29,8 @@
 /// does.
 const WATCHER_SILENCE: Micros = Micros::from_millis(1200);
 const TAKEOVER_STEP: Micros = Micros::from_millis(30);
+/// Age of the store's last answer up to which it counts as in reach.
+const CONTACT_AGE: Micros = Micros::from_millis(2000);
 /// Longest wait for a server as a share of the time that a request has.
 const WAIT_SHARE: f64 = 0.5;
 
@@ -88,8 +90,7 @@
     desks: Mutex<Desks>,
     /// Datagrams to and from other entries.
     grams: Arc<UdpSocket>,
-    /// When a watcher that the store answers was last heard, and its name.
-    watcher: Mutex<Option<(Name, Micros)>>,
+    watcher: Mutex<Watcher>,
     /// Whether a mirror is being fetched from another entry.
     pub(crate) fetching: [AtomicBool; 3],
     contact: Mutex<Contact>,
@@ -97,6 +98,15 @@
     seed: u64,
 }
 
+/// What is known of the entries that watch the store.
+#[derive(Debug, Default)]
+struct Watcher {
+    /// The one that was heard last, while it says that the store answers it.
+    name: Option<Name>,
+    /// When that was, or when it said that the store does not answer it any more.
+    at: Micros,
+}
+
 /// What is known of the store's answers.
 #[derive(Debug, Default)]
 struct Contact {
@@ -249,22 +259,27 @@
             contact.lost = true;
             log::warn!(call, reason; "store lost");
             self.directory().lose_store();
+            // Others have to watch instead.
+            self.announce();
         }
     }
 
     /// Returns whether the store answers this entry.
     pub(crate) fn is_store_near(&self) -> bool {
+        let now = self.clock.now();
         let contact = self.contact();
-        contact.answered.is_some() && !contact.lost
+        let is_fresh = contact.answered.is_some_and(|at| now - at < CONTACT_AGE);
+        is_fresh && !contact.lost
     }
 
     /// Records that an entry watches the store, or does so no more.
     pub(crate) fn hear_watcher(&self, name: &Name, watching: bool) {
+        let at = self.clock.now();
         let mut watcher = self.watcher.lock().expect("no panic under lock");
-        if watching {
-            *watcher = Some((name.clone(), self.clock.now()));
-        } else if watcher.as_ref().is_some_and(|(known, _)| known == name) {
-            *watcher = None;
+        let is_known = watcher.name.as_ref() == Some(name);
+        if watching || is_known {
+            let name = watching.then(|| name.clone());
+            *watcher = Watcher { name, at };
         }
     }
 
@@ -285,9 +300,13 @@
             return true;
         }
         let now = self.clock.now();
-        let patience = WATCHER_SILENCE + Micros(TAKEOVER_STEP.0 * (rank - WATCHERS) as u64);
+        let turn = Micros(TAKEOVER_STEP.0 * (rank - WATCHERS) as u64);
         let watcher = self.watcher.lock().expect("no panic under lock");
-        watcher.as_ref().is_none_or(|(_, at)| now - *at > patience)
+        let silence = watcher
+            .name
+            .as_ref()
+            .map_or(Micros::ZERO, |_| WATCHER_SILENCE);
+        now - watcher.at > silence + turn
     }
 
     /// Returns how long ago the store last answered.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,7 +5,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use lentilcart_state::Snapshot;
+use lentilcart_state::{Snapshot, rendezvous};
 use lentilcart_util::{Micros, Name};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
@@ -17,7 +17,7 @@
 
 /// Largest datagram that is read; more than any that is sent.
 const GRAM_BYTES: usize = 64 * 1024;
-/// Time that an entry's own watch has to bring what another entry knows already.
+/// Time in which an entry's own watch, or an entry nearby, may bring what one further off knows.
 const OWN_WATCH: Micros = Micros::from_millis(150);
 /// Time in which another entry must hand over its mirror.
 const FETCH_WAIT: Micros = Micros::from_millis(1000);
@@ -157,11 +157,29 @@
     }
 }
 
+/// Returns whether this entry fetches from another one at once: only one entry of a data centre
+/// does so from afar, and the others from it.
+fn is_fetcher(gateway: &Gateway, peer: SocketAddr) -> bool {
+    let settings = gateway.settings.load();
+    let now = gateway.clock.now();
+    let members = gateway.members();
+    let is_near = |name: &&Name| {
+        let row = members.get(name);
+        row.is_some_and(|row| row.data_center == settings.data_center)
+    };
+    let near: Vec<&Name> = members.get_live(now).into_iter().filter(is_near).collect();
+    let is_peer_near = near
+        .iter()
+        .any(|name| members.get(name).is_some_and(|row| row.peer == peer));
+    let first = rendezvous("fetch", near.into_iter(), 1);
+    is_peer_near || first.first().is_some_and(|name| **name == settings.name)
+}
+
 /// Fetches another entry's mirror where the own watch does not bring the same soon.
 async fn catch_up(gateway: &Gateway, kind: Kind, peer: SocketAddr, name: &Name, latest: u64) {
     // An entry that knows nothing yet has no watch to wait for.
     let own = gateway.mirror(kind).get_revision();
-    if own > 0 && gateway.is_watcher() {
+    if own > 0 && (gateway.is_watcher() || !is_fetcher(gateway, peer)) {
         tokio::time::sleep(OWN_WATCH.into()).await;
     }
     if gateway.mirror(kind).get_revision() >= latest {
--- a/src/settings/file.rs
+++ b/src/settings/file.rs
@@ -104,7 +104,7 @@
 }
 
 const fn default_timeout() -> Micros {
-    Micros::from_millis(1000)
+    Micros::from_millis(600)
 }
 
 const fn default_watch() -> Micros {
@@ -116,7 +116,7 @@
 }
 
 const fn default_renew() -> Micros {
-    Micros::from_millis(1500)
+    Micros::from_millis(500)
 }
 
 /// Connections to servers and questions about their load.
