--- a/lentilcart_route/src/pool/pool.rs
+++ b/lentilcart_route/src/pool/pool.rs
@@ -165,10 +165,10 @@
         self.hedger.get_quantile(quantile)
     }
 
-    /// Returns the usual time of work at a server at its usual speed.
+    /// Returns the usual time of work at a server at its usual speed, once there was an answer.
     #[must_use]
-    pub fn get_work(&self) -> Micros {
-        Micros(self.work as u64)
+    pub fn get_work(&self) -> Option<Micros> {
+        (self.answers > 0).then_some(Micros(self.work as u64))
     }
 
     /// Returns how long to wait for an answer before asking for a hedge.
@@ -217,10 +217,7 @@
                 let slowness = row.get_slowness(now);
                 row.answer(now, took, load, self.config.overcommit);
                 let slowness = f64::midpoint(slowness, row.get_slowness(now));
-                self.answers += 1;
-                // A plain mean until there are enough answers.
-                let weight = MEAN_WEIGHT.max(1.0 / self.answers as f64);
-                self.work += weight * (took.0 as f64 / slowness - self.work);
+                self.learn_work(took, slowness);
                 self.hedger.record(now, took);
                 self.retries.deposit(self.config.retry.ratio);
                 self.mean += MEAN_WEIGHT * (took.0 as f64 - self.mean);
@@ -333,12 +330,22 @@
 
     /// Learns from an answer to a request of this entry that another one had given its server.
     pub fn learn_answer(&mut self, now: Micros, took: Micros, outcome: &Outcome) {
-        if let Outcome::Answered { .. } = outcome {
+        if let Outcome::Answered { load } = outcome {
             self.hedger.record(now, took);
             self.retries.deposit(self.config.retry.ratio);
+            let told = load.and_then(|load| load.slowness);
+            self.learn_work(took, told.unwrap_or(1.0).max(1.0));
         }
     }
 
+    /// Learns how long work takes from an answer of a server of some slowness.
+    fn learn_work(&mut self, took: Micros, slowness: f64) {
+        self.answers += 1;
+        // A plain mean until there are enough answers.
+        let weight = MEAN_WEIGHT.max(1.0 / self.answers as f64);
+        self.work += weight * (took.0 as f64 / slowness - self.work);
+    }
+
     /// Records that a server did not answer a question about its load.
     pub fn doubt(&mut self, now: Micros, server: usize) {
         if let Some(row) = self.rows.get_mut(server) {
--- a/src/gateway/desks.rs
+++ b/src/gateway/desks.rs
@@ -93,7 +93,7 @@
 }
 
 /// Returns the entry to ask, or `None` where this one decides.
-fn get_owner(gateway: &Gateway, service: &Name) -> Option<SocketAddr> {
+pub(crate) fn get_owner(gateway: &Gateway, service: &Name) -> Option<SocketAddr> {
     let settings = gateway.settings.load();
     if !settings.servers.desks {
         return None;
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -12,6 +12,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::beat::{Gram, LoadNews};
+use super::desks::get_owner;
 use super::gateway::Gateway;
 use super::peers::{get_peers, send};
 use crate::entry::Desk;
@@ -20,6 +21,10 @@
 /// Time between two looks at which servers this entry asks.
 const OWNED_EVERY: Micros = Micros::from_millis(500);
 
+/// Time between two questions before there was any request.
+const IDLE_PROBE: Micros = Micros::from_millis(500);
+/// Part of the usual time of work after which a server is asked again.
+const WORK_SHARE: f64 = 0.5;
 /// Entries of other data centres up to which they are told too; beyond, what it costs outgrows what
 /// it tells of the few servers that get requests from afar.
 const FAR_DIGESTS: usize = 8;
@@ -45,11 +50,13 @@
         }
         // The questions are spread over the period; longer work needs them less often.
         let count = owned.len().max(1) as u32;
-        let work = owned
+        let works = owned
             .iter()
-            .map(|server| server.desk.look(lentilcart_route::Pool::get_work));
-        let work = work.max().unwrap_or_default();
-        let period = settings.servers.probe.max(work);
+            .filter_map(|server| server.desk.look(lentilcart_route::Pool::get_work));
+        let period = match works.max() {
+            Some(work) => settings.servers.probe.max(work.scaled(WORK_SHARE)),
+            None => IDLE_PROBE.max(settings.servers.probe),
+        };
         let pause = Duration::from(period) / count;
         tokio::select! {
             () = gateway.stop.cancelled() => return,
@@ -137,6 +144,22 @@
     Ok(load)
 }
 
+/// Returns the entries that choose servers: the desks of the own data centre, and all entries where
+/// there are few.
+fn get_listeners(gateway: &Gateway) -> Vec<SocketAddr> {
+    let mut listeners = get_peers(gateway, FAR_DIGESTS);
+    if gateway.settings.load().servers.desks && listeners.len() > FAR_DIGESTS {
+        let view = gateway.get_view();
+        let desks = view.desks.keys();
+        listeners = desks
+            .filter_map(|service| get_owner(gateway, service))
+            .collect();
+        listeners.sort_unstable();
+        listeners.dedup();
+    }
+    listeners
+}
+
 /// Tells the other entries what the probes have brought.
 pub(crate) async fn send_digests(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
     let digest = gateway.settings.load().peers.digest;
@@ -152,7 +175,7 @@
             digest.drain(..).collect()
         };
         if !news.is_empty() {
-            let peers = get_peers(&gateway, FAR_DIGESTS);
+            let peers = get_listeners(&gateway);
             send(&socket, &Gram::Loads(news), &peers).await;
         }
     }
