--- a/lentilcart_state/tests/testsuite/main.rs
+++ b/lentilcart_state/tests/testsuite/main.rs
@@ -1,7 +1,10 @@
 //! Tests of the state protocols.
 
 mod claims;
+mod directory;
 mod members;
+mod mirror;
 mod parse;
+mod routing;
 mod store;
 mod submit;
--- /dev/null
+++ b/lentilcart_state/tests/testsuite/mirror.rs
@@ -0,0 +1,167 @@
+use lentilcart_state::{Change, Item, Mirror, Snapshot, StoreCall, StoreEvent, StoreReply};
+use lentilcart_util::{Map, Micros, Name};
+use proptest::prelude::*;
+
+fn item(key: &str, revision: u64) -> Item {
+    Item {
+        key: key.into(),
+        value: revision.to_string().into_bytes(),
+        revision,
+    }
+}
+
+fn page(keys: &[(&str, u64)], more: bool, revision: u64) -> StoreReply {
+    StoreReply::Page {
+        items: keys.iter().map(|(key, at)| item(key, *at)).collect(),
+        more,
+        revision,
+    }
+}
+
+fn listed(keys: &[(&str, u64)], revision: u64) -> Mirror {
+    let mut mirror = Mirror::new("s/".into());
+    mirror.take(page(keys, false, revision));
+    mirror
+}
+
+fn keys(mirror: &Mirror) -> Vec<(String, u64)> {
+    let items = mirror.get_snapshot(0).items.into_iter();
+    let mut keys: Vec<_> = items
+        .map(|item| (item.key.to_string(), item.revision))
+        .collect();
+    keys.sort();
+    keys
+}
+
+fn key(name: &str, revision: u64) -> (String, u64) {
+    (name.to_owned(), revision)
+}
+
+#[test]
+fn take_pages_then_watches_from_the_first() {
+    let mut mirror = Mirror::new("s/".into());
+    assert!(mirror.take(page(&[("s/a", 1)], true, 5)).is_empty());
+    let StoreCall::List { after, .. } = mirror.next_call(Micros::ZERO) else {
+        panic!("the list is not complete");
+    };
+    assert_eq!(after.as_deref(), Some("s/a"));
+    assert_eq!(mirror.take(page(&[("s/b", 6)], false, 7)).len(), 2);
+    // What has changed on the first page meanwhile comes by the watch.
+    let StoreCall::Watch { after, .. } = mirror.next_call(Micros::ZERO) else {
+        panic!("the list is complete");
+    };
+    assert_eq!(after, 5);
+}
+
+#[test]
+fn take_events_in_any_order() {
+    let mut mirror = listed(&[("s/a", 3)], 5);
+    let events = vec![
+        StoreEvent::Written(item("s/b", 6)),
+        StoreEvent::Removed("s/a".into(), 7),
+        // Known already by a later write.
+        StoreEvent::Written(item("s/b", 4)),
+    ];
+    let changes = mirror.take(StoreReply::Events {
+        events,
+        revision: 7,
+    });
+    assert_eq!(changes.len(), 2);
+    assert_eq!(keys(&mirror), [key("s/b", 6)]);
+}
+
+#[test]
+fn take_compacted_lists_anew() {
+    let mut mirror = listed(&[("s/a", 3), ("s/b", 4)], 5);
+    mirror.take(StoreReply::Compacted);
+    assert!(!mirror.is_watching());
+    let changes = mirror.take(page(&[("s/b", 4)], false, 9));
+    assert_eq!(changes, [Change::Gone("s/a".into())]);
+}
+
+#[test]
+fn merge_older_is_ignored() {
+    let mut mirror = listed(&[("s/a", 8)], 9);
+    let older = Snapshot {
+        revision: 8,
+        items: vec![item("s/b", 2)],
+        gone: None,
+    };
+    assert!(mirror.merge(older).is_empty());
+    assert_eq!(keys(&mirror), [key("s/a", 8)]);
+}
+
+#[test]
+fn page_older_than_a_merge_is_ignored() {
+    let mut mirror = listed(&[("s/a", 1)], 1);
+    mirror.restart();
+    mirror.merge(Snapshot {
+        revision: 9,
+        items: vec![item("s/b", 9)],
+        gone: None,
+    });
+    assert!(mirror.take(page(&[("s/a", 1)], false, 5)).is_empty());
+    assert_eq!(keys(&mirror), [key("s/b", 9)]);
+}
+
+#[test]
+fn merge_what_changed() {
+    let mut ahead = listed(&[("s/a", 1), ("s/b", 2)], 5);
+    let mut behind = listed(&[("s/a", 1), ("s/b", 2)], 5);
+    ahead.take(StoreReply::Events {
+        events: vec![
+            StoreEvent::Removed("s/a".into(), 6),
+            StoreEvent::Written(item("s/c", 7)),
+        ],
+        revision: 7,
+    });
+    let snapshot = ahead.get_snapshot(behind.get_revision());
+    assert_eq!(snapshot.items, [item("s/c", 7)]);
+    behind.merge(snapshot);
+    assert_eq!(keys(&behind), keys(&ahead));
+    assert!(behind.get_revision() >= ahead.get_latest());
+}
+
+#[test]
+fn snapshot_whole_where_removals_are_forgotten() {
+    let mirror = listed(&[("s/a", 1)], 5);
+    assert_eq!(mirror.get_snapshot(4).gone, None);
+    assert!(mirror.get_snapshot(5).gone.is_some());
+}
+
+proptest! {
+    /// Two mirrors, fed by a watch and by each other in any order, never go back and end alike.
+    #[test]
+    fn mirrors_end_alike(
+        writes in proptest::collection::vec((0_u8..6, any::<bool>()), 1..80),
+        asks in proptest::collection::vec(any::<bool>(), 80),
+    ) {
+        let mut store: Map<Name, Item> = Map::default();
+        let (mut ahead, mut behind) = (listed(&[], 1), listed(&[], 1));
+        let mut seen: Map<Name, u64> = Map::default();
+        for (index, (number, is_put)) in writes.iter().enumerate() {
+            let revision = index as u64 + 2;
+            let key = Name::from(format!("s/{number}"));
+            let event = if *is_put {
+                store.insert(key.clone(), item(&key, revision));
+                StoreEvent::Written(item(&key, revision))
+            } else {
+                store.remove(&key);
+                StoreEvent::Removed(key, revision)
+            };
+            ahead.take(StoreReply::Events { events: vec![event], revision });
+            if asks[index] {
+                behind.merge(ahead.get_snapshot(behind.get_revision()));
+            }
+            for item in behind.get_snapshot(0).items {
+                let before = seen.insert(item.key, item.revision).unwrap_or(0);
+                prop_assert!(item.revision >= before);
+            }
+        }
+        behind.merge(ahead.get_snapshot(behind.get_revision()));
+        let mut wanted: Vec<_> = store.values().map(|i| (i.key.to_string(), i.revision)).collect();
+        wanted.sort();
+        prop_assert_eq!(keys(&behind), wanted.clone());
+        prop_assert_eq!(keys(&ahead), wanted);
+    }
+}
--- /dev/null
+++ b/lentilcart_state/tests/testsuite/routing.rs
@@ -0,0 +1,71 @@
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+
+use lentilcart_state::{Class, PathRule, RouteTable, RulePart};
+use lentilcart_util::{Map, Micros, Name};
+
+fn rule(prefix: &str, weights: &[f64]) -> PathRule {
+    let parts = weights.iter().enumerate().map(|(number, weight)| RulePart {
+        service: format!("s{number}").into(),
+        weight: *weight,
+    });
+    PathRule {
+        name: prefix.into(),
+        prefix: prefix.into(),
+        class: Class::Idempotent,
+        timeout: Micros::from_millis(1000),
+        objective: Micros::from_millis(200),
+        rank: 0,
+        attempts: 2,
+        parts: parts.collect(),
+        turns: AtomicU32::new(0),
+    }
+}
+
+fn table(prefixes: &[&str]) -> RouteTable {
+    let rules = prefixes
+        .iter()
+        .map(|p| (Name::from(*p), Arc::new(rule(p, &[1.0]))));
+    let mut hosts = Map::default();
+    hosts.insert(Name::from("shop.example"), rules.collect());
+    RouteTable {
+        number: 1,
+        hosts,
+        ..RouteTable::default()
+    }
+}
+
+#[test]
+fn find_longest_prefix() {
+    let table = table(&["/", "/a/", "/a/b/"]);
+    let find = |path| {
+        table
+            .find("shop.example", path)
+            .map(|rule| rule.prefix.to_string())
+    };
+    assert_eq!(find("/a/b/c").as_deref(), Some("/a/b/"));
+    assert_eq!(find("/a/bc").as_deref(), Some("/a/"));
+    assert_eq!(find("/ab").as_deref(), Some("/"));
+    assert_eq!(find("*"), None);
+}
+
+#[test]
+fn find_host_with_port_and_capitals() {
+    let table = table(&["/"]);
+    assert!(table.find("Shop.Example:8080", "/x").is_some());
+    assert!(table.find("other.example", "/x").is_none());
+}
+
+#[test]
+fn draw_service_by_weight() {
+    for weights in [[90.0, 10.0], [1.0, 1.0], [0.0, 5.0], [7.0, 0.0]] {
+        let rule = rule("/", &weights);
+        let count = 300;
+        let first = (0..count)
+            .filter(|_| &**rule.draw_service() == "s0")
+            .count();
+        let wanted = weights[0] / (weights[0] + weights[1]);
+        let share = first as f64 / f64::from(count);
+        assert!((share - wanted).abs() < 0.02, "{weights:?} {share}");
+    }
+}
