--- a/src/gateway/desks.rs
+++ b/src/gateway/desks.rs
@@ -21,7 +21,7 @@
 /// Time in which a desk must say anything: some round trips inside a data centre.
 const ASK_WAIT: Duration = Duration::from_millis(40);
 /// Longest wait for a desk that has a request in its queue.
-const QUEUE_WAIT: Duration = Duration::from_millis(1000);
+const QUEUE_WAIT: Duration = Duration::from_secs(1);
 /// Time for which a desk that did not answer is not asked.
 const DOUBT: Micros = Micros::from_millis(1000);
 /// Time after a request's deadline at which its server counts as free, if nobody has said so.
@@ -221,14 +221,13 @@
             acquired = &mut acquired => Some(acquired),
             () = std::future::ready(()) => None,
         };
-        let acquired = match at_once {
-            Some(acquired) => acquired,
-            None => {
-                gateway.post(&Gram::Queued(id), asker);
-                tokio::select! {
-                    () = waiting.cancelled() => return,
-                    acquired = acquired => acquired,
-                }
+        let acquired = if let Some(acquired) = at_once {
+            acquired
+        } else {
+            gateway.post(&Gram::Queued(id), asker);
+            tokio::select! {
+                () = waiting.cancelled() => return,
+                acquired = acquired => acquired,
             }
         };
         let answer = match &acquired {
