--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -6,6 +6,9 @@
 
 /// Time between two looks at who watches.
 const ROLE_EVERY: Duration = Duration::from_millis(100);
+/// How many times longer an entry that only stepped in waits after a failed call: in an outage of the
+/// store few have to find out when it is back.
+const PATIENCE: u32 = 4;
 /// Time in which changes gather before the next watch, to save calls.
 const GATHER: Duration = Duration::from_millis(150);
 
@@ -47,7 +50,19 @@
             }
             Err(reason) => {
                 gateway.miss_store(name, &reason);
-                rest(&gateway, backoff.next()).await;
+                let pause = backoff.next();
+                if gateway.is_first_watcher() {
+                    rest(&gateway, pause).await;
+                } else {
+                    rest(&gateway, pause * PATIENCE).await;
+                }
+                // One mirror finds out for all when the store is back.
+                while kind != Kind::Routes && gateway.is_store_lost() {
+                    rest(&gateway, ROLE_EVERY).await;
+                    if gateway.stop.is_cancelled() {
+                        return;
+                    }
+                }
             }
         }
     }
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -293,6 +293,11 @@
         own.unwrap_or(0)
     }
 
+    /// Returns whether this entry is one of the first to watch the store.
+    pub(crate) fn is_first_watcher(&self) -> bool {
+        self.get_watch_rank() < WATCHERS
+    }
+
     /// Returns whether this entry has to watch the store itself now.
     pub(crate) fn is_watcher(&self) -> bool {
         let rank = self.get_watch_rank();
@@ -309,6 +314,11 @@
         now - watcher.at > silence + turn
     }
 
+    /// Returns whether the store's last answer failed to come.
+    pub(crate) fn is_store_lost(&self) -> bool {
+        self.contact().lost
+    }
+
     /// Returns how long ago the store last answered.
     pub(crate) fn get_store_age(&self) -> Option<Micros> {
         let now = self.clock.now();
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -35,7 +35,7 @@
 /// outage; the others just in time.
 fn get_pause(gateway: &Gateway) -> Micros {
     let store = &gateway.settings.load().store;
-    if gateway.is_watcher() {
+    if gateway.is_first_watcher() {
         store.renew
     } else {
         (store.lease.scaled(RENEW_SHARE)).max(store.renew)
