--- a/src/bin/lentilcartd.rs
+++ b/src/bin/lentilcartd.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use lentilcart::{
-    GatewaySettings, Settings, entry, gateway, init_logs, ops, options_help, platform,
+    GatewaySettings, LogSink, Settings, entry, gateway, init_logs, init_logs_to, ops, options_help,
+    platform,
 };
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::task::TaskTracker;
@@ -14,6 +15,8 @@
 const FAILED: u8 = 1;
 /// Environment variable with the path of a gateway's settings file.
 const SETTINGS_VARIABLE: &str = "LENTILCART_SETTINGS";
+/// Time in which the last log lines must be written at the end.
+const LAST_LINES: Duration = Duration::from_millis(200);
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_EVERY: Duration = Duration::from_secs(1);
 
@@ -58,18 +61,27 @@
 /// Runs a gateway on one thread: a host has a part of one core, and a second thread would only add
 /// switches.
 fn start_gateway(settings: GatewaySettings, path: &Path) -> ExitCode {
-    init_logs(&settings.name);
+    let (sink, writer) = match LogSink::start(std::io::stdout()) {
+        Ok(started) => started,
+        Err(error) => {
+            eprintln!("cannot start the thread of the logs: {error}");
+            return ExitCode::from(FAILED);
+        }
+    };
+    init_logs_to(&settings.name, &sink);
     ops::install_metrics();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    match runtime {
+    let code = match runtime {
         Ok(runtime) => runtime.block_on(run_gateway(settings, path)),
         Err(error) => {
             eprintln!("cannot start the runtime: {error}");
             ExitCode::from(FAILED)
         }
-    }
+    };
+    writer.stop(LAST_LINES);
+    code
 }
 
 async fn run_gateway(settings: GatewaySettings, path: &Path) -> ExitCode {
--- a/src/util/logs.rs
+++ b/src/util/logs.rs
@@ -4,6 +4,7 @@
 use serde_json::Map;
 
 use super::clock::unix_millis;
+use super::sink::LogSink;
 
 struct Fields(Map<String, serde_json::Value>);
 
@@ -21,6 +22,17 @@
 
 /// Starts logs in JSON lines on standard error; `RUST_LOG` sets the level, `info` by default.
 pub fn init_logs(name: &str) {
+    get_builder(name).try_init().ok();
+}
+
+/// Starts logs in JSON lines that go to a sink, so that writing them never waits.
+pub fn init_logs_to(name: &str, sink: &LogSink) {
+    let mut builder = get_builder(name);
+    builder.target(env_logger::Target::Pipe(Box::new(sink.clone())));
+    builder.try_init().ok();
+}
+
+fn get_builder(name: &str) -> env_logger::Builder {
     let name = name.to_owned();
     let env = env_logger::Env::default().default_filter_or("info");
     let mut builder = env_logger::Builder::from_env(env);
@@ -39,5 +51,5 @@
         record.key_values().visit(&mut fields).ok();
         writeln!(out, "{}", serde_json::Value::Object(fields.0))
     });
-    builder.try_init().ok();
+    builder
 }
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the daemon's parts.
+
+mod logs;
+mod settings;
--- /dev/null
+++ b/tests/testsuite/settings.rs
@@ -0,0 +1,111 @@
+use expect_test::{Expect, expect};
+use lentilcart::GatewaySettings;
+
+const GOOD: &str = r#"
+name = "e1"
+data-center = "bilbao"
+[listen]
+callers = "10.1.0.1:80"
+ready = "10.1.0.1:81"
+peer = "10.1.0.1:82"
+ops = "10.1.0.1:83"
+connections = 1000
+[store]
+address = "10.2.0.1:8541"
+[retries]
+ratio = 0.2
+burst = 58
+[stop]
+grace = "6s"
+"#;
+
+fn check(from: &str, to: &str, expected: &Expect) {
+    let parsed = GatewaySettings::parse(&GOOD.replace(from, to));
+    expected.assert_eq(&parsed.map_or_else(|e| e.to_string(), |_| "valid".to_owned()));
+}
+
+#[test]
+fn parse_good() {
+    check("", "", &expect!["valid"]);
+}
+
+#[test]
+fn parse_unknown_field() {
+    check(
+        "[stop]",
+        "[stop]\nhaste = 1",
+        &expect![[r#"
+        TOML parse error at line 16, column 1
+           |
+        16 | haste = 1
+           | ^^^^^
+        unknown field `haste`, expected `grace` or `notice`
+    "#]],
+    );
+}
+
+#[test]
+fn parse_time_without_unit() {
+    check(
+        "\"6s\"",
+        "\"6\"",
+        &expect![[r#"
+        TOML parse error at line 16, column 9
+           |
+        16 | grace = "6"
+           |         ^^^
+        time unit needed, for example 6sec or 6ms
+    "#]],
+    );
+}
+
+#[test]
+fn parse_missing_field() {
+    check(
+        "ratio = 0.2\n",
+        "",
+        &expect![[r#"
+        TOML parse error at line 12, column 1
+           |
+        12 | [retries]
+           | ^^^^^^^^^
+        missing field `ratio`
+    "#]],
+    );
+}
+
+#[test]
+fn parse_reports_every_broken_rule() {
+    let to = "[servers]\npolicy = \"best\"\n[stop]\nnotice = \"9s\"";
+    check(
+        "[stop]",
+        to,
+        &expect![[r#"
+        stop.notice = "9s": expected less than stop.grace ("6s")
+        servers.policy = "best": expected one of late-near, late, late-wait, late-digests, late-shares, late-paced, random, round-robin, least, two-choices, probe-pool"#]],
+    );
+}
+
+#[test]
+fn parse_deployed_template() {
+    // The template is TOML once its placeholders are filled in.
+    let template = include_str!("../../deploy/settings.toml");
+    let filled = [
+        ("[{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}]", "[\"10.1.0.2:83\"]"),
+        ("{{nodeName}}", "e1"),
+        ("{{zone}}", "bilbao"),
+        ("{{ip}}:{{internalPorts.0}}", "10.1.0.1:82"),
+        ("{{listen.http}}", "10.1.0.1:80"),
+        ("{{listen.readiness}}", "10.1.0.1:81"),
+        ("{{listen.admin}}", "10.1.0.1:83"),
+        ("{{platform.address}}", "10.2.0.1:8541"),
+        ("{{bounds.retryRatio}}", "0.2"),
+        ("{{bounds.retryBurst}}", "58"),
+        ("{{bounds.graceS}}", "6"),
+    ];
+    let text = filled.iter().fold(template.to_owned(), |text, (from, to)| {
+        text.replace(from, to)
+    });
+    assert!(!text.contains("{{"), "{text}");
+    GatewaySettings::parse(&text).unwrap();
+}
