--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -8,6 +8,7 @@
         "status" => STATUS,
         "served" => SERVED,
         "watch" => WATCH,
+        "explain" => EXPLAIN,
         _ => OVERVIEW,
     }
 }
@@ -25,6 +26,7 @@
   status             show the ticket in force at every entry
   served [SERVICE]   show every server as each entry sees it
   watch              show each new ticket until it is in force everywhere
+  explain ID FILE... tell the story of a request out of log files
 
 Flags of all commands (environment variable):
   --platform URL     platform's service (LENTILCART_PLATFORM), http://IP:PORT
@@ -36,6 +38,13 @@
 Exit codes: 0 done, 1 refused or failed, 2 misused
 ";
 
+const EXPLAIN: &str = "\
+Usage: lentilcart explain ID FILE...
+
+Reads log files of one or more processes and prints, in order of time, every line that names the
+request, with what each process believed when it first met it. Lines may have text before their JSON.
+";
+
 const SUBMIT: &str = "\
 Usage: lentilcart submit FILE [--id ID] [--check] [--wait TIME]
 
--- a/src/cli/main.rs
+++ b/src/cli/main.rs
@@ -5,6 +5,7 @@
 
 use super::context::Context;
 use super::error::CliError;
+use super::explain::explain;
 use super::help::help;
 use super::{read_back, tickets};
 
@@ -57,6 +58,7 @@
             let context = Context::read(&mut args)?;
             read_back::watch(&context, args).await
         }
+        Some("explain") => explain(args),
         Some(other) => Err(CliError::Usage(format!(
             "{other}: unknown command; see --help"
         ))),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,7 @@
 
 mod context;
 mod error;
+mod explain;
 mod help;
 #[allow(clippy::module_inception)]
 mod main;
@@ -11,4 +12,5 @@
 mod tickets;
 
 pub use self::error::CliError;
+pub use self::explain::tell;
 pub use self::main::main;
--- /dev/null
+++ b/tests/testsuite/explain.rs
@@ -0,0 +1,29 @@
+use expect_test::expect;
+use lentilcart::cli::tell;
+
+const LOGS: &str = r#"
+  1.2 e2 {"unix_ms":30,"level":"info","process":"e2","target":"t","message":"request not served","request":"a1","reason":"cut","sent":1}
+{"unix_ms":10,"level":"info","process":"e1","target":"t","message":"routes in force","number":7}
+{"unix_ms":12,"level":"info","process":"e2","target":"t","message":"routes in force","number":7}
+{"unix_ms":15,"level":"warn","process":"e2","target":"t","message":"store lost","reason":"status 503"}
+{"unix_ms":20,"level":"info","process":"e2","target":"t","message":"routes in force","number":8}
+{"unix_ms":29,"level":"info","process":"e2","target":"t","message":"answer lost","request":"a1","server":"i-3"}
+{"unix_ms":29,"level":"info","process":"e2","target":"t","message":"answer lost","request":"b2","server":"i-4"}
+not a line of JSON
+"#;
+
+#[test]
+fn tell_request_with_beliefs() {
+    expect![[r"
+          before: 15 e2: store lost reason=status 503
+          before: 20 e2: routes in force number=8
+        29 e2: answer lost server=i-3
+        30 e2: request not served reason=cut sent=1
+    "]]
+    .assert_eq(&tell("a1", LOGS));
+}
+
+#[test]
+fn tell_unknown_request() {
+    assert_eq!(tell("zz", LOGS), "");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the daemon's parts.
 
+mod explain;
 mod logs;
 mod settings;
