--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
 use lentilcart_platform::{HEADERS, decode_load};
-use lentilcart_route::{Outcome, Refusal as Denial};
+use lentilcart_route::{Outcome, Pool, Refusal as Denial};
 use lentilcart_state::{Class, PathRule};
 use lentilcart_util::{Micros, Name};
 use tokio::time::{Instant, timeout_at};
@@ -36,6 +36,8 @@
     pub(crate) deadline: Micros,
     /// Servers that a byte of it was sent to.
     pub(crate) sent: u32,
+    /// Requests that waited at this entry's desk when it was refused.
+    pub(crate) waiting: usize,
     /// Whether a server may have run it.
     pub(crate) may_have_run: bool,
 }
@@ -136,7 +138,10 @@
         let lease = match timeout_at(deadline, acquire(gateway, desk, ask)).await {
             Ok(Ok(lease)) => lease,
             Ok(Err(Denial::NoServer)) => return call.end(last, Reason::NoServer),
-            Ok(Err(_)) => return call.end(last, Reason::Overload),
+            Ok(Err(_)) => {
+                call.waiting = desk.look(Pool::get_waiting);
+                return call.end(last, Reason::Overload);
+            }
             Err(_) => return call.end(last, Reason::TimeoutUnsent),
         };
         // A process that stood still must not send what its caller has given up on.
@@ -144,6 +149,7 @@
             return call.end(last, Reason::TimeoutUnsent);
         }
         tried.push(lease.address);
+        call.sent += 1;
         let ended = timeout_at(deadline, run(gateway, desk, call, lease, &mut tried)).await;
         let Ok(ended) = ended else {
             call.may_have_run = true;
@@ -158,6 +164,7 @@
             }
             Tried::NotRun(_) => true,
             Tried::Unsent(_) => {
+                call.sent -= 1;
                 unreachable += 1;
                 unreachable <= MOST_UNREACHABLE
             }
@@ -188,20 +195,14 @@
     let (id, class) = (call.id.clone(), call.rule.class);
     let request = call.get_request(&lease.id, gateway.clock.now());
     let first = Box::pin(attempt(gateway, id.clone(), class, lease, request));
-    let Some(delay) = delay.filter(|_| call.sent + 1 < call.rule.attempts) else {
-        let ended = first.await;
-        call.sent += u32::from(!matches!(ended, Tried::Unsent(_)));
-        return ended;
+    let Some(delay) = delay.filter(|_| call.sent < call.rule.attempts) else {
+        return first.await;
     };
     let timer = Box::pin(tokio::time::sleep(delay.into()));
     let first = match select(first, timer).await {
-        Either::Left((ended, _)) => {
-            call.sent += u32::from(!matches!(ended, Tried::Unsent(_)));
-            return ended;
-        }
+        Either::Left((ended, _)) => return ended,
         Either::Right(((), first)) => first,
     };
-    call.sent += 1;
     let ask = call.get_ask(gateway, desk, tried);
     let job = get_job(desk, &ask, gateway.clock.now());
     let has_budget = desk.with(|pool, _| pool.retry());
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -36,6 +36,7 @@
     route: Name,
     service: Name,
     sent: u32,
+    waiting: usize,
     number: u64,
     left: Micros,
 }
@@ -50,6 +51,7 @@
         route: "none".into(),
         service: "none".into(),
         sent: 0,
+        waiting: 0,
         number: 0,
         left: NO_ROUTE_TIME,
     };
@@ -69,7 +71,7 @@
             log::info!(
                 request:% = label.id, route:% = label.route, service:% = label.service,
                 reason = refusal.reason.as_str(), status = refusal.reason.get_status().as_u16(),
-                sent = label.sent, number = label.number, took_ms = took.as_millis(),
+                sent = label.sent, waiting = label.waiting, number = label.number, took_ms = took.as_millis(),
                 detail = refusal.detail.as_str();
                 "request not served"
             );
@@ -175,10 +177,12 @@
         arrived,
         deadline,
         sent: 0,
+        waiting: 0,
         may_have_run: false,
     };
     let result = dispatch(gateway, desk, &mut call).await;
     label.sent = call.sent;
+    label.waiting = call.waiting;
     label.left = deadline - gateway.clock.now();
     result
 }
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -34,13 +34,13 @@
     check(
         "[stop]",
         "[stop]\nhaste = 1",
-        &expect![[r#"
+        &expect![[r"
         TOML parse error at line 16, column 1
            |
         16 | haste = 1
            | ^^^^^
         unknown field `haste`, expected `grace` or `notice`
-    "#]],
+    "]],
     );
 }
 
@@ -64,13 +64,13 @@
     check(
         "ratio = 0.2\n",
         "",
-        &expect![[r#"
+        &expect![[r"
         TOML parse error at line 12, column 1
            |
         12 | [retries]
            | ^^^^^^^^^
         missing field `ratio`
-    "#]],
+    "]],
     );
 }
 
