--- /dev/null
+++ b/src/gateway/install.rs
@@ -0,0 +1,198 @@
+//! Routes, servers and hosts as the mirrors bring them.
+
+use std::sync::Arc;
+
+use lentilcart_route::{EjectLimits, Pool, PoolConfig, RetryLimits, ServerConfig, get_policy};
+use lentilcart_state::{Change, RouteTable};
+use lentilcart_util::{Map, Name, Set};
+
+use super::beat::Beat;
+use super::gateway::{Gateway, Kind, View};
+use crate::entry::Desk;
+
+/// Share of the budget of retries that the entries hand out, so that counting at the servers'
+/// side, a little later, stays within it.
+const BUDGET_SHARE: f64 = 0.8;
+/// Longest wait for a server as a share of the time that a request has.
+const WAIT_SHARE: f64 = 0.5;
+
+impl Gateway {
+    /// Takes changes of what is mirrored. `relayed` tells that another entry had them from a store
+    /// that may not answer this one.
+    pub(crate) fn take_changes(&self, kind: Kind, changes: Vec<Change>, relayed: bool) {
+        if changes.is_empty() {
+            return;
+        }
+        match kind {
+            Kind::Routes => {
+                let bodies = changes.into_iter().filter_map(|change| match change {
+                    Change::Put(item) => Some(item),
+                    Change::Gone(_) => None,
+                });
+                for item in bodies.filter(|item| &*item.key == lentilcart_platform::ROUTES) {
+                    self.take_routes(&item.value, item.revision);
+                }
+            }
+            Kind::Servers => self.take_servers(changes, relayed),
+            Kind::Hosts => self.take_hosts(&changes),
+        }
+        self.announce();
+    }
+
+    /// Puts routes in force if they can be read and are newer than those in force.
+    fn take_routes(&self, body: &[u8], revision: u64) {
+        let in_force = self.get_view().table.number;
+        match lentilcart_platform::decode_routes(body) {
+            Err(error) => {
+                log::warn!(revision, in_force; "routes ignored: {error}");
+            }
+            Ok(table) if table.number <= in_force => {
+                log::info!(revision, in_force, number = table.number; "routes ignored: not newer");
+            }
+            Ok(table) => {
+                let number = table.number;
+                self.install(table);
+                log::info!(number, revision; "routes in force");
+                metrics::gauge!("lentilcart_routes_number").set(number as f64);
+            }
+        }
+    }
+
+    fn install(&self, table: RouteTable) {
+        let old = self.get_view();
+        let desk_of = |service: &Name| {
+            let known = old.desks.get(service).cloned();
+            known.unwrap_or_else(|| {
+                let pool = Pool::new(self.get_pool_config(&table, service), self.seed);
+                Arc::new(Desk::new(service.clone(), pool, self.clock))
+            })
+        };
+        let desks: Map<Name, Arc<Desk>> = table
+            .services
+            .keys()
+            .map(|service| (service.clone(), desk_of(service)))
+            .collect();
+        let added = desks.keys().filter(|name| !old.desks.contains_key(*name));
+        let added: Set<Name> = added.cloned().collect();
+        self.view.store(Arc::new(Arc::new(View { table, desks })));
+        self.set_servers(&added);
+    }
+
+    pub(crate) fn get_pool_config(&self, table: &RouteTable, service: &Name) -> PoolConfig {
+        let settings = self.settings.load();
+        let rules = table.services.get(service);
+        let entries = self.members().iter().count().max(1) as f64;
+        let policy = get_policy(&settings.servers.policy);
+        PoolConfig {
+            policy: policy.unwrap_or(&lentilcart_route::POLICIES[0]),
+            data_center: settings.data_center.clone(),
+            overcommit: settings.servers.overcommit,
+            reserve: settings.servers.reserve,
+            far_reserve: settings.servers.far_reserve,
+            far_cost: settings.servers.far_cost,
+            connections: rules.map_or(1, |rules| rules.connections).max(1),
+            wait: WAIT_SHARE,
+            first_retries: 0.0,
+            retry: RetryLimits {
+                ratio: settings.retries.ratio * BUDGET_SHARE,
+                burst: settings.retries.burst * BUDGET_SHARE / entries,
+                hedge: settings.servers.hedge,
+            },
+            eject: EjectLimits::default(),
+            ..PoolConfig::default()
+        }
+    }
+
+    fn take_servers(&self, changes: Vec<Change>, relayed: bool) {
+        let now = self.clock.now();
+        let mut touched = Set::default();
+        {
+            let mut directory = self.directory();
+            for change in changes {
+                let (key, instance) = match change {
+                    Change::Gone(key) => (key, None),
+                    Change::Put(item) => {
+                        let decoded = lentilcart_platform::decode_server(&item.key, &item.value);
+                        if let Err(error) = &decoded {
+                            log::warn!(key:% = item.key; "registration ignored: {error}");
+                        }
+                        (item.key, decoded.ok())
+                    }
+                };
+                let Some(id) = lentilcart_platform::server_id(&key).map(Name::from) else {
+                    continue;
+                };
+                let before = directory.get(&id).map(|row| row.service.clone());
+                let is_changed = match instance {
+                    Some(instance) => {
+                        touched.insert(instance.service.clone());
+                        directory.put(instance)
+                    }
+                    None if relayed => directory.remove_relayed(&id, now),
+                    None => directory.remove(&id, now),
+                };
+                if is_changed {
+                    let row = directory.get(&id);
+                    let state = match row {
+                        Some(row) if row.leaving => "leaving",
+                        Some(_) => "serving",
+                        None => "gone",
+                    };
+                    log::info!(server:% = id, state, relayed; "server changed");
+                    touched.extend(before);
+                }
+            }
+        }
+        self.set_servers(&touched);
+    }
+
+    /// Drops the servers whose lapse has lasted too long.
+    pub(crate) fn tick_directory(&self) {
+        if self.directory().tick(self.clock.now()) {
+            let services = self.get_view().desks.keys().cloned().collect();
+            self.set_servers(&services);
+        }
+    }
+
+    /// Tells the pools of some services which servers may get new work.
+    fn set_servers(&self, services: &Set<Name>) {
+        let view = self.get_view();
+        let now = self.clock.now();
+        for service in services {
+            let Some(desk) = view.desks.get(service) else {
+                continue;
+            };
+            let servers: Vec<ServerConfig> = self
+                .directory()
+                .iter()
+                .filter(|row| row.service == *service && !row.leaving)
+                .map(|row| ServerConfig {
+                    address: row.address,
+                    id: row.id.clone(),
+                    born: row.born,
+                    warm: now + row.warmup,
+                    data_center: row.data_center.clone(),
+                    slots: row.slots,
+                })
+                .collect();
+            desk.with(|pool, now| pool.set_servers(now, &servers));
+        }
+    }
+
+    fn take_hosts(&self, changes: &[Change]) {
+        let now = self.clock.now();
+        let mut members = self.members();
+        for change in changes {
+            match change {
+                Change::Put(item) => match Beat::decode(&item.value) {
+                    Ok(beat) => members.list(&beat.name, &beat.data_center, beat.peer, false),
+                    Err(error) => log::warn!(key:% = item.key; "host ignored: {error}"),
+                },
+                Change::Gone(key) => {
+                    let name = key.strip_prefix(Kind::Hosts.get_prefix());
+                    members.unlist(&name.unwrap_or_default().into(), now);
+                }
+            }
+        }
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,15 +1,18 @@
 //! A gateway: an entry whose routes and servers come from the platform's store.
 //!
-//! Requests go from `serve` to `attempt` to a desk of the service, and read what `control` keeps:
-//! the routes in force, the registered servers and the other entries.
+//! A request goes from `serve` to `attempt`, which gets a server from `desks` and judges its answer
+//! by `answer`. What requests read is kept by `control` (watches), `install` (routes and servers),
+//! `contact` (the store), `peers` (other entries) and `probe` (load of servers).
 
 mod answer;
 mod attempt;
 mod beat;
+mod contact;
 mod control;
 mod desks;
 #[allow(clippy::module_inception)]
 mod gateway;
+mod install;
 mod ops;
 mod peers;
 mod probe;
