perf(gateway): a server is asked right before it gets a request

The grown sites ask every 115 to 190 ms, so that a tenth of the requests began at a slow server.

Ruled out: slowness that begins while work is under way (answers that began on a fresh report and ended at a slow server took as long as others); connections; queues (running 1 at both ends).

Change: the desk asks the server that it has chosen, unless its report is younger than check-age (10 ms), takes another one where it has turned slow (rechoose) or says nothing for check-wait (25 ms), and asks at most 4. Questions in between are asked every 200 ms instead of 50.

--- a/lentilcart_route/src/pool/pool.rs
+++ b/lentilcart_route/src/pool/pool.rs
@@ -171,6 +171,15 @@
         (self.answers > 0).then_some(Micros(self.work as u64))
     }
 
+    /// Returns the time that a request which was started at a server is expected to take there, in
+    /// microseconds.
+    #[must_use]
+    pub fn get_expected(&self, now: Micros, server: usize) -> f64 {
+        let row = self.rows.get(server);
+        let times = row.map_or(0.0, |row| row.get_expected_last(now, self.work));
+        times * self.work
+    }
+
     /// Returns how long to wait for an answer before asking for a hedge.
     #[must_use]
     pub fn get_hedge_delay(&self) -> Option<Micros> {
@@ -263,6 +272,19 @@
         self.start(now, job)
     }
 
+    /// Moves a request that was started, but not sent yet, to the server that is best by what is known
+    /// now; returns it where it is another one.
+    pub fn rechoose(
+        &mut self,
+        now: Micros,
+        job: &Job,
+        server: usize,
+    ) -> Option<(usize, Vec<Step>)> {
+        let chosen = self.start(now, job)?;
+        self.rows.get_mut(server)?.finish(now, job.id);
+        (chosen != server).then(|| (chosen, self.drain(now)))
+    }
+
     /// Records whether a hedge answered before the first attempt.
     pub fn settle_hedge(&mut self, won: bool) {
         self.hedger.settle(won);
--- a/lentilcart_route/src/pool/row.rs
+++ b/lentilcart_route/src/pool/row.rs
@@ -164,8 +164,18 @@
     /// Returns the time that one more request would take at the server, in usual work times.
     #[must_use]
     pub fn get_expected(&self, now: Micros, work: f64) -> f64 {
+        self.get_expected_at(now, work, self.get_outstanding() + 1)
+    }
+
+    /// Returns the same for the request that it was given last.
+    #[must_use]
+    pub fn get_expected_last(&self, now: Micros, work: f64) -> f64 {
+        self.get_expected_at(now, work, self.get_outstanding().max(1))
+    }
+
+    fn get_expected_at(&self, now: Micros, work: f64, own: u32) -> f64 {
         let slots = f64::from(self.config.slots.max(1));
-        let load = f64::from(self.get_outstanding()) + self.get_others(now, work) + 1.0;
+        let load = f64::from(own) + self.get_others(now, work);
         let wait = (load - slots).max(0.0) / slots;
         let busy = if load > slots * BUSY_SHARE {
             BUSY_COST
--- a/lentilcart_route/tests/testsuite/paced.rs
+++ b/lentilcart_route/tests/testsuite/paced.rs
@@ -94,6 +94,35 @@
     assert!(first.contains(&0) && first.contains(&1), "{first:?}");
 }
 
+#[test]
+fn server_turned_slow_is_left_before_sending() {
+    let mut pool = pool(&[NEAR, NEAR]);
+    pool.report(ms(0), 0, load(0, 1.0));
+    pool.report(ms(0), 1, load(0, 1.0));
+    let (id, server) = started(&pool.offer(ms(60), job(1, ms(60))))[0];
+    let other = 1 - server;
+    pool.report(ms(61), server, load(0, 4.0));
+    let (moved, steps) = pool.rechoose(ms(61), &job(id, ms(60)), server).unwrap();
+    assert_eq!((moved, steps.len()), (other, 0));
+    let outstanding = |row: usize| pool.get_views()[row].outstanding;
+    assert_eq!((outstanding(server), outstanding(other)), (0, 1));
+    assert!(pool.rechoose(ms(61), &job(id, ms(60)), other).is_none());
+}
+
+#[test]
+fn server_left_before_sending_takes_one_that_waits() {
+    let mut pool = pool(&[NEAR]);
+    for id in 0..3 {
+        pool.offer(ms(0), job(id, ms(0)));
+    }
+    pool.offer(ms(1), job(3, ms(1)));
+    let two = [server(0, NEAR), server(1, NEAR)];
+    pool.set_servers(ms(2), &two);
+    pool.report(ms(2), 0, load(3, 4.0));
+    let (moved, steps) = pool.rechoose(ms(2), &job(0, ms(0)), 0).unwrap();
+    assert_eq!((moved, started(&steps).len()), (1, 1));
+}
+
 #[test]
 fn load_of_other_entries_is_spared() {
     let mut pool = pool(&[NEAR, NEAR]);
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -72,6 +72,31 @@
         Some(Lease::of_desk(self.clone(), job.id, server))
     }
 
+    /// Gives a request that was not sent yet the server that is best by what is known now.
+    pub(crate) fn rechoose(self: &Arc<Self>, job: &Job, lease: Lease) -> Lease {
+        let Some(server) = lease.get_server() else {
+            return lease;
+        };
+        let moved = {
+            let mut state = self.lock();
+            let now = self.clock.now();
+            state
+                .pool
+                .rechoose(now, job, server)
+                .map(|(server, steps)| {
+                    state.apply(now, steps);
+                    server
+                })
+        };
+        match moved {
+            Some(server) => {
+                lease.forget();
+                Lease::of_desk(self.clone(), job.id, server)
+            }
+            None => lease,
+        }
+    }
+
     pub(crate) fn tick(&self) {
         let mut state = self.lock();
         let now = self.clock.now();
@@ -108,6 +133,10 @@
         })
     }
 
+    pub(crate) fn get_time(&self) -> Micros {
+        self.clock.now()
+    }
+
     /// Returns whether requests wait.
     pub(crate) fn is_waiting(&self) -> bool {
         self.look(|pool| pool.get_waiting() > 0)
--- a/src/entry/lease.rs
+++ b/src/entry/lease.rs
@@ -8,6 +8,19 @@
 use super::desk::Desk;
 use crate::peer::Message;
 
+/// What was known of a server when it was chosen.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Grounds {
+    /// How long work takes there, as a multiple of the usual time.
+    pub(crate) slowness: f64,
+    /// Requests of this entry there, with the one that it was chosen for.
+    pub(crate) own: u32,
+    /// Requests of others there, by its own report.
+    pub(crate) others: f64,
+    /// Age of that report.
+    pub(crate) age: Option<Micros>,
+}
+
 /// An attempt that may be sent to a server; ends as cancelled when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Lease {
@@ -16,6 +29,8 @@
     pub(crate) id: Name,
     /// Time after which a hedge of the attempt is due.
     pub(crate) hedge_after: Option<Micros>,
+    /// What it was chosen by, where this entry chose.
+    pub(crate) grounds: Grounds,
     lender: Lender,
     ended: bool,
 }
@@ -46,9 +61,19 @@
 impl Lease {
     /// Creates a lease of this entry's own desk.
     pub(crate) fn of_desk(desk: Arc<Desk>, job: u64, server: usize) -> Self {
-        let (config, hedge_after) = desk.look(|pool| {
-            let config = pool.get_row(server).map(lentilcart_route::Row::get_config);
-            (config.cloned(), pool.get_hedge_delay())
+        let now = desk.get_time();
+        let (config, hedge_after, grounds) = desk.look(|pool| {
+            let row = pool.get_row(server);
+            let config = row.map(lentilcart_route::Row::get_config);
+            let work = pool.get_work().unwrap_or_default().0 as f64;
+            let grounds = row.map(|row| Grounds {
+                slowness: row.get_slowness(now),
+                own: row.get_outstanding(),
+                others: row.get_others(now, work),
+                age: row.get_report_age(now),
+            });
+            let grounds = grounds.unwrap_or_default();
+            (config.cloned(), pool.get_hedge_delay(), grounds)
         });
         let (address, id) = config.map_or_else(
             || (SocketAddr::from(([0, 0, 0, 0], 0)), Name::default()),
@@ -58,6 +83,7 @@
             address,
             id,
             hedge_after,
+            grounds,
             lender: Lender::Desk { desk, job, server },
             ended: false,
         }
@@ -74,6 +100,7 @@
             address,
             id: Name::default(),
             hedge_after,
+            grounds: Grounds::default(),
             lender: Lender::Link { outbox, id },
             ended: false,
         }
@@ -90,11 +117,25 @@
             address,
             id,
             hedge_after,
+            grounds: Grounds::default(),
             lender: Lender::Remote(Remote(Box::new(settle))),
             ended: false,
         }
     }
 
+    /// Returns the server's row, where this entry's own desk gave it.
+    pub(crate) fn get_server(&self) -> Option<usize> {
+        match self.lender {
+            Lender::Desk { server, .. } => Some(server),
+            Lender::Link { .. } | Lender::Remote(_) => None,
+        }
+    }
+
+    /// Drops the lease of an attempt that its pool does not count any more.
+    pub(crate) fn forget(mut self) {
+        self.ended = true;
+    }
+
     /// Ends the attempt.
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.settle(outcome);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -241,6 +241,7 @@
         }
     };
     let (address, server) = (lease.address, lease.id.clone());
+    let (grounds, started) = (lease.grounds, gateway.clock.now());
     let reply = match gateway.dialer.send_within(address, request, idle).await {
         Ok(reply) => reply,
         Err(SendError::NotSent(reason, _)) => {
@@ -282,6 +283,10 @@
         Ok(answer) if verdict == Verdict::Good => {
             log::debug!(
                 request:% = request_id, server:% = server, address:% = address,
+                took_ms = (gateway.clock.now() - started).as_millis(),
+                believed_slowness = grounds.slowness, believed_own = grounds.own,
+                believed_others = grounds.others,
+                believed_age_ms = grounds.age.map_or(-1.0, |age| age.as_secs() * 1000.0),
                 bytes = hyper::body::Body::size_hint(answer.body()).lower(),
                 running = load.map_or(0, |load| load.running),
                 waiting = load.map_or(0, |load| load.waiting),
--- /dev/null
+++ b/src/gateway/check.rs
@@ -0,0 +1,74 @@
+//! Asks a server about its load right before it gets a request.
+//!
+//! How long work takes at a server is settled as it begins, and may have changed since its last
+//! report: a question that is answered at once costs less than a request that starts at a slow server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use lentilcart_route::{Job, Refusal as Denial};
+
+use super::gateway::Gateway;
+use super::probe::{Asked, probe};
+use crate::entry::{Desk, Lease};
+
+/// Servers that are asked for one request at most; after that, the last one is taken.
+const MOST_ASKED: u32 = 4;
+/// How many times longer than expected the work at a server has to be, for another to be taken.
+const SLOWER: f64 = 1.25;
+
+/// Gets a server of this entry's own desk; one whose last report is old is asked first.
+pub(crate) async fn acquire_checked(
+    gateway: &Arc<Gateway>,
+    desk: &Arc<Desk>,
+    mut job: Job,
+) -> Result<Lease, Denial> {
+    let mut lease = desk.acquire(job.clone()).await?;
+    let path = {
+        let view = gateway.get_view();
+        let rules = view.table.services.get(&desk.service);
+        rules.map(|rules| rules.health_path.clone())
+    };
+    let Some(path) = path else {
+        return Ok(lease);
+    };
+    for _ in 0..MOST_ASKED {
+        let settings = gateway.settings.load();
+        let (age, wait) = (settings.servers.check_age, settings.servers.check_wait);
+        let Some(server) = lease.get_server() else {
+            break;
+        };
+        if !desk.is_stale(lease.address, age) {
+            break;
+        }
+        let before = desk.look(|pool| pool.get_expected(desk.get_time(), server));
+        let asked = Asked {
+            desk: desk.clone(),
+            address: lease.address,
+            path: path.clone(),
+        };
+        let is_silent = is_silent(gateway, asked, wait.into()).await;
+        let after = desk.look(|pool| pool.get_expected(desk.get_time(), server));
+        if is_silent {
+            job.tried.push(server);
+        }
+        if is_silent || after > before * SLOWER {
+            let address: SocketAddr = lease.address;
+            lease = desk.rechoose(&job, lease);
+            if lease.address == address {
+                break;
+            }
+        }
+    }
+    Ok(lease)
+}
+
+/// Asks a server; the answer of one that takes longer than `wait` is awaited by another task.
+async fn is_silent(gateway: &Arc<Gateway>, asked: Asked, wait: std::time::Duration) -> bool {
+    let shared = gateway.clone();
+    let longest = gateway.settings.load().servers.probe_wait;
+    let asking = gateway
+        .tasks
+        .spawn(async move { probe(&shared, &asked, longest).await });
+    tokio::time::timeout(wait, asking).await.is_err()
+}
--- a/src/gateway/desks.rs
+++ b/src/gateway/desks.rs
@@ -15,11 +15,14 @@
 use tokio_util::sync::CancellationToken;
 
 use super::beat::{Ask, Gram};
+use super::check::acquire_checked;
 use super::gateway::Gateway;
 use crate::entry::{Desk, Lease};
 
 /// Time in which a desk must say anything: some round trips inside a data centre.
 const ASK_WAIT: Duration = Duration::from_millis(40);
+/// Time after which a desk says that a request waits: within `ASK_WAIT`, with room for the way.
+const QUEUED_AFTER: Duration = Duration::from_millis(15);
 /// Longest wait for a desk that has a request in its queue.
 const QUEUE_WAIT: Duration = Duration::from_secs(1);
 /// Time for which a desk that did not answer is not asked.
@@ -89,7 +92,7 @@
         return told.map(|granted| borrow(gateway, desk, owner, ask.id, granted));
     }
     let now = gateway.clock.now();
-    desk.acquire(get_job(desk, &ask, now)).await
+    acquire_checked(gateway, desk, get_job(desk, &ask, now)).await
 }
 
 /// Returns the entry to ask, or `None` where this one decides.
@@ -215,13 +218,9 @@
             id: gateway.next_serial(),
             ..get_job(&desk, &ask, now)
         };
-        let mut acquired = Box::pin(desk.acquire(job));
-        let at_once = tokio::select! {
-            biased;
-            acquired = &mut acquired => Some(acquired),
-            () = std::future::ready(()) => None,
-        };
-        let acquired = if let Some(acquired) = at_once {
+        let mut acquired = Box::pin(acquire_checked(&gateway, &desk, job));
+        let soon = timeout(QUEUED_AFTER, &mut acquired).await;
+        let acquired = if let Ok(acquired) = soon {
             acquired
         } else {
             gateway.post(&Gram::Queued(id), asker);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod attempt;
 mod beat;
+mod check;
 mod contact;
 mod control;
 mod desks;
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -30,15 +30,15 @@
 const FAR_DIGESTS: usize = 8;
 
 /// A server that this entry asks about its load.
-struct Owned {
-    desk: Arc<Desk>,
-    address: SocketAddr,
-    path: Name,
+pub(crate) struct Asked {
+    pub(crate) desk: Arc<Desk>,
+    pub(crate) address: SocketAddr,
+    pub(crate) path: Name,
 }
 
 /// Asks the servers that fall to this entry about their load, each at a fixed rate.
 pub(crate) async fn keep_probing(gateway: Arc<Gateway>) {
-    let mut owned: Vec<Arc<Owned>> = Vec::new();
+    let mut owned: Vec<Arc<Asked>> = Vec::new();
     let mut looked: Option<Micros> = None;
     let mut next = 0;
     loop {
@@ -76,7 +76,7 @@
 
 /// Returns the servers that this entry asks: each falls to one live entry of its data centre, or
 /// of all where that has none.
-fn get_owned(gateway: &Gateway, now: Micros) -> Vec<Arc<Owned>> {
+fn get_owned(gateway: &Gateway, now: Micros) -> Vec<Arc<Asked>> {
     let view = gateway.get_view();
     let own = gateway.settings.load().name.clone();
     let mut centers: Map<Name, Vec<Name>> = Map::default();
@@ -99,7 +99,7 @@
         if owner.first().is_none_or(|owner| **owner != own) {
             return None;
         }
-        Some(Arc::new(Owned {
+        Some(Arc::new(Asked {
             desk: view.desks.get(&row.service)?.clone(),
             address: row.address,
             path: view.table.services.get(&row.service)?.health_path.clone(),
@@ -108,7 +108,7 @@
     owned.collect()
 }
 
-async fn probe(gateway: &Gateway, server: &Owned, wait: Micros) {
+pub(crate) async fn probe(gateway: &Gateway, server: &Asked, wait: Micros) {
     let asked = tokio::time::timeout(wait.into(), ask_load(gateway, server)).await;
     let outcome = match &asked {
         Ok(Ok(_)) => "answered",
@@ -131,7 +131,7 @@
     }
 }
 
-async fn ask_load(gateway: &Gateway, server: &Owned) -> Result<Option<Load>, String> {
+async fn ask_load(gateway: &Gateway, server: &Asked) -> Result<Option<Load>, String> {
     let request = Request::get(&*server.path)
         .header("host", server.address.to_string())
         .body(empty())
--- a/src/settings/file.rs
+++ b/src/settings/file.rs
@@ -155,6 +155,12 @@
     /// Time in which a server must answer such a question.
     #[serde_as(as = "Span")]
     pub probe_wait: Micros,
+    /// Age of a server's last report from which it is asked before it gets a request.
+    #[serde_as(as = "Span")]
+    pub check_age: Micros,
+    /// Time in which it must answer then; otherwise another server is taken.
+    #[serde_as(as = "Span")]
+    pub check_wait: Micros,
 }
 
 impl Default for ServerSettings {
@@ -170,8 +176,10 @@
             far_reserve: 1,
             far_cost: 0.25,
             hedge: 0.05,
-            probe: Micros::from_millis(50),
+            probe: Micros::from_millis(200),
             probe_wait: Micros::from_millis(250),
+            check_age: Micros::from_millis(10),
+            check_wait: Micros::from_millis(25),
         }
     }
 }
