perf(route): requests are kept for fast servers; desks that are busy are not given up

(2) An entry gave up a desk that had queued its request for a second, or been silent for 40 ms, and for a second all decided alone: 730 such a second. (3) The desk looked at each waiting request for each server with room, which took more than its quarter of a core. (4) Answers of full servers counted as long work, so that all requests seemed late and were given any server.

Ruled out: capacity (the servers that are fast could do 1505 a second, 1190 were asked for); loss of datagrams (silence came in groups of 20 at one desk); processor time outside of the desk's owner.

--- a/lentilcart_bench/src/bin/lentilcart-bench.rs
+++ b/lentilcart_bench/src/bin/lentilcart-bench.rs
@@ -7,21 +7,29 @@
 
 use lentilcart_bench::cluster::{Variant, get_firm};
 use lentilcart_bench::demo::demo;
+use lentilcart_bench::model::{Load, World, play};
 use lentilcart_bench::platform::PlatformStub;
 use lentilcart_bench::report::{plot, table};
 use lentilcart_bench::scenario::{
     Experiment, SCENARIOS, VARIANTS, experiment, force, get_scenario, get_variant, overhead, slopes,
 };
 use lentilcart_bench::servers::ServerStub;
+use lentilcart_route::PoolConfig;
 use lentilcart_util::Micros;
 use pico_args::Arguments;
 
+/// Length of a phase of the model.
+const MODEL_PHASE: Micros = Micros::from_millis(6000);
+
 const HELP: &str = "\
 Usage: lentilcart-bench COMMAND
 
   try                                  the whole path in one process
   bench --scenario NAME [--seed N] [--policy A,B] [--seconds S] [--firm NAME] [--report FOLDER]
         [--flags FLAGS]                              further flags of the entry daemons
+  model [--seed N] [--servers N] [--noise S] [--work-ms N] [--objective-ms N] [--deadline-ms N]
+        [--check-ms N] [--wait-check-ms N] [--reserve N] [--overcommit N] [--loads A,B]   one data centre on virtual time; loads are
+                                                     shares of what the slots can do
   servers --listen ADDRESSES [--one-way-us N]   stand-ins of servers
   platform --listen ADDRESS                     stand-in of the platform
 ";
@@ -51,6 +59,7 @@
             Ok(())
         }
         Some("bench") => bench(args).await,
+        Some("model") => model(args),
         Some("servers") => servers(args).await,
         Some("platform") => {
             let address: SocketAddr = args.value_from_str("--listen")?;
@@ -63,6 +72,53 @@
     }
 }
 
+fn model(mut args: Arguments) -> Result<(), Box<dyn Error>> {
+    let mut millis = |flag: &'static str, usual: u64| -> Result<Micros, pico_args::Error> {
+        let told = args.opt_value_from_str(flag)?;
+        Ok(Micros::from_millis(told.unwrap_or(usual)))
+    };
+    let mut world = World {
+        servers: 50,
+        noise: 0.25,
+        work: millis("--work-ms", 230)?,
+        objective: millis("--objective-ms", 600)?,
+        deadline: millis("--deadline-ms", 5000)?,
+        check: millis("--check-ms", 10)?,
+        wait_check: millis("--wait-check-ms", 40)?,
+    };
+    world.servers = args
+        .opt_value_from_str("--servers")?
+        .unwrap_or(world.servers);
+    world.noise = args.opt_value_from_str("--noise")?.unwrap_or(world.noise);
+    let seed = args.opt_value_from_str("--seed")?.unwrap_or(1);
+    let loads: String = args
+        .opt_value_from_str("--loads")?
+        .unwrap_or_else(|| "0.3,0.6,0.75,0.9,1.05,0.4".to_owned());
+    let most = world.servers as f64 * 3.0 / world.work.as_secs();
+    let mut phases = Vec::new();
+    for (index, share) in loads.split(',').enumerate() {
+        let share: f64 = share
+            .parse()
+            .map_err(|_| format!("--loads {share}: expected a number"))?;
+        let from = MODEL_PHASE.scaled(index as f64);
+        phases.push(Load {
+            from,
+            rate: most * share,
+        });
+    }
+    let ends = MODEL_PHASE.scaled(phases.len() as f64);
+    let reserve: Option<u32> = args.opt_value_from_str("--reserve")?;
+    let overcommit: Option<u32> = args.opt_value_from_str("--overcommit")?;
+    let set = |config: &mut PoolConfig| {
+        config.reserve = reserve.unwrap_or(config.reserve);
+        config.overcommit = overcommit.unwrap_or(config.overcommit);
+    };
+    for (share, tally) in loads.split(',').zip(play(world, set, &phases, ends, seed)) {
+        println!("{share} {}", serde_json::to_string(&tally)?);
+    }
+    Ok(())
+}
+
 async fn servers(mut args: Arguments) -> Result<(), Box<dyn Error>> {
     let listen: String = args.value_from_str("--listen")?;
     let one_way = Micros(args.opt_value_from_str("--one-way-us")?.unwrap_or(0));
--- a/lentilcart_bench/src/lib.rs
+++ b/lentilcart_bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cluster;
 pub mod demo;
 pub mod load;
+pub mod model;
 pub mod platform;
 pub mod relay;
 pub mod report;
--- a/lentilcart_bench/tests/testsuite/main.rs
+++ b/lentilcart_bench/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod examples;
 mod load;
+mod model;
 mod scenarios;
 mod script;
 mod whole_path;
--- a/lentilcart_route/src/pool/config.rs
+++ b/lentilcart_route/src/pool/config.rs
@@ -14,7 +14,8 @@
     pub data_center: Name,
     /// Requests beyond its slots that a server may be given.
     pub overcommit: u32,
-    /// Slots of each server that are left free, since servers slow down when they are nearly full.
+    /// Slots of each server that are left free while requests wait for long, since servers slow down when
+    /// they are nearly full.
     pub reserve: u32,
     /// Slots of each server in another data centre that are left to the requests of that one (trunk
     /// reservation): in an overload, requests would otherwise only change places.
--- a/lentilcart_route/src/pool/pool.rs
+++ b/lentilcart_route/src/pool/pool.rs
@@ -14,6 +14,17 @@
 /// Time of work that is reckoned with before the first answer, in microseconds.
 const FIRST_WORK: f64 = 50_000.0;
 const MEAN_WEIGHT: f64 = 0.02;
+/// Waiting requests for each server of the own data centre, from which and down to which slots are
+/// reserved.
+const PRESSED_FROM: f64 = 2.5;
+const PRESSED_LEAST: f64 = 0.5;
+/// Servers of the own data centre from which slots are reserved: among fewer, a free slot is too often the
+/// only one.
+const RESERVE_SERVERS: f64 = 8.0;
+/// Answers after which the usual time of work is known well.
+const SETTLED: u64 = 50;
+/// Usual times of work that the work of a request counts for at most.
+const STRAGGLER: f64 = 2.0;
 const TYPICAL_QUANTILE: f64 = 0.5;
 
 /// What one entry knows of a service's servers, and the requests it gave them.
@@ -30,6 +41,8 @@
     work: f64,
     answers: u64,
     turn: u64,
+    /// Whether requests wait for long.
+    pressed: bool,
     rng: Rng,
     open: Vec<usize>,
 }
@@ -50,6 +63,7 @@
             work: FIRST_WORK,
             answers: 0,
             turn: 0,
+            pressed: false,
             rng: seeded(seed),
             open: Vec::new(),
             config,
@@ -218,15 +232,14 @@
         let Some(row) = self.rows.get_mut(server) else {
             return Vec::new();
         };
-        let Some(took) = row.finish(now, job) else {
+        let Some(attempt) = row.finish(job) else {
             return Vec::new();
         };
+        let took = now - attempt.started;
         match outcome {
             Outcome::Answered { load } => {
-                let slowness = row.get_slowness(now);
                 row.answer(now, took, load, self.config.overcommit);
-                let slowness = f64::midpoint(slowness, row.get_slowness(now));
-                self.learn_work(took, slowness);
+                self.learn_work(took, attempt.times);
                 self.hedger.record(now, took);
                 self.retries.deposit(self.config.retry.ratio);
                 self.mean += MEAN_WEIGHT * (took.0 as f64 - self.mean);
@@ -253,6 +266,13 @@
         self.drain(now)
     }
 
+    /// Begins a request anew that is about to be sent, by what is known of its server now.
+    pub fn confirm(&mut self, now: Micros, job: u64, server: usize) {
+        if let Some(row) = self.rows.get_mut(server) {
+            row.start(now, job, self.work);
+        }
+    }
+
     /// Withdraws a request that still waits; returns whether it did.
     pub fn withdraw(&mut self, job: u64) -> bool {
         self.queue.remove(job)
@@ -272,19 +292,6 @@
         self.start(now, job)
     }
 
-    /// Moves a request that was started, but not sent yet, to the server that is best by what is known
-    /// now; returns it where it is another one.
-    pub fn rechoose(
-        &mut self,
-        now: Micros,
-        job: &Job,
-        server: usize,
-    ) -> Option<(usize, Vec<Step>)> {
-        let chosen = self.start(now, job)?;
-        self.rows.get_mut(server)?.finish(now, job.id);
-        (chosen != server).then(|| (chosen, self.drain(now)))
-    }
-
     /// Records whether a hedge answered before the first attempt.
     pub fn settle_hedge(&mut self, won: bool) {
         self.hedger.settle(won);
@@ -308,6 +315,23 @@
 
 /// Load measurement.
 impl Pool {
+    /// Returns the servers to ask about their load since requests wait: those with room whose report is
+    /// older than `age`. Only servers of the own data centre are asked.
+    #[must_use]
+    pub fn get_doubtful(&self, now: Micros, age: Micros) -> Vec<std::net::SocketAddr> {
+        if self.queue.len() == 0 {
+            return Vec::new();
+        }
+        let is_doubtful = |row: &&Row| {
+            row.listed
+                && row.config.data_center == self.config.data_center
+                && self.has_room(now, row)
+                && row.get_report_age(now).is_none_or(|old| old >= age)
+        };
+        let rows = self.rows.iter().filter(is_doubtful);
+        rows.map(|row| row.config.address).collect()
+    }
+
     /// Returns the servers to probe now; each call spends the budget of the probes it returns.
     pub fn take_probes(&mut self, now: Micros) -> Vec<usize> {
         if self.config.policy.source != Source::Probes {
@@ -360,12 +384,19 @@
         }
     }
 
-    /// Learns how long work takes from an answer of a server of some slowness.
-    fn learn_work(&mut self, took: Micros, slowness: f64) {
+    /// Learns how long work takes at an idle server of the usual speed, from an answer that was expected to
+    /// take some times as long.
+    fn learn_work(&mut self, took: Micros, times: f64) {
         self.answers += 1;
-        // A plain mean until there are enough answers.
+        // A plain mean until there are enough answers; then a straggler counts as a slow answer.
         let weight = MEAN_WEIGHT.max(1.0 / self.answers as f64);
-        self.work += weight * (took.0 as f64 / slowness - self.work);
+        let most = if self.answers > SETTLED {
+            self.work * STRAGGLER
+        } else {
+            f64::MAX
+        };
+        let sample = (took.0 as f64 / times.max(1.0)).min(most);
+        self.work += weight * (sample - self.work);
     }
 
     /// Records that a server did not answer a question about its load.
@@ -426,24 +457,48 @@
         if ahead == 0 {
             return false;
         }
-        let limit = |row: &Row| row.get_limit(now, &self.config);
+        let limit = |row: &Row| self.get_limit(now, row);
         let slots: u32 = self.rows.iter().map(limit).sum();
         let wait = Micros((ahead as f64 * self.mean / f64::from(slots.max(1))) as u64);
         now + wait > self.get_latest(job, self.get_typical())
     }
 
-    /// Starts waiting requests while a server is open, and refuses those that waited too long.
+    /// Starts waiting requests while a server has room.
     fn drain(&mut self, now: Micros) -> Vec<Step> {
         let mut steps = Vec::new();
-        while self.queue.len() > 0 && self.is_any_open(now) {
-            match self.pop_next(now) {
-                None => break,
-                Some(job) => steps.extend(self.begin(now, &job)),
-            }
+        self.note_pressure();
+        if self.queue.len() == 0 {
+            return steps;
+        }
+        let mut room = self.get_room(now);
+        while self.queue.len() > 0 && !room.is_empty() {
+            let Some(job) = self.pop_next(now, &room) else {
+                break;
+            };
+            steps.extend(self.begin(now, &job));
+            room = self.get_room(now);
         }
         steps
     }
 
+    /// Returns the servers that have room, with the time that one more request would take there in
+    /// microseconds: in an overload many requests are looked at for few of them.
+    fn get_room(&self, now: Micros) -> Vec<(usize, f64)> {
+        let rows = self.rows.iter().enumerate();
+        let open = rows.filter(|(_, row)| {
+            let near = row.config.data_center == self.config.data_center;
+            let reserved = if near { 0 } else { self.config.far_reserve };
+            self.get_load(now, row) + reserved < self.get_limit(now, row)
+        });
+        open.map(|(index, row)| (index, row.get_expected(now, self.work) * self.work))
+            .collect()
+    }
+
+    /// Starts waiting requests that can be started now.
+    pub fn wake(&mut self, now: Micros) -> Vec<Step> {
+        self.drain(now)
+    }
+
     /// Refuses requests that have waited too long.
     fn expire(&mut self, now: Micros) -> Vec<Step> {
         let mut steps = Vec::new();
@@ -457,13 +512,22 @@
         steps
     }
 
-    fn pop_next(&mut self, now: Micros) -> Option<Job> {
+    /// Removes and returns the next request that one of some servers may take.
+    fn pop_next(&mut self, now: Micros, room: &[(usize, f64)]) -> Option<Job> {
+        let least = self.get_least(now);
+        let fastest = room.iter().map(|(_, took)| *took).fold(f64::MAX, f64::min);
+        let is_open = |pool: &Self, job: &Job| {
+            let bound = pool.get_bound(now, job, least);
+            let mut room = room.iter();
+            fastest <= bound && room.any(|&(at, _)| pool.is_row_open(now, job, at, bound))
+        };
         if self.config.policy.source != Source::Reports {
-            return self.pop(|pool, job| pool.is_open(now, job));
+            return self.pop(is_open);
         }
-        let typical = self.get_typical();
+        let is_known = self.answers > SETTLED;
+        let work = Micros(if is_known { self.work as u64 } else { 0 });
         let mut queue = std::mem::take(&mut self.queue);
-        let job = queue.pop_prompt(now, typical, |job| self.is_open(now, job));
+        let job = queue.pop_prompt(now, work, |job| is_open(self, job));
         self.queue = queue;
         job
     }
@@ -482,13 +546,11 @@
         })
     }
 
-    fn is_any_open(&self, now: Micros) -> bool {
-        self.rows
-            .iter()
-            .any(|row| self.get_load(now, row) < row.get_limit(now, &self.config))
+    fn has_room(&self, now: Micros, row: &Row) -> bool {
+        self.get_load(now, row) < self.get_limit(now, row)
     }
 
-    fn is_row_open(&self, now: Micros, job: &Job, index: usize) -> bool {
+    fn is_row_open(&self, now: Micros, job: &Job, index: usize, bound: f64) -> bool {
         let row = &self.rows[index];
         let untried = !job.tried.contains(&index);
         let trusted = !job.once || row.phase != Phase::Probation;
@@ -498,7 +560,60 @@
         } else {
             self.config.far_reserve
         };
-        self.get_load(now, row) + reserved < row.get_limit(now, &self.config) && untried && trusted
+        let has_room = self.get_load(now, row) + reserved < self.get_limit(now, row);
+        let is_fast = bound == f64::MAX || row.get_expected(now, self.work) * self.work <= bound;
+        has_room && untried && trusted && is_fast
+    }
+
+    /// Returns the longest time that a server may take for a request, in microseconds; the request is kept
+    /// for a faster one otherwise. `least` is the time at the fastest server, free or not.
+    ///
+    /// How long work takes is settled as it begins, so that a request at a slow server is late and
+    /// takes a slot for several times as long: in an overload, such requests take most slots.
+    fn get_bound(&self, now: Micros, job: &Job, least: f64) -> f64 {
+        let left = (job.objective - now).0 as f64;
+        let whole = (job.objective - job.arrived).0 as f64;
+        match () {
+            () if self.config.policy.source != Source::Reports => f64::MAX,
+            () if least < left => left,
+            // It is late already, and must not make others late.
+            () if least <= whole => whole,
+            () => f64::MAX,
+        }
+    }
+
+    /// Returns the time that a request would take at the fastest server if that had nothing else to do, in
+    /// microseconds.
+    fn get_least(&self, now: Micros) -> f64 {
+        let usable = |row: &&Row| self.get_limit(now, row) > 0;
+        let rows = self.rows.iter().filter(usable);
+        let slowness = rows.map(|row| row.get_slowness(now));
+        slowness.fold(f64::MAX, f64::min) * self.work
+    }
+
+    /// Returns how many requests a server may have at once.
+    fn get_limit(&self, now: Micros, row: &Row) -> u32 {
+        let limit = row.get_limit(now, &self.config);
+        if self.pressed {
+            let kept = row.config.slots.saturating_sub(self.config.reserve);
+            limit.min(kept.max(1))
+        } else {
+            limit
+        }
+    }
+
+    /// Notices whether requests wait for long: servers answer more of them when a slot stays free, since
+    /// they slow down when they are nearly full, while the last slot answers a few of them sooner.
+    fn note_pressure(&mut self) {
+        let near = |row: &&Row| row.listed && row.config.data_center == self.config.data_center;
+        let servers = self.rows.iter().filter(near).count() as f64;
+        let waiting = self.queue.len() as f64;
+        let share = if self.pressed {
+            PRESSED_LEAST
+        } else {
+            PRESSED_FROM
+        };
+        self.pressed = servers >= RESERVE_SERVERS && waiting > servers * share;
     }
 
     /// Returns the requests at a server that count against its limit.
@@ -512,13 +627,16 @@
     }
 
     fn is_open(&self, now: Micros, job: &Job) -> bool {
-        (0..self.rows.len()).any(|index| self.is_row_open(now, job, index))
+        let bound = self.get_bound(now, job, self.get_least(now));
+        (0..self.rows.len()).any(|index| self.is_row_open(now, job, index, bound))
     }
 
     fn start(&mut self, now: Micros, job: &Job) -> Option<usize> {
         let mut open = std::mem::take(&mut self.open);
         open.clear();
-        open.extend((0..self.rows.len()).filter(|&index| self.is_row_open(now, job, index)));
+        let bound = self.get_bound(now, job, self.get_least(now));
+        let rows = 0..self.rows.len();
+        open.extend(rows.filter(|&index| self.is_row_open(now, job, index, bound)));
         let picked = (!open.is_empty()).then(|| {
             let mut choice = Choice {
                 rows: &self.rows,
@@ -538,7 +656,7 @@
         self.open = open;
         self.turn += 1;
         if let Some(server) = picked {
-            self.rows[server].attempts.push((job.id, now));
+            self.rows[server].start(now, job.id, self.work);
         }
         picked
     }
--- a/lentilcart_route/src/pool/row.rs
+++ b/lentilcart_route/src/pool/row.rs
@@ -10,6 +10,9 @@
 const PROBE_BURST: f64 = 2.0;
 /// Shortest time constant with which a report of requests loses its meaning.
 const QUEUE_MEMORY: Micros = Micros::from_millis(60);
+/// Time constant with which the requests of others are forgotten, in usual work times: those that end
+/// are followed by others, as long as there is much to do.
+const OTHERS_MEMORY: f64 = 3.0;
 /// Time constant with which a report of speed loses its meaning; noise changes about as often.
 const SPEED_MEMORY: Micros = Micros::from_millis(225);
 /// Slowness that is expected of a server without a fresh report.
@@ -37,8 +40,8 @@
     pub(crate) phase: Phase,
     /// Whether the ticket still names the server.
     pub(crate) listed: bool,
-    /// Requests of this entry under way there, with their start.
-    pub(crate) attempts: Vec<(u64, Micros)>,
+    /// Requests of this entry under way there.
+    pub(crate) attempts: Vec<Attempt>,
     /// Requests of other entries under way there, with the age of that knowledge.
     pub(crate) peers: Map<Name, (u32, Micros)>,
     /// Load by the server's own report.
@@ -58,6 +61,15 @@
     pub(crate) bytes: Bucket,
 }
 
+/// A request under way at a server.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Attempt {
+    pub(crate) job: u64,
+    pub(crate) started: Micros,
+    /// Time that it was expected to take, in usual work times.
+    pub(crate) times: f64,
+}
+
 /// What a server told of its load.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Report {
@@ -139,7 +151,7 @@
     pub fn get_others(&self, now: Micros, work: f64) -> f64 {
         self.report.map_or(0.0, |report| {
             let others = report.load.get_requests().saturating_sub(report.own);
-            let memory = QUEUE_MEMORY.max(Micros(work as u64));
+            let memory = QUEUE_MEMORY.max(Micros((work * OTHERS_MEMORY) as u64));
             f64::from(others) * get_freshness(now - report.at, memory)
         })
     }
@@ -204,7 +216,7 @@
         let overdue = self
             .attempts
             .iter()
-            .filter(|(_, started)| now - *started > limit);
+            .filter(|attempt| now - attempt.started > limit);
         overdue.count() as u32
     }
 
@@ -221,10 +233,7 @@
     #[must_use]
     pub fn get_limit(&self, now: Micros, config: &PoolConfig) -> u32 {
         let full = match (config.policy.late, self.limit) {
-            (true, limit) => {
-                let slots = limit.round().max(1.0) as u32 + config.overcommit;
-                slots.saturating_sub(config.reserve).max(1)
-            }
+            (true, limit) => limit.round().max(1.0) as u32 + config.overcommit,
             (false, _) => config.connections,
         };
         let limit = match self.phase {
@@ -240,11 +249,21 @@
         limit.min(config.connections)
     }
 
-    /// Removes an attempt and returns how long it took.
-    pub(crate) fn finish(&mut self, now: Micros, job: u64) -> Option<Micros> {
-        let at = self.attempts.iter().position(|(id, _)| *id == job)?;
-        let (_, started) = self.attempts.swap_remove(at);
-        Some(now - started)
+    /// Adds an attempt, or begins one anew with what is known now.
+    pub(crate) fn start(&mut self, now: Micros, job: u64, work: f64) {
+        self.finish(job);
+        let attempt = Attempt {
+            job,
+            started: now,
+            times: self.get_expected(now, work),
+        };
+        self.attempts.push(attempt);
+    }
+
+    /// Removes an attempt.
+    pub(crate) fn finish(&mut self, job: u64) -> Option<Attempt> {
+        let at = self.attempts.iter().position(|other| other.job == job)?;
+        Some(self.attempts.swap_remove(at))
     }
 
     /// Records an answer, and follows the server's real slots: the limit falls while the server
--- a/lentilcart_route/src/queue/mod.rs
+++ b/lentilcart_route/src/queue/mod.rs
@@ -24,9 +24,12 @@
         self.len
     }
 
+    /// Adds a request at its place by arrival; one that comes back keeps the place that it had.
     pub(crate) fn push(&mut self, job: Job) {
         self.len += 1;
-        self.levels[usize::from(job.priority).min(PRIORITIES - 1)].push_back(job);
+        let level = &mut self.levels[usize::from(job.priority).min(PRIORITIES - 1)];
+        let earlier = level.iter().rposition(|other| other.arrived <= job.arrived);
+        level.insert(earlier.map_or(0, |at| at + 1), job);
     }
 
     /// Returns how many requests are served before one of this priority.
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -72,31 +72,6 @@
         Some(Lease::of_desk(self.clone(), job.id, server))
     }
 
-    /// Gives a request that was not sent yet the server that is best by what is known now.
-    pub(crate) fn rechoose(self: &Arc<Self>, job: &Job, lease: Lease) -> Lease {
-        let Some(server) = lease.get_server() else {
-            return lease;
-        };
-        let moved = {
-            let mut state = self.lock();
-            let now = self.clock.now();
-            state
-                .pool
-                .rechoose(now, job, server)
-                .map(|(server, steps)| {
-                    state.apply(now, steps);
-                    server
-                })
-        };
-        match moved {
-            Some(server) => {
-                lease.forget();
-                Lease::of_desk(self.clone(), job.id, server)
-            }
-            None => lease,
-        }
-    }
-
     pub(crate) fn tick(&self) {
         let mut state = self.lock();
         let now = self.clock.now();
@@ -109,7 +84,7 @@
         let mut state = self.lock();
         let now = self.clock.now();
         let result = run(&mut state.pool, now);
-        let steps = state.pool.tick(now);
+        let steps = state.pool.wake(now);
         state.apply(now, steps);
         result
     }
--- a/src/entry/lease.rs
+++ b/src/entry/lease.rs
@@ -131,11 +131,6 @@
         }
     }
 
-    /// Drops the lease of an attempt that its pool does not count any more.
-    pub(crate) fn forget(mut self) {
-        self.ended = true;
-    }
-
     /// Ends the attempt.
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.settle(outcome);
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -3,17 +3,17 @@
 //! How long work takes at a server is settled as it begins, and may have changed since its last
 //! report: a question that is answered at once costs less than a request that starts at a slow server.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-use lentilcart_route::{Job, Refusal as Denial};
+use lentilcart_route::{Job, Outcome, Refusal as Denial};
+use lentilcart_util::Name;
 
 use super::gateway::Gateway;
 use super::probe::{Asked, probe};
 use crate::entry::{Desk, Lease};
 
 /// Servers that are asked for one request at most; after that, the last one is taken.
-const MOST_ASKED: u32 = 4;
+const MOST_ASKED: u32 = 12;
 /// How many times longer than expected the work at a server has to be, for another to be taken.
 const SLOWER: f64 = 1.25;
 
@@ -53,16 +53,34 @@
             job.tried.push(server);
         }
         if is_silent || after > before * SLOWER {
-            let address: SocketAddr = lease.address;
-            lease = desk.rechoose(&job, lease);
-            if lease.address == address {
-                break;
-            }
+            // The request goes back to its place in the queue, and gets the best server then.
+            lease.end(Outcome::Cancelled);
+            lease = desk.acquire(job.clone()).await?;
         }
     }
+    if let Some(server) = lease.get_server() {
+        desk.with(|pool, now| pool.confirm(now, job.id, server));
+    }
     Ok(lease)
 }
 
+/// Asks the servers that waiting requests might get, since they may have become fast.
+pub(crate) fn ask_doubtful(gateway: &Arc<Gateway>, desk: &Arc<Desk>, path: &Name) {
+    let settings = gateway.settings.load();
+    let (age, wait) = (settings.servers.wait_check, settings.servers.probe_wait);
+    for address in desk.look(|pool| pool.get_doubtful(desk.get_time(), age)) {
+        let asked = Asked {
+            desk: desk.clone(),
+            address,
+            path: path.clone(),
+        };
+        let shared = gateway.clone();
+        gateway
+            .tasks
+            .spawn(async move { probe(&shared, &asked, wait).await });
+    }
+}
+
 /// Asks a server; the answer of one that takes longer than `wait` is awaited by another task.
 async fn is_silent(gateway: &Arc<Gateway>, asked: Asked, wait: std::time::Duration) -> bool {
     let shared = gateway.clone();
--- a/src/gateway/desks.rs
+++ b/src/gateway/desks.rs
@@ -19,14 +19,14 @@
 use super::gateway::Gateway;
 use crate::entry::{Desk, Lease};
 
-/// Time in which a desk must say anything: some round trips inside a data centre.
-const ASK_WAIT: Duration = Duration::from_millis(40);
+/// Time in which a desk must say anything: some pauses of a host that has a quarter of a core.
+const ASK_WAIT: Duration = Duration::from_millis(100);
 /// Time after which a desk says that a request waits: within `ASK_WAIT`, with room for the way.
 const QUEUED_AFTER: Duration = Duration::from_millis(15);
-/// Longest wait for a desk that has a request in its queue.
-const QUEUE_WAIT: Duration = Duration::from_secs(1);
+/// Time after which a desk that has a request in its queue is asked whether it still has it.
+const QUEUE_WAIT: Duration = Duration::from_millis(300);
 /// Time for which a desk that did not answer is not asked.
-const DOUBT: Micros = Micros::from_millis(1000);
+const DOUBT: Micros = Micros::from_millis(500);
 /// Time after a request's deadline at which its server counts as free, if nobody has said so.
 const LEASE_SLACK: Micros = Micros::from_millis(1000);
 
@@ -89,12 +89,24 @@
     if let Some(owner) = get_owner(gateway, &desk.service)
         && let Some(told) = question(gateway, owner, &ask).await
     {
-        return told.map(|granted| borrow(gateway, desk, owner, ask.id, granted));
+        let lease = told.map(|granted| borrow(gateway, desk, owner, ask.id, granted))?;
+        if is_in_use(gateway, &lease.id) {
+            return Ok(lease);
+        }
+        log::info!(owner:% = owner, server:% = lease.id; "granted server is not in use");
+        lease.end(Outcome::Cancelled);
     }
     let now = gateway.clock.now();
     acquire_checked(gateway, desk, get_job(desk, &ask, now)).await
 }
 
+/// Returns whether a server may get new work by what this entry knows: a desk that is cut off from the
+/// store hears later of servers that leave.
+fn is_in_use(gateway: &Gateway, server: &Name) -> bool {
+    let directory = gateway.directory();
+    directory.get(server).is_some_and(|row| !row.leaving)
+}
+
 /// Returns the entry to ask, or `None` where this one decides.
 pub(crate) fn get_owner(gateway: &Gateway, service: &Name) -> Option<SocketAddr> {
     let settings = gateway.settings.load();
@@ -102,22 +114,21 @@
         return None;
     }
     let now = gateway.clock.now();
-    let address = {
-        let members = gateway.members();
-        let live = members.get_live(now);
-        let is_near = |name: &&Name| {
-            let row = members.get(name);
-            row.is_some_and(|row| row.data_center == settings.data_center)
-        };
-        let ranked = rendezvous(service, live.into_iter().filter(is_near), 1);
-        members.get(ranked.first()?)?.peer
-    };
+    let members = gateway.members();
     let desks = gateway.desks();
-    let doubted = desks
-        .doubted
-        .get(&address)
-        .is_some_and(|until| *until > now);
-    (address != settings.listen.peer && !doubted).then_some(address)
+    let is_candidate = |name: &&Name| {
+        let row = members.get(name);
+        row.is_some_and(|row| {
+            let doubt = desks.doubted.get(&row.peer);
+            let is_doubted = doubt.is_some_and(|until| *until > now);
+            row.data_center == settings.data_center && !is_doubted
+        })
+    };
+    // While one is silent, all go to the same next one.
+    let live = members.get_live(now).into_iter().filter(is_candidate);
+    let ranked = rendezvous(service, live, 1);
+    let address = members.get(ranked.first()?)?.peer;
+    (address != settings.listen.peer).then_some(address)
 }
 
 /// Asks another entry for a server; returns `None` where it does not answer.
@@ -132,24 +143,30 @@
     let question = Question { gateway, owner, id };
     gateway.post(&Gram::Ask(ask.clone()), owner);
     let mut ended = timeout(ASK_WAIT, &mut answer).await;
-    let is_queued = gateway
-        .desks()
-        .asked
-        .get(&id)
-        .is_some_and(|asked| asked.queued);
-    if ended.is_err() && is_queued {
+    while ended.is_err() && is_queued(gateway, id) {
         ended = timeout(QUEUE_WAIT, &mut answer).await;
+        if ended.is_err() {
+            gateway.post(&Gram::Ask(ask.clone()), owner);
+            ended = timeout(ASK_WAIT, &mut answer).await;
+        }
     }
     drop(question);
     if ended.is_err() {
         let until = gateway.clock.now() + DOUBT;
         gateway.desks().doubted.insert(owner, until);
-        log::info!(owner:% = owner, id, queued = is_queued; "desk does not answer");
+        log::info!(owner:% = owner, id; "desk does not answer");
         metrics::counter!("lentilcart_desk_silent_total").increment(1);
     }
     ended.ok()?.ok()
 }
 
+/// Returns whether the desk has said that a request waits, since this was asked last.
+fn is_queued(gateway: &Gateway, id: u64) -> bool {
+    let mut desks = gateway.desks();
+    let asked = desks.asked.get_mut(&id);
+    asked.is_some_and(|asked| std::mem::take(&mut asked.queued))
+}
+
 fn borrow(
     gateway: &Arc<Gateway>,
     desk: &Arc<Desk>,
@@ -190,8 +207,20 @@
     }
 }
 
-/// Answers another entry's question for a server.
+/// Answers another entry's question for a server, or one that is asked again.
 pub(crate) fn lend(gateway: &Arc<Gateway>, asker: SocketAddr, ask: Ask) {
+    let known = {
+        let desks = gateway.desks();
+        let lent = desks.lent.get(&(asker, ask.id));
+        lent.map(|lent| match &lent.lease {
+            Some(lease) => get_grant(ask.id, lease),
+            None => Gram::Queued(ask.id),
+        })
+    };
+    if let Some(answer) = known {
+        gateway.post(&answer, asker);
+        return;
+    }
     let Some(desk) = gateway.get_view().desks.get(&ask.service).cloned() else {
         let id = ask.id;
         gateway.post(
@@ -230,12 +259,7 @@
             }
         };
         let answer = match &acquired {
-            Ok(lease) => Gram::Grant {
-                id,
-                address: lease.address,
-                instance: lease.id.clone(),
-                hedge_after: lease.hedge_after,
-            },
+            Ok(lease) => get_grant(id, lease),
             Err(denial) => Gram::Deny {
                 id,
                 no_server: *denial == Denial::NoServer,
@@ -254,6 +278,15 @@
     });
 }
 
+fn get_grant(id: u64, lease: &Lease) -> Gram {
+    Gram::Grant {
+        id,
+        address: lease.address,
+        instance: lease.id.clone(),
+        hedge_after: lease.hedge_after,
+    }
+}
+
 /// Takes an answer to a question of this entry.
 pub(crate) fn take_answer(gateway: &Gateway, owner: SocketAddr, gram: Gram) {
     let (id, told) = match gram {
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -3,6 +3,7 @@
 
 use lentilcart_util::Micros;
 
+use super::check::ask_doubtful;
 use super::desks::sweep;
 use super::gateway::Gateway;
 use crate::ops::upkeep;
@@ -43,8 +44,11 @@
             gateway.relist.notify_waiters();
         }
         let view = gateway.get_view();
-        for desk in view.desks.values() {
+        for (service, desk) in &view.desks {
             desk.tick();
+            if let Some(rules) = view.table.services.get(service) {
+                ask_doubtful(&gateway, desk, &rules.health_path);
+            }
         }
         gateway.tick_directory();
         if looked.elapsed() >= RARE {
--- a/src/settings/file.rs
+++ b/src/settings/file.rs
@@ -161,6 +161,9 @@
     /// Time in which it must answer then; otherwise another server is taken.
     #[serde_as(as = "Span")]
     pub check_wait: Micros,
+    /// Age of a server's last report from which it is asked while requests wait for a server.
+    #[serde_as(as = "Span")]
+    pub wait_check: Micros,
 }
 
 impl Default for ServerSettings {
@@ -171,8 +174,8 @@
             connect: Micros::from_millis(300),
             idle: Micros::from_millis(4000),
             idle_once: Micros::from_millis(150),
-            overcommit: 1,
-            reserve: 0,
+            overcommit: 0,
+            reserve: 1,
             far_reserve: 1,
             far_cost: 0.25,
             hedge: 0.05,
@@ -180,6 +183,7 @@
             probe_wait: Micros::from_millis(250),
             check_age: Micros::from_millis(10),
             check_wait: Micros::from_millis(25),
+            wait_check: Micros::from_millis(40),
         }
     }
 }
