--- a/lentilcart_bench/src/model/mod.rs
+++ b/lentilcart_bench/src/model/mod.rs
@@ -6,4 +6,4 @@
 mod server;
 
 pub use self::model::{Load, Tally, World, play};
-pub use self::server::ServerModel;
+pub use self::server::{ServerModel, Taken};
--- a/lentilcart_bench/src/model/model.rs
+++ b/lentilcart_bench/src/model/model.rs
@@ -2,13 +2,15 @@
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 
-use lentilcart_route::{Job, Outcome, Pool, PoolConfig, ServerConfig, Step, get_policy};
+use lentilcart_route::{
+    Job, MOST_ASKED, Outcome, Pool, PoolConfig, ServerConfig, Step, get_policy, has_turned_slow,
+};
 use lentilcart_util::{Map, Micros, Rng, seeded};
 use rand::RngExt;
 use rand_distr::{Distribution, Exp, LogNormal};
 use serde::Serialize;
 
-use super::server::ServerModel;
+use super::server::{ServerModel, Taken};
 
 /// Way between the desk and a server.
 const WAY: Micros = Micros(700);
@@ -19,8 +21,6 @@
 const SPREAD: f64 = 0.3;
 const STRAGGLERS: f64 = 0.03;
 const STRAGGLER_TIMES: f64 = 7.0;
-const MOST_ASKED: u32 = 12;
-const SLOWER: f64 = 1.25;
 
 /// What the servers are like, and how the desk is set.
 #[derive(Debug, Clone, Copy)]
@@ -236,7 +236,7 @@
         let Some(request) = self.requests.get(&job) else {
             return;
         };
-        if after <= request.before * SLOWER {
+        if !has_turned_slow(request.before, after) {
             return self.send(now, job, server);
         }
         let again = request.job.clone();
@@ -250,9 +250,9 @@
             return;
         };
         match self.servers[server].take(now, job, request.work) {
-            Ok(Some(ends)) => self.add(ends, Event::End(job, server)),
-            Ok(None) => {}
-            Err(()) => {
+            Taken::Begun(ends) => self.add(ends, Event::End(job, server)),
+            Taken::Waits => {}
+            Taken::Full => {
                 let again = request.job.clone();
                 let load = Some(self.servers[server].report(now));
                 let mut steps = self.pool.settle(now, job, server, Outcome::Full { load });
--- a/lentilcart_bench/src/model/server.rs
+++ b/lentilcart_bench/src/model/server.rs
@@ -16,6 +16,17 @@
 /// Mean time between two changes of the neighbours.
 const NOISE_EVERY: Micros = Micros::from_millis(300);
 
+/// What a server does with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// It runs, and ends at this time.
+    Begun(Micros),
+    /// It waits.
+    Waits,
+    /// The server is full; it does not run.
+    Full,
+}
+
 /// A server that shares its machine with others: how long work takes is settled as it begins.
 #[derive(Debug)]
 pub struct ServerModel {
@@ -41,20 +52,16 @@
         }
     }
 
-    /// Takes a request; returns when it ends, if it begins at once.
-    ///
-    /// # Errors
-    ///
-    /// Fails where the server is full; the request did not run.
-    pub fn take(&mut self, now: Micros, job: u64, work: Micros) -> Result<Option<Micros>, ()> {
-        if self.running < SLOTS {
-            return Ok(Some(self.begin(now, work)));
-        }
-        if self.waiting.len() >= QUEUE {
-            return Err(());
+    /// Takes a request.
+    pub fn take(&mut self, now: Micros, job: u64, work: Micros) -> Taken {
+        match () {
+            () if self.running < SLOTS => Taken::Begun(self.begin(now, work)),
+            () if self.waiting.len() >= QUEUE => Taken::Full,
+            () => {
+                self.waiting.push_back((job, work));
+                Taken::Waits
+            }
         }
-        self.waiting.push_back((job, work));
-        Ok(None)
     }
 
     /// Ends a request; returns the one that begins in its place, and when that ends.
--- a/lentilcart_route/src/lib.rs
+++ b/lentilcart_route/src/lib.rs
@@ -27,5 +27,6 @@
 pub use self::limits::{Bucket, EjectLimits, Hedger, LoadBudget, RetryLimits};
 pub use self::policy::{Choice, POLICIES, Policy, Source, get_policy, get_policy_names};
 pub use self::pool::{
-    Job, Load, Outcome, Phase, Pool, PoolConfig, Refusal, Row, RowView, ServerConfig, Share, Step,
+    Job, Load, MOST_ASKED, Outcome, Phase, Pool, PoolConfig, Refusal, Row, RowView, ServerConfig,
+    Share, Step, has_turned_slow,
 };
--- a/lentilcart_route/src/pool/mod.rs
+++ b/lentilcart_route/src/pool/mod.rs
@@ -1,5 +1,6 @@
 //! The servers of a service and the requests given to them.
 
+mod check;
 mod config;
 mod job;
 mod phase;
@@ -7,6 +8,7 @@
 mod pool;
 mod row;
 
+pub use self::check::{MOST_ASKED, has_turned_slow};
 pub use self::config::{PoolConfig, ServerConfig, Share};
 pub use self::job::{Job, Load, Outcome, Refusal, Step};
 pub use self::phase::Phase;
--- a/lentilcart_route/src/pool/pool.rs
+++ b/lentilcart_route/src/pool/pool.rs
@@ -194,6 +194,13 @@
         times * self.work
     }
 
+    /// Returns whether there is a server in use that a request was not sent to.
+    #[must_use]
+    pub fn has_untried(&self, now: Micros, job: &Job) -> bool {
+        let mut rows = self.rows.iter().enumerate();
+        rows.any(|(at, row)| self.get_limit(now, row) > 0 && !job.tried.contains(&at))
+    }
+
     /// Returns how long to wait for an answer before asking for a hedge.
     #[must_use]
     pub fn get_hedge_delay(&self) -> Option<Micros> {
@@ -561,8 +568,8 @@
             self.config.far_reserve
         };
         let has_room = self.get_load(now, row) + reserved < self.get_limit(now, row);
-        let is_fast = bound == f64::MAX || row.get_expected(now, self.work) * self.work <= bound;
-        has_room && untried && trusted && is_fast
+        let is_fast = || row.get_expected(now, self.work) * self.work <= bound;
+        has_room && untried && trusted && is_fast()
     }
 
     /// Returns the longest time that a server may take for a request, in microseconds; the request is kept
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -5,18 +5,13 @@
 
 use std::sync::Arc;
 
-use lentilcart_route::{Job, Outcome, Refusal as Denial};
+use lentilcart_route::{Job, MOST_ASKED, Outcome, Refusal as Denial, has_turned_slow};
 use lentilcart_util::Name;
 
 use super::gateway::Gateway;
 use super::probe::{Asked, probe};
 use crate::entry::{Desk, Lease};
 
-/// Servers that are asked for one request at most; after that, the last one is taken.
-const MOST_ASKED: u32 = 12;
-/// How many times longer than expected the work at a server has to be, for another to be taken.
-const SLOWER: f64 = 1.25;
-
 /// Gets a server of this entry's own desk; one whose last report is old is asked first.
 pub(crate) async fn acquire_checked(
     gateway: &Arc<Gateway>,
@@ -51,8 +46,12 @@
         let after = desk.look(|pool| pool.get_expected(desk.get_time(), server));
         if is_silent {
             job.tried.push(server);
+            // Where no server says anything, requests may fare better than questions.
+            if !desk.look(|pool| pool.has_untried(desk.get_time(), &job)) {
+                break;
+            }
         }
-        if is_silent || after > before * SLOWER {
+        if is_silent || has_turned_slow(before, after) {
             // The request goes back to its place in the queue, and gets the best server then.
             lease.end(Outcome::Cancelled);
             lease = desk.acquire(job.clone()).await?;
