feat(route): estimate the service time for each kind of request

One pool answers payments of 150 ms (objective 400 ms) and lookups of 880 ms (objective 4 s), and one base service time stood for both: about 430 ms, above the payments' objective even at the fastest server, so that no server was too slow for them, and slow servers were good enough for lookups. Ruled out: load alone (18 slots, about 5.5 busy at the usual speed); the queue's order (payments have the higher rank). Latency of a server is compared in base service times. Old entries send no objective and share the pool's estimate.

--- a/lentilcart_bench/src/model/simulation.rs
+++ b/lentilcart_bench/src/model/simulation.rs
@@ -102,8 +102,8 @@
     phase: usize,
     /// Preflight probes sent for it so far; at most [`MAX_PREFLIGHT_PROBES`].
     probe_count: u32,
-    /// Expected latency at the chosen server before the last preflight probe, in microseconds.
-    latency_before: f64,
+    /// Expected latency at the chosen server before the last preflight probe, in base service times.
+    factor_before: f64,
 }
 
 /// State of a run of the discrete-event simulation.
@@ -212,7 +212,7 @@
             service_time: self.draw_service_time(),
             phase,
             probe_count: 0,
-            latency_before: 0.0,
+            factor_before: 0.0,
         };
         self.requests.insert(id, request);
         self.tallies[phase].sent += 1;
@@ -262,7 +262,7 @@
             && age.is_none_or(|age| age >= self.config.probe_age)
         {
             request.probe_count += 1;
-            request.latency_before = self.pool.get_current_latency(now, server);
+            request.factor_before = self.pool.get_current_latency_factor(now, server);
             self.tallies[request.phase].preflight_probes += 1;
             self.schedule(now + PROBE_DELAY, Event::PreflightReply(request_id, server));
         } else {
@@ -271,7 +271,10 @@
     }
 
     fn send(&mut self, now: Micros, request_id: u64, server: usize) {
-        self.pool.reset_attempt_start(now, request_id, server);
+        if let Some(request) = self.requests.get(&request_id) {
+            self.pool
+                .reset_attempt_start(now, &request.pending, server);
+        }
         self.schedule(
             now + ONE_WAY_LATENCY,
             Event::ReachServer(request_id, server),
@@ -283,11 +286,11 @@
     fn finish_preflight(&mut self, now: Micros, request_id: u64, server: usize) {
         let load = self.servers[server].report_load(now);
         self.pool.record_load_report(now, server, load);
-        let latency_after = self.pool.get_current_latency(now, server);
+        let factor_after = self.pool.get_current_latency_factor(now, server);
         let Some(request) = self.requests.get(&request_id) else {
             return;
         };
-        if !is_latency_much_higher(request.latency_before, latency_after) {
+        if !is_latency_much_higher(request.factor_before, factor_after) {
             return self.send(now, request_id, server);
         }
         let retry = request.pending.clone();
--- a/lentilcart_route/src/policy/pick_context.rs
+++ b/lentilcart_route/src/policy/pick_context.rs
@@ -29,8 +29,11 @@
     /// Mean latency over the pool, in microseconds; it starts at 0 and is too low for about the
     /// first 100 answers, so that requests then count as overdue too early.
     pub mean_latency: f64,
-    /// Estimated base service time, at an idle server with a slowdown factor of 1, in microseconds.
+    /// Estimated base service time over all answers, at an idle server with a slowdown factor of 1, in
+    /// microseconds.
     pub base_service_time: f64,
+    /// The same for requests of this kind.
+    pub service_time: f64,
     /// Time by which the request should be answered.
     pub objective: Micros,
     /// Source of randomness.
--- a/lentilcart_route/src/policy/pick_functions.rs
+++ b/lentilcart_route/src/policy/pick_functions.rs
@@ -91,7 +91,7 @@
         let remote = f64::from(u8::from(c.is_remote(index)));
         let failure_rate = state.get_failure_rate(c.now);
         let expected_latency = state.get_latency_factor(c.now, c.base_service_time)
-            * c.base_service_time
+            * c.service_time
             * (1.0 + failure_rate * FAILURE_COST);
         let remaining = (c.objective - c.now).0.max(MIN_REMAINING.0) as f64;
         let share = expected_latency / remaining;
--- a/lentilcart_route/src/pool/mod.rs
+++ b/lentilcart_route/src/pool/mod.rs
@@ -15,6 +15,7 @@
 mod server_phase;
 mod server_pool;
 mod server_state;
+mod service_times;
 
 pub use self::config::{PoolConfig, ServerConfig, Shard};
 pub use self::pending_request::{AttemptOutcome, Decision, LoadReport, PendingRequest, Rejection};
--- a/lentilcart_route/src/pool/pending_request.rs
+++ b/lentilcart_route/src/pool/pending_request.rs
@@ -20,6 +20,9 @@
     /// Time by which it should be answered (its latency objective); the deadline where the service
     /// has none.
     pub objective: Micros,
+    /// Latency objective of its kind of request, counted from the arrival; `None` for none. Requests
+    /// with the same one are taken to have the same base service time.
+    pub latency_objective: Option<Micros>,
     /// Data centre of the entry that sends it to the server, which may be another entry than that
     /// of the pool; `None` for the data centre of this entry.
     pub origin: Option<Name>,
@@ -39,6 +42,7 @@
             arrived,
             deadline,
             objective: deadline,
+            latency_objective: None,
             origin: None,
             excluded: Vec::new(),
         }
--- a/lentilcart_route/src/pool/server_pool.rs
+++ b/lentilcart_route/src/pool/server_pool.rs
@@ -1,6 +1,7 @@
 use lentilcart_util::{Micros, Name, Rng, seeded_rng};
 
 use super::server_state::PROBE_BYTES;
+use super::service_times::ServiceTimes;
 use super::{
     AttemptOutcome, Decision, LoadReport, PendingRequest, PoolConfig, Rejection, ServerConfig,
     ServerPhase, ServerState, ServerSummary, Shard,
@@ -13,9 +14,7 @@
 const MAX_EJECTION_DOUBLINGS: u32 = 5;
 /// Number of failures that an unanswered probe of either kind counts as.
 const PROBE_FAILURE_WEIGHT: u32 = 3;
-/// Base service time that is assumed before the first answer, in microseconds.
-const INITIAL_BASE_SERVICE_TIME: f64 = 50_000.0;
-/// Weight of the newest answer in the mean latency and in the base service time of the pool.
+/// Weight of the newest answer in the mean latency of the pool.
 const MEAN_WEIGHT: f64 = 0.02;
 /// Queued requests per server of this entry's data centre above which an overload starts, so that
 /// the limits of the servers are reduced.
@@ -25,10 +24,6 @@
 /// Smallest number of servers in this entry's data centre for which limits are reduced: among fewer
 /// servers, a free slot is too often the only one.
 const MIN_RESERVE_SERVERS: f64 = 8.0;
-/// Answers after which the estimate of the base service time is reliable.
-const MIN_ANSWERS: u64 = 50;
-/// Upper bound of a sample of the base service time, in multiples of the current estimate.
-const MAX_SAMPLE_FACTOR: f64 = 2.0;
 const MEDIAN: f64 = 0.5;
 
 /// Servers of one service as one entry knows them, the requests that it sent them, and the queue of
@@ -49,10 +44,8 @@
     /// too low for about the first 100 answers: too few requests are rejected for their wait, and
     /// outstanding requests count as overdue too early.
     mean_latency: f64,
-    /// Estimated base service time, at an idle server with a slowdown factor of 1, in microseconds.
-    base_service_time: f64,
-    /// Number of answers that the estimate of the base service time is based on.
-    answers: u64,
+    /// Estimated base service times, at an idle server with a slowdown factor of 1.
+    service_times: ServiceTimes,
     /// Number of earlier picks, also those that found no candidate.
     picks: u64,
     /// Whether the limit of each server is at most its slots less `PoolConfig::reserve`, since
@@ -77,8 +70,7 @@
             hedger: Hedger::new(config.retry.hedge, Micros::ZERO),
             shard: Shard::default(),
             mean_latency: 0.0,
-            base_service_time: INITIAL_BASE_SERVICE_TIME,
-            answers: 0,
+            service_times: ServiceTimes::new(),
             picks: 0,
             has_reduced_limits: false,
             rng: seeded_rng(seed),
@@ -213,23 +205,29 @@
         self.hedger.get_quantile(quantile)
     }
 
-    /// Returns the estimated base service time, at an idle server with a slowdown factor of 1;
-    /// `None` before the first answer.
+    /// Returns the estimated base service time over all answers, at an idle server with a slowdown
+    /// factor of 1; `None` before the first answer.
     #[must_use]
     pub fn get_base_service_time(&self) -> Option<Micros> {
-        (self.answers > 0).then_some(Micros(self.base_service_time as u64))
+        (self.service_times.get_answer_count() > 0)
+            .then_some(Micros(self.service_times.get_mean() as u64))
+    }
+
+    /// Returns the estimated base service time of requests with this latency objective.
+    #[must_use]
+    pub fn get_service_time(&self, latency_objective: Option<Micros>) -> Micros {
+        Micros(self.service_times.get_estimate(latency_objective) as u64)
     }
 
     /// Returns the latency that is expected now of a request that is already outstanding at the
-    /// server, in microseconds; 0 for an unknown server. Without an outstanding request, it is that
-    /// of the first one.
+    /// server, in base service times; 0 for an unknown server. Without an outstanding request, it is
+    /// that of the first one.
     #[must_use]
-    pub fn get_current_latency(&self, now: Micros, server: usize) -> f64 {
+    pub fn get_current_latency_factor(&self, now: Micros, server: usize) -> f64 {
         let state = self.states.get(server);
-        let latency_factor = state.map_or(0.0, |state| {
-            state.get_current_latency_factor(now, self.base_service_time)
-        });
-        latency_factor * self.base_service_time
+        state.map_or(0.0, |state| {
+            state.get_current_latency_factor(now, self.service_times.get_mean())
+        })
     }
 
     /// Returns whether any server that the request does not exclude accepts requests, that is, has
@@ -300,7 +298,9 @@
         match outcome {
             AttemptOutcome::Answered { load } => {
                 state.record_answer(now, elapsed, load, self.config.overcommit);
-                self.update_base_service_time(elapsed, attempt.latency_factor);
+                let kind = attempt.latency_objective;
+                self.service_times
+                    .record(kind, elapsed, attempt.latency_factor);
                 self.hedger.record_latency(now, elapsed);
                 self.retry_tokens.deposit(self.config.retry.ratio);
                 self.mean_latency += MEAN_WEIGHT * (elapsed.0 as f64 - self.mean_latency);
@@ -332,9 +332,10 @@
     /// Resets the start of an attempt that is about to be sent, after the preflight probes: its
     /// start time is now, and its expected latency follows from what is known of the server now.
     /// Adds the attempt if there is none.
-    pub fn reset_attempt_start(&mut self, now: Micros, request_id: u64, server: usize) {
+    pub fn reset_attempt_start(&mut self, now: Micros, request: &PendingRequest, server: usize) {
         if let Some(state) = self.states.get_mut(server) {
-            state.start_attempt(now, request_id, self.base_service_time);
+            let service_time = self.service_times.get_mean();
+            state.start_attempt(now, request.id, request.latency_objective, service_time);
         }
     }
 
@@ -488,6 +489,7 @@
         &mut self,
         now: Micros,
         elapsed: Micros,
+        latency_objective: Option<Micros>,
         outcome: &AttemptOutcome,
     ) {
         if let AttemptOutcome::Answered { load } = outcome {
@@ -496,25 +498,11 @@
             // The reported slowdown stands for the whole expected latency here: what a busy or full
             // server adds to it is left out.
             let reported = load.and_then(|load| load.slowdown);
-            self.update_base_service_time(elapsed, reported.unwrap_or(1.0).max(1.0));
+            self.service_times
+                .record(latency_objective, elapsed, reported.unwrap_or(1.0));
         }
     }
 
-    /// Updates the estimated base service time by an answer whose latency is expected to be
-    /// `latency_factor` base service times.
-    fn update_base_service_time(&mut self, elapsed: Micros, latency_factor: f64) {
-        self.answers += 1;
-        // A plain mean until there are enough answers; later, the sample of a straggler is capped.
-        let weight = MEAN_WEIGHT.max(1.0 / self.answers as f64);
-        let max_sample = if self.answers > MIN_ANSWERS {
-            self.base_service_time * MAX_SAMPLE_FACTOR
-        } else {
-            f64::MAX
-        };
-        let sample = (elapsed.0 as f64 / latency_factor.max(1.0)).min(max_sample);
-        self.base_service_time += weight * (sample - self.base_service_time);
-    }
-
     /// Records that a server did not answer a probe of either kind.
     pub fn record_probe_failure(&mut self, now: Micros, server: usize) {
         if let Some(state) = self.states.get_mut(server) {
@@ -606,7 +594,7 @@
     }
 
     /// Returns the index of each server with room below its limit for a request of this entry's
-    /// data centre, and the expected latency of one more request there in microseconds.
+    /// data centre, and the expected latency of one more request there in base service times.
     ///
     /// This is a cheap first filter, computed once per pick, since many queued requests may be
     /// considered for few servers with room: a request is skipped without a check of each server if
@@ -625,10 +613,8 @@
         });
         available
             .map(|(index, state)| {
-                (
-                    index,
-                    state.get_latency_factor(now, self.base_service_time) * self.base_service_time,
-                )
+                let service_time = self.service_times.get_mean();
+                (index, state.get_latency_factor(now, service_time))
             })
             .collect()
     }
@@ -658,36 +644,38 @@
     }
 
     /// Removes and returns the next request that one of the `available_servers` may get, which
-    /// holds their indices and expected latencies in microseconds.
+    /// holds their indices and expected latencies in base service times.
     fn pop_dispatchable(
         &mut self,
         now: Micros,
         available_servers: &[(usize, f64)],
     ) -> Option<PendingRequest> {
-        let idle_latency = self.get_idle_latency(now);
+        let lowest_slowdown = self.get_lowest_slowdown(now);
         let fastest = available_servers
             .iter()
-            .map(|(_, latency)| *latency)
+            .map(|(_, latency_factor)| *latency_factor)
             .fold(f64::MAX, f64::min);
         let has_eligible_server = |pool: &Self, request: &PendingRequest| {
-            let max_latency = pool.get_max_latency(now, request, idle_latency);
+            let max_latency = pool.get_max_latency(now, request, lowest_slowdown);
+            let service_time = pool
+                .service_times
+                .get_estimate(request.latency_objective);
             let mut available_servers = available_servers.iter();
-            fastest <= max_latency
+            fastest * service_time <= max_latency
                 && available_servers
                     .any(|&(index, _)| pool.is_eligible(now, request, index, max_latency))
         };
         if self.config.policy.source != LoadSource::Reports {
             return self.pop(has_eligible_server);
         }
-        let is_known = self.answers > MIN_ANSWERS;
-        let expected = Micros(if is_known {
-            self.base_service_time as u64
-        } else {
-            0
-        });
+        let service_times = &self.service_times;
+        let get_service_time = |request: &PendingRequest| {
+            service_times.get_reliable_estimate(request.latency_objective)
+        };
         let mut queue = std::mem::take(&mut self.queue);
-        let request =
-            queue.pop_by_objective(now, expected, |request| has_eligible_server(self, request));
+        let request = queue.pop_by_objective(now, get_service_time, |request| {
+            has_eligible_server(self, request)
+        });
         self.queue = queue;
         request
     }
@@ -738,24 +726,28 @@
         let has_room =
             self.get_counted_requests(now, state) + reserved < self.get_effective_limit(now, state);
         let is_fast = || {
-            state.get_latency_factor(now, self.base_service_time) * self.base_service_time
-                <= max_latency
+            let latency_factor = state.get_latency_factor(now, self.service_times.get_mean());
+            let service_time = self.service_times.get_estimate(request.latency_objective);
+            latency_factor * service_time <= max_latency
         };
         has_room && is_allowed && is_trusted && is_fast()
     }
 
     /// Returns the largest expected latency with which a server may get a request, in microseconds;
-    /// otherwise the request is kept for a faster server. `idle_latency` is the expected latency at
-    /// the fastest server if it were idle. The result is:
+    /// otherwise the request is kept for a faster server. `lowest_slowdown` is the slowdown factor of
+    /// the fastest server, which gives the expected latency there if it were idle (the idle latency).
+    /// The result is:
     ///
-    /// - the time left until the objective, if it is longer than `idle_latency`;
-    /// - otherwise the time from arrival to the objective, if it is at least `idle_latency`;
+    /// - the time left until the objective, if it is longer than the idle latency;
+    /// - otherwise the time from arrival to the objective, if it is at least the idle latency;
     /// - no bound, if no server is that fast or the policy has no load reports.
     ///
     /// A request is assumed to keep the slowdown that the server has when the request begins, so
     /// that a request at a slow server is late and occupies a slot for several times as long: when
     /// many requests are queued, such requests would occupy most slots.
-    fn get_max_latency(&self, now: Micros, request: &PendingRequest, idle_latency: f64) -> f64 {
+    fn get_max_latency(&self, now: Micros, request: &PendingRequest, lowest_slowdown: f64) -> f64 {
+        let service_time = self.service_times.get_estimate(request.latency_objective);
+        let idle_latency = lowest_slowdown * service_time;
         let remaining = (request.objective - now).0 as f64;
         let total = (request.objective - request.arrived).0 as f64;
         match () {
@@ -767,13 +759,12 @@
         }
     }
 
-    /// Returns the expected latency of a request at the fastest server that accepts requests, if
-    /// that server were idle, in microseconds.
-    fn get_idle_latency(&self, now: Micros) -> f64 {
+    /// Returns the slowdown factor of the fastest server that accepts requests.
+    fn get_lowest_slowdown(&self, now: Micros) -> f64 {
         let is_usable = |state: &&ServerState| self.get_effective_limit(now, state) > 0;
         let states = self.states.iter().filter(is_usable);
         let slowdowns = states.map(|state| state.get_slowdown(now));
-        slowdowns.fold(f64::MAX, f64::min) * self.base_service_time
+        slowdowns.fold(f64::MAX, f64::min)
     }
 
     /// Returns how many requests a server may have at once. In an overload, that is at most its
@@ -813,7 +804,7 @@
     fn get_counted_requests(&self, now: Micros, state: &ServerState) -> u32 {
         let others = if self.config.policy.source == LoadSource::Reports {
             state
-                .get_other_requests(now, self.base_service_time)
+                .get_other_requests(now, self.service_times.get_mean())
                 .round() as u32
         } else {
             0
@@ -822,7 +813,7 @@
     }
 
     fn has_eligible_server(&self, now: Micros, request: &PendingRequest) -> bool {
-        let max_latency = self.get_max_latency(now, request, self.get_idle_latency(now));
+        let max_latency = self.get_max_latency(now, request, self.get_lowest_slowdown(now));
         (0..self.states.len()).any(|index| self.is_eligible(now, request, index, max_latency))
     }
 
@@ -831,7 +822,7 @@
     fn assign_server(&mut self, now: Micros, request: &PendingRequest) -> Option<usize> {
         let mut candidates = std::mem::take(&mut self.candidates);
         candidates.clear();
-        let max_latency = self.get_max_latency(now, request, self.get_idle_latency(now));
+        let max_latency = self.get_max_latency(now, request, self.get_lowest_slowdown(now));
         let states = 0..self.states.len();
         candidates
             .extend(states.filter(|&index| self.is_eligible(now, request, index, max_latency)));
@@ -845,7 +836,8 @@
                 shard: self.shard,
                 picks: self.picks,
                 mean_latency: self.mean_latency,
-                base_service_time: self.base_service_time,
+                base_service_time: self.service_times.get_mean(),
+                service_time: self.service_times.get_estimate(request.latency_objective),
                 objective: request.objective,
                 rng: &mut self.rng,
             };
@@ -854,7 +846,13 @@
         self.candidates = candidates;
         self.picks += 1;
         if let Some(server) = picked {
-            self.states[server].start_attempt(now, request.id, self.base_service_time);
+            let service_time = self.service_times.get_mean();
+            self.states[server].start_attempt(
+                now,
+                request.id,
+                request.latency_objective,
+                service_time,
+            );
         }
         picked
     }
--- a/lentilcart_route/src/pool/server_state.rs
+++ b/lentilcart_route/src/pool/server_state.rs
@@ -92,6 +92,8 @@
 pub(crate) struct Attempt {
     pub(crate) request_id: u64,
     pub(crate) started: Micros,
+    /// Latency objective of its kind of request; `None` for none.
+    pub(crate) latency_objective: Option<Micros>,
     /// Expected latency at its start, in base service times.
     pub(crate) latency_factor: f64,
 }
@@ -308,11 +310,18 @@
     }
 
     /// Adds an attempt; an attempt of the same request is replaced by one that starts now.
-    pub(crate) fn start_attempt(&mut self, now: Micros, request_id: u64, base_service_time: f64) {
+    pub(crate) fn start_attempt(
+        &mut self,
+        now: Micros,
+        request_id: u64,
+        latency_objective: Option<Micros>,
+        base_service_time: f64,
+    ) {
         self.remove_attempt(request_id);
         let attempt = Attempt {
             request_id,
             started: now,
+            latency_objective,
             latency_factor: self.get_latency_factor(now, base_service_time),
         };
         self.attempts.push(attempt);
--- a/lentilcart_route/src/queue/mod.rs
+++ b/lentilcart_route/src/queue/mod.rs
@@ -64,8 +64,8 @@
     /// answered before its objective goes before every one that cannot, whatever their priorities;
     /// among each of the two, the highest priority goes first.
     ///
-    /// `base_service_time` is zero where it is not known. Slack is what remains until the objective
-    /// after a service time.
+    /// `get_service_time` returns the base service time of a request, zero where it is not known. Slack
+    /// is what remains until the objective after a service time.
     ///
     /// Among the requests of one priority that can still be answered in time, the oldest goes first
     /// while its slack is more than 20 % of its time from arrival to objective. Otherwise, as when
@@ -74,11 +74,13 @@
     pub(crate) fn pop_by_objective(
         &mut self,
         now: Micros,
-        base_service_time: Micros,
+        get_service_time: impl Fn(&PendingRequest) -> Micros,
         mut is_wanted: impl FnMut(&PendingRequest) -> bool,
     ) -> Option<PendingRequest> {
         for level in self.levels.iter_mut().rev() {
-            let slack = |request: &PendingRequest| request.objective - (now + base_service_time);
+            let slack = |request: &PendingRequest| {
+                request.objective - (now + get_service_time(request))
+            };
             let has_time = |request: &PendingRequest| slack(request) > Micros::ZERO;
             let oldest = level
                 .iter()
--- a/lentilcart_route/tests/testsuite/late_paced.rs
+++ b/lentilcart_route/tests/testsuite/late_paced.rs
@@ -124,6 +124,46 @@
     assert_eq!(started(&pool.offer(ms(1), request(1, ms(1)))), [(1, 0)]);
 }
 
+/// Guards against one service time for all requests of a service that answers short and long ones: the
+/// mean of both is above the objective of the short ones, so that a slow server would seem as good to
+/// them as any.
+///
+/// Load pattern: lookups of 880 ms with an objective of 4 s beside payments of 150 ms with one of 400 ms.
+#[test]
+fn offer_short_request_beside_long_ones() {
+    let payment = |id, now| PendingRequest {
+        objective: now + ms(400),
+        latency_objective: Some(ms(400)),
+        ..PendingRequest::new(id, now, now + ms(1000))
+    };
+    let lookup = |id, now| PendingRequest {
+        objective: now + ms(4000),
+        latency_objective: Some(ms(4000)),
+        ..PendingRequest::new(id, now, now + ms(5000))
+    };
+    let mut pool = pool(&[LOCAL, LOCAL]);
+    let mut now = ms(0);
+    for id in 0..60 {
+        pool.record_load_report(now, 0, report(0, 1.0));
+        let (request, service_time) = match id % 2 {
+            0 => (payment(id, now), ms(150)),
+            _ => (lookup(id, now), ms(880)),
+        };
+        let server = started(&pool.offer(now, request))[0].1;
+        now = now + service_time;
+        pool.finish_attempt(now, id, server, AttemptOutcome::answered(None));
+    }
+    // The fast server is busy for a moment, and a payment at the slow one would take 750 ms.
+    pool.record_load_report(now, 0, report(3, 1.0));
+    pool.record_load_report(now, 1, report(0, 5.0));
+    assert!(pool.offer(now, payment(100, now)).is_empty());
+    // A lookup would take 4.4 s at the slow one, and is kept for the fast one as well.
+    assert!(pool.offer(now, lookup(101, now)).is_empty());
+    pool.record_load_report(now + ms(20), 0, report(0, 1.0));
+    let started = started(&pool.dispatch(now + ms(20)));
+    assert_eq!(started, [(100, 0), (101, 0)]);
+}
+
 /// Guards against late requests that occupy slow servers, and so make others late as well.
 #[test]
 fn offer_late_request_waits_for_fast_server() {
--- a/src/entry/grant.rs
+++ b/src/entry/grant.rs
@@ -55,6 +55,7 @@
         deadline: now + request.remaining,
         // A request of an entry has no time objective besides its deadline.
         objective: now + request.remaining,
+        latency_objective: None,
         origin: origin_data_center,
         excluded,
     };
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -89,6 +89,7 @@
             at_most_once: !self.is_idempotent(),
             age: now - self.arrived,
             until_objective: self.arrived + self.route.latency_objective - now,
+            latency_objective: self.route.latency_objective,
             remaining: self.deadline - now,
             excluded: excluded.to_vec(),
         }
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -125,6 +125,9 @@
         /// Time until the route's latency objective is missed; 0 if it has been missed.
         #[serde(rename = "prompt")]
         pub(crate) until_objective: Micros,
+        /// The route's latency objective; 0 from an entry of an earlier version.
+        #[serde(rename = "aim", default)]
+        pub(crate) latency_objective: Micros,
         /// Time until the request's deadline.
         #[serde(rename = "left")]
         pub(crate) remaining: Micros,
--- a/src/gateway/on_demand_probe.rs
+++ b/src/gateway/on_demand_probe.rs
@@ -56,7 +56,7 @@
             break;
         }
         let before =
-            dispatcher.read_pool(|pool| pool.get_current_latency(dispatcher.get_now(), server));
+            dispatcher.read_pool(|pool| pool.get_current_latency_factor(dispatcher.get_now(), server));
         let target = ProbeTarget {
             dispatcher: dispatcher.clone(),
             address: permit.address,
@@ -64,7 +64,7 @@
         };
         let timed_out = probe_times_out(gateway, target, timeout.into()).await;
         let after =
-            dispatcher.read_pool(|pool| pool.get_current_latency(dispatcher.get_now(), server));
+            dispatcher.read_pool(|pool| pool.get_current_latency_factor(dispatcher.get_now(), server));
         if timed_out {
             request.excluded.push(server);
             // If no server answers probes, requests may still succeed, so this permit is kept.
@@ -81,7 +81,7 @@
     }
     if let Some(server) = permit.get_server_index() {
         // The attempt starts now, after the probes.
-        dispatcher.update_pool(|pool, now| pool.reset_attempt_start(now, request.id, server));
+        dispatcher.update_pool(|pool, now| pool.reset_attempt_start(now, &request, server));
     }
     Ok(permit)
 }
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -113,7 +113,7 @@
         && let Some(reply) = request_permit(gateway, owner, &request).await
     {
         let permit =
-            reply.map(|reply| permit_from_reply(gateway, dispatcher, owner, request.id, reply))?;
+            reply.map(|reply| permit_from_reply(gateway, dispatcher, owner, &request, reply))?;
         if is_serving(gateway, &permit.server_id) {
             return Ok(permit);
         }
@@ -207,10 +207,11 @@
     gateway: &Arc<Gateway>,
     dispatcher: &Arc<Dispatcher>,
     owner: SocketAddr,
-    id: u64,
+    request: &PermitRequest,
     reply: PermitReply,
 ) -> Permit {
     let (shared, dispatcher) = (gateway.clone(), dispatcher.clone());
+    let (id, latency_objective) = (request.id, get_latency_objective(request));
     let started = gateway.clock.now();
     Permit::with_callback(
         reply.address,
@@ -218,7 +219,9 @@
         reply.hedge_after,
         move |outcome| {
             let elapsed = shared.clock.now() - started;
-            dispatcher.update_pool(|pool, now| pool.record_permit_outcome(now, elapsed, &outcome));
+            dispatcher.update_pool(|pool, now| {
+                pool.record_permit_outcome(now, elapsed, latency_objective, &outcome);
+            });
             shared.send_datagram(&Datagram::Release(id, outcome), owner);
         },
     )
@@ -244,11 +247,18 @@
         arrived: now - request.age,
         deadline: now + request.remaining,
         objective: now + request.until_objective,
+        latency_objective: get_latency_objective(request),
         origin: None,
         excluded,
     }
 }
 
+/// Returns the latency objective of a permit request, or `None` if its sender did not state it.
+fn get_latency_objective(request: &PermitRequest) -> Option<Micros> {
+    let objective = request.latency_objective;
+    (objective > Micros::ZERO).then_some(objective)
+}
+
 /// Grants or rejects the permit request of another entry, or queues it and replies later.
 ///
 /// The reply to a permit request that was received before is the current state of its permit.
