perf(gateway): use connections again, and probe only servers of the own data centre

Requests that must run at most once used no connection idle for 150 ms; probes had connections of their own; idle servers were picked at random, so that every entry connected to every server. Change: a connection idle for longer passes a GET of the health path before it carries a request, and probes share the connections; among servers that are as good, a sender prefers some (rendezvous hashing, one pick in eight is spread, as a test showed that an added server got nothing without); listed entries of another data centre count as there.

--- a/lentilcart_route/src/policy/pick_context.rs
+++ b/lentilcart_route/src/policy/pick_context.rs
@@ -1,10 +1,16 @@
+use std::net::SocketAddr;
+
 use lentilcart_util::{Micros, Name, Rng};
 use rand::RngExt;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::pool::{PoolConfig, ServerState, Shard};
 
 /// Multiples of the mean latency after which an outstanding request is overdue.
 const OVERDUE_FACTOR: f64 = 4.0;
+/// Share of the picks that are spread over all servers that are as good, instead of those that the
+/// sender prefers, so that servers which were added get requests too.
+const SPREAD_SHARE: f64 = 0.125;
 /// Lower bound of the number of slots without overdue requests; keeps the expected wait finite.
 const MIN_HEALTHY_SLOTS: f64 = 0.25;
 
@@ -36,6 +42,9 @@
     pub service_time: f64,
     /// Time by which the request should be answered.
     pub objective: Micros,
+    /// Address of the entry that sends the request; see
+    /// [`PendingRequest::sender`](crate::PendingRequest::sender).
+    pub sender: Option<SocketAddr>,
     /// Source of randomness.
     pub rng: &'a mut Rng,
 }
@@ -77,6 +86,16 @@
             .map(|(score, _)| *score)
             .fold(f64::INFINITY, f64::min);
         let is_close = |(score, _): &&(f64, usize)| *score <= lowest + margin;
+        let is_spread = self.rng.random_bool(SPREAD_SHARE);
+        if let Some(sender) = self.sender.filter(|_| !is_spread) {
+            // Rendezvous hashing (Thaler and Ravishankar, 1998): the order differs between senders.
+            let rank = |index: &usize| {
+                let address = self.states[*index].get_config().address;
+                xxh3_64(format!("{sender} {address}").as_bytes())
+            };
+            let close = scores.iter().filter(is_close).map(|(_, index)| *index);
+            return close.max_by_key(rank).unwrap_or(self.candidates[0]);
+        }
         let count = scores.iter().filter(is_close).count().max(1);
         let chosen = self.rng.random_range(0..count);
         let picked = scores.iter().filter(is_close).nth(chosen);
--- a/lentilcart_route/src/pool/pending_request.rs
+++ b/lentilcart_route/src/pool/pending_request.rs
@@ -26,6 +26,10 @@
     /// Data centre of the entry that sends it to the server, which may be another entry than that
     /// of the pool; `None` for the data centre of this entry.
     pub origin: Option<Name>,
+    /// Address of the entry that sends it to the server, which may be another entry than that of the
+    /// pool. Among servers that are as good, requests of one entry prefer the same ones, so that its
+    /// connections are used again; `None` spreads them at random.
+    pub sender: Option<std::net::SocketAddr>,
     /// Indices of the servers that must not get it, such as those that it was sent to before.
     pub excluded: Vec<usize>,
 }
@@ -44,6 +48,7 @@
             objective: deadline,
             latency_objective: None,
             origin: None,
+            sender: None,
             excluded: Vec::new(),
         }
     }
--- a/lentilcart_route/src/pool/server_pool.rs
+++ b/lentilcart_route/src/pool/server_pool.rs
@@ -339,6 +339,11 @@
         }
     }
 
+    /// Returns the token of a retry that was not made.
+    pub fn return_retry_token(&mut self) {
+        self.retry_tokens.deposit(1.0);
+    }
+
     /// Removes a request from the queue, and returns whether it was queued.
     pub fn cancel_queued(&mut self, request_id: u64) -> bool {
         self.queue.remove(request_id)
@@ -657,9 +662,7 @@
             .fold(f64::MAX, f64::min);
         let has_eligible_server = |pool: &Self, request: &PendingRequest| {
             let max_latency = pool.get_max_latency(now, request, lowest_slowdown);
-            let service_time = pool
-                .service_times
-                .get_estimate(request.latency_objective);
+            let service_time = pool.service_times.get_estimate(request.latency_objective);
             let mut available_servers = available_servers.iter();
             fastest * service_time <= max_latency
                 && available_servers
@@ -839,6 +842,7 @@
                 base_service_time: self.service_times.get_mean(),
                 service_time: self.service_times.get_estimate(request.latency_objective),
                 objective: request.objective,
+                sender: request.sender,
                 rng: &mut self.rng,
             };
             (self.config.policy.pick)(&mut context)
--- a/lentilcart_route/src/queue/mod.rs
+++ b/lentilcart_route/src/queue/mod.rs
@@ -78,9 +78,8 @@
         mut is_wanted: impl FnMut(&PendingRequest) -> bool,
     ) -> Option<PendingRequest> {
         for level in self.levels.iter_mut().rev() {
-            let slack = |request: &PendingRequest| {
-                request.objective - (now + get_service_time(request))
-            };
+            let slack =
+                |request: &PendingRequest| request.objective - (now + get_service_time(request));
             let has_time = |request: &PendingRequest| slack(request) > Micros::ZERO;
             let oldest = level
                 .iter()
--- a/lentilcart_route/tests/testsuite/late_paced.rs
+++ b/lentilcart_route/tests/testsuite/late_paced.rs
@@ -150,7 +150,7 @@
             _ => (lookup(id, now), ms(880)),
         };
         let server = started(&pool.offer(now, request))[0].1;
-        now = now + service_time;
+        now += service_time;
         pool.finish_attempt(now, id, server, AttemptOutcome::answered(None));
     }
     // The fast server is busy for a moment, and a payment at the slow one would take 750 ms.
@@ -164,6 +164,30 @@
     assert_eq!(started, [(100, 0), (101, 0)]);
 }
 
+/// Guards against connections from every entry to every server: among idle servers, an entry prefers some
+/// and differs in that from the others, and every server still gets requests.
+///
+/// Load pattern: 50 entries that send one request at a time to 50 idle servers.
+#[test]
+fn pick_prefers_servers_of_sender() {
+    let mut pool = pool(&[LOCAL; 50]);
+    let mut counts = std::collections::BTreeMap::new();
+    for id in 0..5000_u64 {
+        let sender = SocketAddr::from(([10, 1, 0, (id % 50) as u8], 80));
+        let request = PendingRequest {
+            sender: Some(sender),
+            ..request(id, ms(0))
+        };
+        let server = started(&pool.offer(ms(0), request))[0].1;
+        pool.finish_attempt(ms(0), id, server, AttemptOutcome::Cancelled);
+        *counts.entry((sender, server)).or_insert(0) += 1;
+    }
+    let preferred = counts.values().filter(|count| **count > 50).count();
+    assert_eq!(preferred, 50, "each sender has one");
+    let servers: std::collections::BTreeSet<_> = counts.keys().map(|(_, server)| server).collect();
+    assert_eq!(servers.len(), 50, "each server is used");
+}
+
 /// Guards against late requests that occupy slow servers, and so make others late as well.
 #[test]
 fn offer_late_request_waits_for_fast_server() {
--- a/lentilcart_state/src/member/member_table.rs
+++ b/lentilcart_state/src/member/member_table.rs
@@ -149,6 +149,36 @@
             .collect()
     }
 
+    /// Returns the entries that share the work for a data centre, such as probes of its servers: its own
+    /// ones, or all serving entries if it has none.
+    ///
+    /// Most entries of another data centre send no heartbeats here, so they count while they are listed.
+    #[must_use]
+    pub fn get_responsible(&self, data_center: &Name, now: Micros) -> Vec<&Name> {
+        let is_in_data_center = |name: &&Name| self.members[*name].data_center == *data_center;
+        let listed: Vec<&Name> = self.members.keys().filter(is_in_data_center).collect();
+        let serving = self.get_serving(now);
+        match () {
+            () if listed.contains(&&self.own_name) => {
+                serving.into_iter().filter(is_in_data_center).collect()
+            }
+            () if listed.is_empty() => serving,
+            () => listed,
+        }
+    }
+
+    /// Returns this entry's rank for a key, from 0, among the listed entries of its data centre, live or
+    /// not, and how many these are.
+    #[must_use]
+    pub fn get_local_rank(&self, key: &str) -> (usize, usize) {
+        let data_center = &self.members[&self.own_name].data_center;
+        let local = self.members.iter();
+        let local = local.filter(|(_, member)| member.data_center == *data_center);
+        let ranked = rendezvous_rank(key, local.map(|(name, _)| name), usize::MAX);
+        let rank = ranked.iter().position(|name| **name == self.own_name);
+        (rank.unwrap_or(0), ranked.len())
+    }
+
     /// Returns up to `count` serving entries that own a key, such as the name of a service, the first
     /// choice first.
     #[must_use]
--- a/lentilcart_state/tests/testsuite/members.rs
+++ b/lentilcart_state/tests/testsuite/members.rs
@@ -80,3 +80,73 @@
     members.remove_unlisted(&"e1".into(), HEARTBEAT_TIMEOUT + Micros(1));
     assert!(members.get("e1").is_none());
 }
+
+/// Guards against probes of the servers of another data centre by every data centre that hears no heartbeat
+/// from there: of hundreds of entries, only the few that watch the store send heartbeats to all.
+///
+/// Load pattern: 125 entries in six data centres, of which three entries are heard everywhere.
+#[test]
+fn get_responsible_of_silent_data_center() {
+    let mut members = create_table(3);
+    for number in 0..100 {
+        let (name, data_center) = (format!("r{number}"), format!("d{}", number % 5));
+        let peer_address = ([127, 0, 0, 1], 1).into();
+        members.upsert(&name.into(), &data_center.into(), peer_address, false);
+    }
+    members.record_heartbeat(&"r3".into(), Micros::ZERO, 1, false);
+    let own = members.get_own_name().clone();
+    for data_center in ["d0", "d1", "d2", "d3", "d4"] {
+        let responsible = members.get_responsible(&data_center.into(), Micros::ZERO);
+        assert_eq!(responsible.len(), 20);
+        assert!(!responsible.contains(&&own));
+    }
+}
+
+#[test]
+fn get_responsible_of_own_data_center() {
+    let members = create_table(3);
+    assert_eq!(members.get_responsible(&"a".into(), Micros::ZERO).len(), 3);
+    let later = HEARTBEAT_TIMEOUT + HEARTBEAT_TIMEOUT;
+    let responsible = members.get_responsible(&"a".into(), later);
+    assert_eq!(responsible, [members.get_own_name()]);
+}
+
+#[test]
+fn get_responsible_of_data_center_without_entries() {
+    let mut members = create_table(3);
+    let peer_address = ([127, 0, 0, 1], 1).into();
+    members.upsert(&"r0".into(), &"b".into(), peer_address, false);
+    assert_eq!(members.get_responsible(&"b".into(), Micros::ZERO).len(), 1);
+    members.remove_unlisted(&"r0".into(), Micros::ZERO);
+    assert_eq!(members.get_responsible(&"b".into(), Micros::ZERO).len(), 3);
+}
+
+/// Guards against a listing of the servers by every entry of a data centre that starts: the entries that
+/// list are few, and differ by nothing but their names.
+///
+/// Load pattern: all 21 entries of a data centre start at a time, among 125.
+#[test]
+fn get_local_rank_of_entries_that_start() {
+    let own = |data_center: &str| Member {
+        data_center: data_center.into(),
+        peer_address: ([127, 0, 0, 1], 1).into(),
+        last_heartbeat: None,
+        leaving: false,
+        applied_number: 0,
+    };
+    let ranks = (0..21).map(|number| {
+        let name = format!("e{number}").into();
+        let mut members = MemberTable::new(name, own("a"), HEARTBEAT_TIMEOUT);
+        for other in names(125) {
+            let is_local = other[1..].parse::<usize>().unwrap() < 21;
+            let data_center = if is_local { "a" } else { "b" };
+            members.upsert(&other, &data_center.into(), own("").peer_address, false);
+        }
+        let (rank, count) = members.get_local_rank("list");
+        assert_eq!(count, 21);
+        rank
+    });
+    let mut ranks: Vec<usize> = ranks.collect();
+    ranks.sort_unstable();
+    assert_eq!(ranks, (0..21).collect::<Vec<_>>());
+}
--- a/src/entry/grant.rs
+++ b/src/entry/grant.rs
@@ -57,6 +57,7 @@
         objective: now + request.remaining,
         latency_objective: None,
         origin: origin_data_center,
+        sender: None,
         excluded,
     };
     match request.kind {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -17,7 +17,9 @@
 use super::permit_table::{acquire_permit, to_pool_request};
 use super::response::{ResponseVerdict, classify_response, read_response};
 use crate::entry::{Dispatcher, Permit};
-use crate::http::{BodyEnd, HttpBody, SendError, full_body, get_header_text, set_header};
+use crate::http::{
+    BodyEnd, ConnectionCheck, HttpBody, SendError, full_body, get_header_text, set_header,
+};
 
 /// Maximum number of unreachable servers per request: one more fails the request.
 const MAX_UNREACHABLE: u32 = 3;
@@ -38,14 +40,12 @@
     /// Deadline by the gateway's clock.
     pub(crate) deadline: Micros,
     /// Attempts counted against the route's maximum, hedges included. An attempt is counted before it
-    /// is sent and taken off when nothing was sent. Of an attempt and its hedge, only the one whose
-    /// result [`send_with_hedge`] returns is taken off; the other stays counted.
+    /// is sent and taken off when nothing was sent.
     pub(crate) attempts: u32,
     /// Length of this entry's own queue for the service when the request was rejected, by this entry or
     /// by the owner, because no server would be free in time; else 0.
     pub(crate) queue_len: usize,
-    /// Whether a server may have run the request without a usable response having arrived. Of an
-    /// attempt and its hedge only the result that [`send_with_hedge`] returns is considered.
+    /// Whether a server may have run the request without a usable response having arrived.
     pub(crate) may_have_run: bool,
 }
 
@@ -67,6 +67,34 @@
     NoUsableResponse(String),
 }
 
+/// What an attempt needs of its request, besides the request to send.
+#[derive(Clone)]
+struct AttemptContext {
+    request_id: Name,
+    class: RequestClass,
+    deadline: Instant,
+    /// Path of the health endpoint, by which connections are checked; `None` if the service is unknown.
+    health_path: Option<Name>,
+}
+
+impl AttemptResult {
+    /// Combines the results of an attempt and its hedge into what is known of both: the request was not
+    /// run only if neither attempt was.
+    fn combine(self, other: Self) -> Self {
+        match (self, other) {
+            (response @ Self::Response(_), _) | (_, response @ Self::Response(_)) => response,
+            (response @ Self::ErrorResponse(_), _) | (_, response @ Self::ErrorResponse(_)) => {
+                response
+            }
+            (unknown @ Self::NoUsableResponse(_), _) | (_, unknown @ Self::NoUsableResponse(_)) => {
+                unknown
+            }
+            (not_run @ Self::NotRun(_), _) | (_, not_run @ Self::NotRun(_)) => not_run,
+            (not_sent @ Self::NotSent(_), Self::NotSent(_)) => not_sent,
+        }
+    }
+}
+
 impl GatewayRequest {
     /// Returns whether the request may run more than once.
     fn is_idempotent(&self) -> bool {
@@ -142,8 +170,7 @@
             None => ErrorReply::new(reason, ""),
         };
         Err(match reply.reason {
-            // 408 and 503 promise that no server ran the request, so they are ruled out here. The result
-            // of an attempt or hedge that `send_with_hedge` dropped is not considered.
+            // 408 and 503 promise that no server ran the request, so they are ruled out here.
             ErrorReason::TimeoutNotRun if self.may_have_run => ErrorReply {
                 reason: ErrorReason::TimeoutMayHaveRun,
                 ..reply
@@ -247,8 +274,8 @@
 /// the retry budget and the load allow one. The hedge's server is chosen by this entry's own
 /// dispatcher, also if another entry owns the service.
 ///
-/// Returns the first response of the two that is valid and not a 5xx; if neither gives one, the result
-/// of the attempt that ends last, and the other result is dropped.
+/// Returns the first response of the two that is valid and not a 5xx; if neither gives one, both results
+/// combined.
 async fn send_with_hedge(
     gateway: &Arc<Gateway>,
     dispatcher: &Arc<Dispatcher>,
@@ -257,9 +284,14 @@
     excluded: &mut Vec<SocketAddr>,
 ) -> AttemptResult {
     let delay = permit.hedge_after.filter(|_| inbound.is_idempotent());
-    let (id, class) = (inbound.id.clone(), inbound.route.class);
+    let context = AttemptContext {
+        request_id: inbound.id.clone(),
+        class: inbound.route.class,
+        deadline: Instant::from_std(gateway.clock.to_instant(inbound.deadline)),
+        health_path: gateway.get_health_path(&dispatcher.service),
+    };
     let request = inbound.build_request(&permit.server_id, gateway.clock.now());
-    let first = Box::pin(send_attempt(gateway, id.clone(), class, permit, request));
+    let first = Box::pin(send_attempt(gateway, context.clone(), permit, request));
     let Some(delay) = delay.filter(|_| inbound.attempts < inbound.route.max_attempts) else {
         return first.await;
     };
@@ -269,54 +301,80 @@
         Either::Right(((), first)) => first,
     };
     let permit_request = inbound.get_permit_request(gateway, dispatcher, excluded);
-    let pool_request = to_pool_request(dispatcher, &permit_request, gateway.clock.now());
-    let has_budget = dispatcher.update_pool(|pool, _| pool.take_retry_token());
-    let Some(permit) = has_budget
-        .then(|| dispatcher.hedge(&pool_request))
-        .flatten()
-    else {
+    let pool_request = to_pool_request(gateway, dispatcher, &permit_request, gateway.clock.now());
+    if !dispatcher.update_pool(|pool, _| pool.take_retry_token()) {
+        return first.await;
+    }
+    let Some(permit) = dispatcher.hedge(&pool_request) else {
+        dispatcher.update_pool(|pool, _| pool.return_retry_token());
         return first.await;
     };
     excluded.push(permit.address);
     inbound.attempts += 1;
     let request = inbound.build_request(&permit.server_id, gateway.clock.now());
-    let second = Box::pin(send_attempt(gateway, id, class, permit, request));
-    // A hedge counts as won if its result is used, also where the first attempt failed before it and
-    // the hedge failed as well.
-    let (result, hedge_used) = match select(first, second).await {
-        Either::Left((result @ AttemptResult::Response(_), _)) => (result, false),
-        Either::Left((_, second)) => (second.await, true),
-        Either::Right((result @ AttemptResult::Response(_), _)) => (result, true),
-        Either::Right((_, first)) => (first.await, false),
+    let second = Box::pin(send_attempt(gateway, context, permit, request));
+    // The results of the attempt and of the hedge; `None` for the one that is cancelled.
+    let (first, second) = match select(first, second).await {
+        Either::Left((first @ AttemptResult::Response(_), _)) => (Some(first), None),
+        Either::Left((first, second)) => (Some(first), Some(second.await)),
+        Either::Right((second @ AttemptResult::Response(_), _)) => (None, Some(second)),
+        Either::Right((second, first)) => (Some(first.await), Some(second)),
     };
-    metrics::counter!("lentilcart_hedges_total", "won" => if hedge_used { "yes" } else { "no" })
+    let has_won = matches!(
+        (&first, &second),
+        (first, Some(AttemptResult::Response(_))) if !matches!(first, Some(AttemptResult::Response(_)))
+    );
+    metrics::counter!("lentilcart_hedges_total", "won" => if has_won { "yes" } else { "no" })
         .increment(1);
-    dispatcher.update_pool(|pool, _| pool.record_hedge(hedge_used));
-    result
+    dispatcher.update_pool(|pool, _| pool.record_hedge(has_won));
+    match (first, second) {
+        (Some(first), Some(second)) => {
+            // The caller of this function takes off the attempt of the result itself.
+            let is_unsent = |result: &AttemptResult| matches!(result, AttemptResult::NotSent(_));
+            let unsent = u32::from(is_unsent(&first)) + u32::from(is_unsent(&second));
+            let result = first.combine(second);
+            inbound.attempts -= unsent - u32::from(is_unsent(&result));
+            result
+        }
+        (Some(result), None) | (None, Some(result)) => result,
+        (None, None) => unreachable!("one of the two has ended"),
+    }
 }
 
 /// Sends a request to the server of a permit, reads the response and releases the permit with the
 /// outcome.
 async fn send_attempt(
     gateway: &Arc<Gateway>,
-    request_id: Name,
-    class: RequestClass,
+    context: AttemptContext,
     permit: Permit,
     request: Request<HttpBody>,
 ) -> AttemptResult {
-    let max_idle_time: Duration = {
+    let AttemptContext {
+        request_id,
+        class,
+        deadline,
+        health_path,
+    } = context;
+    let (max_idle_time, check): (Duration, _) = {
         let servers = &gateway.settings.load().servers;
-        match class {
-            RequestClass::Idempotent => servers.max_idle_time.into(),
-            RequestClass::Once => servers.max_idle_time_once.into(),
-        }
+        let max_idle_time = match class {
+            RequestClass::Idempotent => servers.max_idle_time,
+            RequestClass::Once => servers.max_idle_time_once,
+        };
+        let timeout = servers.preflight_timeout.into();
+        let check = health_path.map(|path| ConnectionCheck {
+            path,
+            timeout,
+            foreign_header: HEADER_NAMES.request_id,
+        });
+        (max_idle_time.into(), check)
     };
     let (address, server) = (permit.address, permit.server_id.clone());
     // What the pool knew of the server when it selected it; default values if an owner selected it.
     let (selection, started) = (permit.selection, gateway.clock.now());
     let received = match gateway
         .server_client
-        .send_with_max_idle_time(address, request, max_idle_time)
+        .send_checked(address, request, max_idle_time, check.as_ref())
         .await
     {
         Ok(received) => received,
@@ -351,14 +409,14 @@
                 _ => AttemptOutcome::Leaving,
             });
             // The rest is read so that the connection can be used again.
-            let rest = read_response(received.into_streamed(|_: BodyEnd| ())).await;
+            let rest = read_response(received.into_streamed(|_: BodyEnd| ()), deadline).await;
             if let Err(reason) = rest {
                 log::debug!(server:% = server; "connection closed: {reason}");
             }
             return AttemptResult::NotRun(format!("server {server} answered {status}"));
         }
     }
-    match read_response(received.into_streamed(|_: BodyEnd| ())).await {
+    match read_response(received.into_streamed(|_: BodyEnd| ()), deadline).await {
         Ok(response) if verdict == ResponseVerdict::Valid => {
             log::debug!(
                 request:% = request_id, server:% = server, address:% = address,
--- a/src/gateway/error_reply.rs
+++ b/src/gateway/error_reply.rs
@@ -74,8 +74,7 @@
     }
 
     /// Returns the response status. Of the statuses that the balancer itself gives, 408 and 503 promise
-    /// that no server ran the request. The promise does not take into account an attempt whose result
-    /// was dropped because its hedge ended later, or the reverse.
+    /// that no server ran the request.
     pub(crate) const fn get_status(self) -> StatusCode {
         match self {
             Self::BadRequest => StatusCode::BAD_REQUEST,
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -59,10 +59,9 @@
     pub(crate) settings: ArcSwap<GatewaySettings>,
     pub(crate) clock: Clock,
     pub(crate) store: StoreClient,
-    /// HTTP client for requests to servers.
+    /// HTTP client for requests to servers and for probes. They share connections: a probe shows that
+    /// its connection still works right before a request is sent over it.
     pub(crate) server_client: HttpClient,
-    /// HTTP client for probes; its connections are never used for requests.
-    pub(crate) probe_client: HttpClient,
     /// HTTP client for requests to other entries.
     pub(crate) peer_client: HttpClient,
     /// Internal connections and short-lived tasks, which are not waited for when the gateway stops.
@@ -125,7 +124,6 @@
             clock: Clock::start(),
             store,
             server_client: new_client(),
-            probe_client: new_client(),
             peer_client: new_client(),
             stop: CancellationToken::new(),
             in_flight: AtomicU64::new(0),
@@ -159,6 +157,13 @@
         Arc::clone(&self.active_routes.load())
     }
 
+    /// Returns the path of the health endpoint of a service's servers, if the service is known.
+    pub(crate) fn get_health_path(&self, service: &Name) -> Option<Name> {
+        let routes = self.get_active_routes();
+        let service_settings = routes.table.services.get(service);
+        service_settings.map(|service_settings| service_settings.health_path.clone())
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -198,11 +198,7 @@
         self.ready_shutdown.stop_accepting.cancel();
         self.ready_shutdown.close_connections.cancel();
         self.gateway.stop.cancel();
-        for http_client in [
-            &self.gateway.server_client,
-            &self.gateway.probe_client,
-            &self.gateway.peer_client,
-        ] {
+        for http_client in [&self.gateway.server_client, &self.gateway.peer_client] {
             http_client.close_idle();
         }
         let joined = async {
--- a/src/gateway/on_demand_probe.rs
+++ b/src/gateway/on_demand_probe.rs
@@ -35,12 +35,7 @@
     mut request: PendingRequest,
 ) -> Result<Permit, Rejection> {
     let mut permit = dispatcher.acquire(request.clone()).await?;
-    let path = {
-        let routes = gateway.get_active_routes();
-        let service_settings = routes.table.services.get(&dispatcher.service);
-        service_settings.map(|service_settings| service_settings.health_path.clone())
-    };
-    let Some(path) = path else {
+    let Some(path) = gateway.get_health_path(&dispatcher.service) else {
         return Ok(permit);
     };
     for _ in 0..MAX_PREFLIGHT_PROBES {
@@ -55,16 +50,16 @@
         if !dispatcher.is_load_stale(permit.address, max_age) {
             break;
         }
-        let before =
-            dispatcher.read_pool(|pool| pool.get_current_latency_factor(dispatcher.get_now(), server));
+        let before = dispatcher
+            .read_pool(|pool| pool.get_current_latency_factor(dispatcher.get_now(), server));
         let target = ProbeTarget {
             dispatcher: dispatcher.clone(),
             address: permit.address,
             path: path.clone(),
         };
         let timed_out = probe_times_out(gateway, target, timeout.into()).await;
-        let after =
-            dispatcher.read_pool(|pool| pool.get_current_latency_factor(dispatcher.get_now(), server));
+        let after = dispatcher
+            .read_pool(|pool| pool.get_current_latency_factor(dispatcher.get_now(), server));
         if timed_out {
             request.excluded.push(server);
             // If no server answers probes, requests may still succeed, so this permit is kept.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -2,7 +2,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use lentilcart_state::{MirrorSnapshot, rendezvous_rank};
@@ -13,13 +12,15 @@
 use super::datagram::{Datagram, GatewayHeartbeat, encode};
 use super::gateway::{Gateway, MirrorKind};
 use super::permit_table::{handle_permit_request, record_owner_reply, release_permit};
-use crate::http::{HttpBody, empty_body, full_body};
+use crate::http::{HttpBody, collect_body, empty_body, full_body};
 
 /// Maximum size of a datagram that is read, in bytes; larger than any that is sent.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 /// Delay before a mirror is fetched from another entry, in which this entry's own watch, or an entry of
 /// its data centre, may bring the same changes.
 const CATCH_UP_DELAY: Micros = Micros::from_millis(150);
+/// Largest snapshot of a mirror that is fetched, in bytes.
+const MAX_MIRROR_BYTES: usize = 32 * 1024 * 1024;
 /// Timeout for fetching the mirror of another entry.
 const FETCH_TIMEOUT: Micros = Micros::from_millis(1000);
 
@@ -260,8 +261,7 @@
     if status != StatusCode::OK {
         return Err(format!("status {status}"));
     }
-    let body = response.into_body().collect().await;
-    let body = body.map_err(|e| e.to_string())?.to_bytes();
+    let body = collect_body(response.into_body(), MAX_MIRROR_BYTES).await?;
     ciborium::from_reader(&body[..]).map_err(|e| e.to_string())
 }
 
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -124,7 +124,7 @@
     acquire_local_permit(
         gateway,
         dispatcher,
-        to_pool_request(dispatcher, &request, now),
+        to_pool_request(gateway, dispatcher, &request, now),
     )
     .await
 }
@@ -227,8 +227,10 @@
     )
 }
 
-/// Converts a permit request, whose times are relative, into a request of a dispatcher's pool.
+/// Converts a permit request, whose times are relative, into a request of a dispatcher's pool that this
+/// entry sends to the server.
 pub(crate) fn to_pool_request(
+    gateway: &Gateway,
     dispatcher: &Dispatcher,
     request: &PermitRequest,
     now: Micros,
@@ -249,6 +251,7 @@
         objective: now + request.until_objective,
         latency_objective: get_latency_objective(request),
         origin: None,
+        sender: Some(gateway.settings.load().listen.peer),
         excluded,
     }
 }
@@ -311,7 +314,8 @@
         // Identifiers are unique within an entry only, so the requester's may equal one of this entry.
         let pool_request = PendingRequest {
             id: gateway.next_attempt_id(),
-            ..to_pool_request(&dispatcher, &request, now)
+            sender: Some(requester),
+            ..to_pool_request(&gateway, &dispatcher, &request, now)
         };
         let mut acquired = Box::pin(acquire_local_permit(&gateway, &dispatcher, pool_request));
         let early = timeout(QUEUED_NOTICE_DELAY, &mut acquired).await;
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -2,12 +2,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use hyper::Request;
 use lentilcart_platform::{HEADER_NAMES, decode_load_report};
 use lentilcart_route::LoadReport;
 use lentilcart_state::rendezvous_rank;
-use lentilcart_util::{Map, Micros, Name};
+use lentilcart_util::{Map, Micros, Name, Set};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
@@ -16,7 +15,7 @@
 use super::peers::{get_peers, send_to_all};
 use super::permit_table::get_owner;
 use crate::entry::Dispatcher;
-use crate::http::{empty_body, get_header_text};
+use crate::http::{SendError, collect_body, empty_body, get_header_text};
 
 /// Interval at which the servers that this entry probes are determined.
 const ASSIGNMENT_INTERVAL: Micros = Micros::from_millis(500);
@@ -33,6 +32,9 @@
 /// and there are more recipients than this in all, only the owners get the updates.
 const MAX_BROADCAST_PEERS: usize = 8;
 
+/// Largest body of a response to a probe, in bytes.
+const MAX_PROBE_BYTES: usize = 16 * 1024;
+
 /// A server to be probed, the dispatcher of its service, and the path of its health endpoint.
 pub(crate) struct ProbeTarget {
     pub(crate) dispatcher: Arc<Dispatcher>,
@@ -84,33 +86,31 @@
     }
 }
 
-/// Returns the servers that this entry probes: each falls, by rendezvous hashing, to one live entry of
-/// its data centre, or to one of all entries if its data centre has none.
+/// Returns the servers that this entry probes: each falls, by rendezvous hashing, to one of the entries
+/// that are responsible for its data centre.
 fn get_targets(gateway: &Gateway, now: Micros) -> Vec<Arc<ProbeTarget>> {
     let routes = gateway.get_active_routes();
     let own = gateway.settings.load().name.clone();
-    let mut by_data_center: Map<Name, Vec<Name>> = Map::default();
-    let mut all: Vec<Name> = Vec::new();
-    {
-        let members = gateway.lock_members();
-        for name in members.get_serving(now) {
-            all.push(name.clone());
-            if let Some(member) = members.get(name) {
-                let entries = by_data_center
-                    .entry(member.data_center.clone())
-                    .or_default();
-                entries.push(name.clone());
-            }
-        }
-    }
     let directory = gateway.lock_directory();
+    let data_centers: Set<Name> = directory
+        .iter()
+        .map(|registration| registration.data_center.clone())
+        .collect();
+    // The data centres that this entry is responsible for, each with all its responsible entries.
+    let responsible: Map<Name, Vec<Name>> = {
+        let members = gateway.lock_members();
+        let get_entries = |data_center: Name| {
+            let entries = members.get_responsible(&data_center, now);
+            let entries: Vec<Name> = entries.into_iter().cloned().collect();
+            entries.contains(&own).then_some((data_center, entries))
+        };
+        data_centers.into_iter().filter_map(get_entries).collect()
+    };
     let serving = directory
         .iter()
         .filter(|registration| !registration.leaving);
     let targets = serving.filter_map(|registration| {
-        let entries = by_data_center
-            .get(&registration.data_center)
-            .unwrap_or(&all);
+        let entries = responsible.get(&registration.data_center)?;
         let prober = rendezvous_rank(&registration.id, entries.iter(), 1);
         if prober.first().is_none_or(|prober| **prober != own) {
             return None;
@@ -157,15 +157,27 @@
 /// Requests a server's health endpoint and returns the load report from the response headers, if any.
 /// The status is ignored: a response with any status is an answer.
 async fn fetch_load(gateway: &Gateway, server: &ProbeTarget) -> Result<Option<LoadReport>, String> {
-    let request = Request::get(&*server.path)
-        .header("host", server.address.to_string())
-        .body(empty_body())
-        .map_err(|e| e.to_string())?;
-    let received = gateway.probe_client.send(server.address, request).await;
+    let new_request = || {
+        let request = Request::get(&*server.path).header("host", server.address.to_string());
+        request.body(empty_body()).map_err(|e| e.to_string())
+    };
+    let client = &gateway.server_client;
+    let received = match client.send(server.address, new_request()?).await {
+        // The server may have forgotten an idle connection, which says nothing about its state.
+        Err(SendError::NoResponse(_)) => {
+            let max_idle_time = Duration::ZERO;
+            client
+                .send_with_max_idle_time(server.address, new_request()?, max_idle_time)
+                .await
+        }
+        received => received,
+    };
     let response = received.map_err(|e| e.to_string())?.into_streamed(|_| ());
+    if response.headers().contains_key(HEADER_NAMES.request_id) {
+        return Err("the response belongs to another request".to_owned());
+    }
     let load = get_header_text(response.headers(), HEADER_NAMES.load).and_then(decode_load_report);
-    let body = response.into_body().collect().await;
-    body.map_err(|e| e.to_string())?;
+    collect_body(response.into_body(), MAX_PROBE_BYTES).await?;
     Ok(load)
 }
 
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -1,5 +1,6 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -8,6 +9,7 @@
 use hyper::{Response, StatusCode};
 use lentilcart_platform::HEADER_NAMES;
 use lentilcart_state::RequestClass;
+use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::http::{BoxError, HttpBody, full_body, get_header_text, stream_body};
 
@@ -15,6 +17,12 @@
 /// bytes. Up to this size a caller never sees a truncated response, and memory stays bounded.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
+/// Largest response body that is streamed, in bytes.
+const MAX_STREAMED_BYTES: usize = 1024 * 1024 * 1024;
+/// Time after the deadline of a request at which the streaming of a response body is cut: the caller may
+/// still read what it got in time, but a body that never ends must not go on.
+const STREAM_GRACE: Duration = Duration::from_secs(2);
+
 /// The classification of a server's response by its status and headers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ResponseVerdict {
@@ -70,14 +78,16 @@
     }
 }
 
-/// Reads a response body up to [`MAX_BUFFERED_BYTES`]; the rest of a longer body is streamed. Trailers
-/// of a body that is read completely are dropped.
+/// Reads a response body up to [`MAX_BUFFERED_BYTES`]; the rest of a longer body is streamed until
+/// [`STREAM_GRACE`] after the `deadline`, and up to [`MAX_STREAMED_BYTES`]. Trailers of a body that is
+/// read completely are dropped.
 ///
 /// # Errors
 ///
 /// Fails if the body ends early within the buffered part.
 pub(crate) async fn read_response(
     response: Response<HttpBody>,
+    deadline: Instant,
 ) -> Result<Response<HttpBody>, BoxError> {
     let (parts, mut body) = response.into_parts();
     let mut read = BytesMut::new();
@@ -92,16 +102,27 @@
         }
         if read.len() > MAX_BUFFERED_BYTES {
             let prefix = Some(read.freeze());
-            let rest = stream_body(PrefixedBody { prefix, rest: body });
+            let end = Box::pin(sleep_until(deadline + STREAM_GRACE));
+            let rest = PrefixedBody {
+                prefix,
+                rest: body,
+                max_bytes: MAX_STREAMED_BYTES,
+                end,
+            };
+            let rest = stream_body(rest);
             return Ok(Response::from_parts(parts, rest));
         }
     }
 }
 
-/// A body of which a prefix has been read: yields the prefix, then the rest.
+/// A body of which a prefix has been read: yields the prefix, then the rest, and fails at the `end` or
+/// after too many bytes.
 struct PrefixedBody {
     prefix: Option<Bytes>,
     rest: HttpBody,
+    /// Largest number of bytes that the rest may still have.
+    max_bytes: usize,
+    end: Pin<Box<Sleep>>,
 }
 
 impl Body for PrefixedBody {
@@ -114,7 +135,23 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
         match self.prefix.take() {
             Some(prefix) => Poll::Ready(Some(Ok(Frame::data(prefix)))),
-            None => Poll::Ready(ready!(Pin::new(&mut self.rest).poll_frame(cx))),
+            None if self.end.as_mut().poll(cx).is_ready() => {
+                Poll::Ready(Some(Err("the body did not end in time".into())))
+            }
+            None => {
+                let frame = ready!(Pin::new(&mut self.rest).poll_frame(cx));
+                let data = frame
+                    .as_ref()
+                    .and_then(|frame| frame.as_ref().ok()?.data_ref());
+                let length = data.map_or(0, Bytes::len);
+                Poll::Ready(match self.max_bytes.checked_sub(length) {
+                    Some(max_bytes) => {
+                        self.max_bytes = max_bytes;
+                        frame
+                    }
+                    None => Some(Err("the body is too large".into())),
+                })
+            }
         }
     }
 }
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -63,7 +63,6 @@
             last_housekeeping = Instant::now();
             housekeeping_runs += 1;
             gateway.server_client.close_expired(MAX_CONNECTION_IDLE);
-            gateway.probe_client.close_expired(MAX_CONNECTION_IDLE);
             let known_count = gateway.lock_members().iter().count();
             if known_count != entry_count {
                 log::info!(entries = known_count, before = entry_count; "entries changed");
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -1,7 +1,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, SizeHint};
@@ -34,6 +34,30 @@
     body.map_err(Into::into).boxed_unsync()
 }
 
+/// Reads a body that has to fit into memory completely.
+///
+/// # Errors
+///
+/// Fails with the reason if the body has more than `max_bytes` bytes or cannot be read; the rest is not
+/// read.
+pub async fn collect_body<B>(mut body: B, max_bytes: usize) -> Result<Bytes, String>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        // Trailers, the only other kind of frame, are dropped.
+        let data = frame.into_data().unwrap_or_default();
+        if read.len() + data.len() > max_bytes {
+            return Err(format!("more than {max_bytes} bytes"));
+        }
+        read.extend_from_slice(&data);
+    }
+    Ok(read.freeze())
+}
+
 /// How a body ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyEnd {
--- a/src/http/connect.rs
+++ b/src/http/connect.rs
@@ -25,6 +25,13 @@
     }
 }
 
+/// Rounds a time up to whole seconds, at least one: keep-alive times have no fractions, and Linux rejects
+/// zero.
+fn round_up_to_secs(time: Duration) -> Duration {
+    let has_fraction = time.subsec_nanos() > 0;
+    Duration::from_secs((time.as_secs() + u64::from(has_fraction)).max(1))
+}
+
 /// Opens a TCP connection to `target` from `source`, an address of this host.
 ///
 /// # Errors
@@ -50,8 +57,9 @@
         socket.set_tcp_user_timeout(timeouts.user_timeout)?;
         // A side that waits for a response sends nothing that could stay unacknowledged, so it needs
         // keep-alive probes to notice that the other side is gone.
-        let keepalive = TcpKeepalive::new().with_time(user_timeout / 2);
-        socket.set_tcp_keepalive(&keepalive.with_interval(user_timeout / 2))?;
+        let interval = round_up_to_secs(user_timeout / 2);
+        let keepalive = TcpKeepalive::new().with_time(interval);
+        socket.set_tcp_keepalive(&keepalive.with_interval(interval))?;
     }
     Ok(stream)
 }
--- a/src/http/http_client.rs
+++ b/src/http/http_client.rs
@@ -7,15 +7,19 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use lentilcart_util::Map;
+use lentilcart_util::{Map, Name};
 use quick_error::quick_error;
 use tokio_util::task::TaskTracker;
 
-use super::body::{BodyEnd, HttpBody, NotifyOnEnd, stream_body};
+use super::body::{BodyEnd, HttpBody, NotifyOnEnd, collect_body, empty_body, stream_body};
 use super::connect::{ConnectTimeouts, connect};
 
 /// Largest number of idle connections kept to each address, unless the response sets another number.
 const DEFAULT_MAX_IDLE_CONNECTIONS: usize = 1000;
+/// Size of the read buffer of a connection, in bytes, which the head of a response must fit into.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Largest body of a response to a connection check, in bytes.
+const MAX_CHECK_BYTES: usize = 16 * 1024;
 /// Largest number of connections tried for a request if each is closed before anything is sent.
 const MAX_CONNECTION_TRIES: usize = 3;
 
@@ -35,6 +39,18 @@
     }
 }
 
+/// How a connection that has been idle for long is checked before it carries a request: by a request
+/// that may be repeated.
+#[derive(Debug, Clone)]
+pub struct ConnectionCheck {
+    /// Path of the request, which is sent with GET.
+    pub path: Name,
+    /// Time within which the response must be complete. Its status does not matter.
+    pub timeout: Duration,
+    /// Header that a response to the check does not have: one that has it answers an earlier request.
+    pub foreign_header: &'static str,
+}
+
 /// The idle connections to each address, the most recently used one last.
 type IdlePool = Mutex<Map<SocketAddr, Vec<IdleConnection>>>;
 
@@ -115,13 +131,30 @@
     ///
     /// The error says whether the request may have reached the server.
     pub async fn send_with_max_idle_time(
+        &self,
+        address: SocketAddr,
+        request: Request<HttpBody>,
+        max_idle_time: Duration,
+    ) -> Result<ServerResponse, SendError> {
+        self.send_checked(address, request, max_idle_time, None)
+            .await
+    }
+
+    /// Sends a request over an idle connection or a new one. A connection that has been idle for longer
+    /// than `max_idle_time` is used only if it passes the `check`, and not at all without one.
+    ///
+    /// # Errors
+    ///
+    /// The error says whether the request may have reached the server.
+    pub async fn send_checked(
         &self,
         address: SocketAddr,
         mut request: Request<HttpBody>,
         max_idle_time: Duration,
+        check: Option<&ConnectionCheck>,
     ) -> Result<ServerResponse, SendError> {
         for _ in 0..MAX_CONNECTION_TRIES {
-            let mut sender = match self.take_idle(address, max_idle_time).await {
+            let mut sender = match self.take_idle(address, max_idle_time, check).await {
                 Some(sender) => sender,
                 None => match self.connect(address).await {
                     Ok(sender) => sender,
@@ -172,25 +205,31 @@
         });
     }
 
-    /// Takes the most recently used open connection to an address out of the pool, unless all have
-    /// been idle for longer than `max_idle_time`.
+    /// Takes the most recently used open connection to an address out of the pool. If it has been idle
+    /// for longer than `max_idle_time`, it must pass the `check`, and is left in the pool without one.
     async fn take_idle(
         &self,
         address: SocketAddr,
         max_idle_time: Duration,
+        check: Option<&ConnectionCheck>,
     ) -> Option<SendRequest<HttpBody>> {
         loop {
-            let mut sender = {
+            let (mut sender, is_recent) = {
                 let mut idle = self.idle.lock().expect("no panic under lock");
                 let connections = idle.get_mut(&address)?;
                 // The last one is the most recently used.
-                if connections.last()?.since.elapsed() > max_idle_time {
+                let is_recent = connections.last()?.since.elapsed() <= max_idle_time;
+                if !is_recent && check.is_none() {
                     return None;
                 }
-                connections.pop()?.sender
+                (connections.pop()?.sender, is_recent)
             };
-            if !sender.is_closed() && sender.ready().await.is_ok() {
-                return Some(sender);
+            match check {
+                _ if sender.is_closed() || sender.ready().await.is_err() => {}
+                _ if is_recent => return Some(sender),
+                Some(check) if check.passes(address, &mut sender).await => return Some(sender),
+                // The others have been idle for longer, so they are no better.
+                _ => return None,
             }
         }
     }
@@ -200,7 +239,10 @@
         let stream = connect(self.source, address, self.timeouts)
             .await
             .map_err(|e| e.to_string())?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let builder = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .to_owned();
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|e| e.to_string())?;
         self.tasks.spawn(async move {
             if let Err(error) = connection.await {
@@ -211,6 +253,29 @@
     }
 }
 
+impl ConnectionCheck {
+    /// Returns whether a connection answers in time, and can be used again.
+    async fn passes(&self, address: SocketAddr, sender: &mut SendRequest<HttpBody>) -> bool {
+        let exchange = async {
+            let request = Request::get(&*self.path).header("host", address.to_string());
+            let request = request.body(empty_body()).ok()?;
+            let response = sender.send_request(request).await.ok()?;
+            let is_foreign = response.headers().contains_key(self.foreign_header);
+            collect_body(response.into_body(), MAX_CHECK_BYTES)
+                .await
+                .ok()?;
+            sender.ready().await.ok()?;
+            Some(!is_foreign)
+        };
+        let passes = tokio::time::timeout(self.timeout, exchange).await;
+        let passes = matches!(passes, Ok(Some(true)));
+        if !passes {
+            log::debug!(address:% = address; "idle connection failed its check");
+        }
+        passes
+    }
+}
+
 impl ServerResponse {
     /// Returns this connection to the pool after the response only if fewer than
     /// `max_idle_connections` to the address of the server are idle.
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -2,10 +2,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::{Method, Request, StatusCode};
 
-use crate::http::{HttpClient, full_body};
+use crate::http::{HttpClient, collect_body, full_body};
+
+/// Largest body of a response, in bytes: many times that of a page of a listing, which is about 1 MB.
+const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
 
 /// Makes HTTP calls to one address of the platform.
 pub(super) struct Transport {
@@ -40,12 +42,8 @@
                 .map_err(|e| e.to_string())?;
             let response = response.into_streamed(|_| ());
             let status = response.status();
-            let body = response
-                .into_body()
-                .collect()
-                .await
-                .map_err(|e| e.to_string())?;
-            Ok((status, body.to_bytes()))
+            let body = collect_body(response.into_body(), MAX_BODY_BYTES).await;
+            Ok((status, body?))
         };
         let result = tokio::time::timeout(timeout, exchange).await;
         let result = result.unwrap_or_else(|_| Err(format!("no response within {timeout:?}")));
