--- a/lentilcart_bench/src/model/simulation.rs
+++ b/lentilcart_bench/src/model/simulation.rs
@@ -272,8 +272,7 @@
 
     fn send(&mut self, now: Micros, request_id: u64, server: usize) {
         if let Some(request) = self.requests.get(&request_id) {
-            self.pool
-                .reset_attempt_start(now, &request.pending, server);
+            self.pool.reset_attempt_start(now, &request.pending, server);
         }
         self.schedule(
             now + ONE_WAY_LATENCY,
