--- a/lentilcart_state/src/member/member_table.rs
+++ b/lentilcart_state/src/member/member_table.rs
@@ -167,18 +167,6 @@
         }
     }
 
-    /// Returns this entry's rank for a key, from 0, among the listed entries of its data centre, live or
-    /// not, and how many these are.
-    #[must_use]
-    pub fn get_local_rank(&self, key: &str) -> (usize, usize) {
-        let data_center = &self.members[&self.own_name].data_center;
-        let local = self.members.iter();
-        let local = local.filter(|(_, member)| member.data_center == *data_center);
-        let ranked = rendezvous_rank(key, local.map(|(name, _)| name), usize::MAX);
-        let rank = ranked.iter().position(|name| **name == self.own_name);
-        (rank.unwrap_or(0), ranked.len())
-    }
-
     /// Returns up to `count` serving entries that own a key, such as the name of a service, the first
     /// choice first.
     #[must_use]
--- a/lentilcart_state/tests/testsuite/members.rs
+++ b/lentilcart_state/tests/testsuite/members.rs
@@ -120,33 +120,3 @@
     members.remove_unlisted(&"r0".into(), Micros::ZERO);
     assert_eq!(members.get_responsible(&"b".into(), Micros::ZERO).len(), 3);
 }
-
-/// Guards against a listing of the servers by every entry of a data centre that starts: the entries that
-/// list are few, and differ by nothing but their names.
-///
-/// Load pattern: all 21 entries of a data centre start at a time, among 125.
-#[test]
-fn get_local_rank_of_entries_that_start() {
-    let own = |data_center: &str| Member {
-        data_center: data_center.into(),
-        peer_address: ([127, 0, 0, 1], 1).into(),
-        last_heartbeat: None,
-        leaving: false,
-        applied_number: 0,
-    };
-    let ranks = (0..21).map(|number| {
-        let name = format!("e{number}").into();
-        let mut members = MemberTable::new(name, own("a"), HEARTBEAT_TIMEOUT);
-        for other in names(125) {
-            let is_local = other[1..].parse::<usize>().unwrap() < 21;
-            let data_center = if is_local { "a" } else { "b" };
-            members.upsert(&other, &data_center.into(), own("").peer_address, false);
-        }
-        let (rank, count) = members.get_local_rank("list");
-        assert_eq!(count, 21);
-        rank
-    });
-    let mut ranks: Vec<usize> = ranks.collect();
-    ranks.sort_unstable();
-    assert_eq!(ranks, (0..21).collect::<Vec<_>>());
-}
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -1,6 +1,5 @@
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::gateway::{Gateway, MirrorKind};
 use crate::util::Backoff;
@@ -17,43 +16,9 @@
 /// cost a call, a heartbeat to every entry and a fetch by it.
 const HOST_BATCH_DELAY: Duration = Duration::from_secs(1);
 
-/// Number of entries of a data centre that list the servers soon after they start, if none of the others
-/// has them.
-const FIRST_LISTERS: usize = 2;
-/// Time that these entries wait for the servers from another entry of the data centre.
-const FIRST_LISTER_WAIT: Duration = Duration::from_millis(30);
-/// Time that the others wait, and that all wait for the list of entries.
-const FIRST_LISTING_WAIT: Duration = Duration::from_millis(300);
-/// Interval at which a first listing checks what it waits for.
-const FIRST_LISTING_POLL: Duration = Duration::from_millis(5);
-
-/// Waits until another entry of the data centre has brought the servers, or until it is time for this
-/// entry to list them itself: where many start at a time, a listing by each would be most of the calls to
-/// the store. Entries that have just started exchange heartbeats as soon as they know each other.
-async fn wait_for_servers_of_peer(gateway: &Gateway) {
-    let started = Instant::now();
-    let has = |kind| gateway.lock_mirror(kind).get_revision() > 0;
-    while !gateway.stop.is_cancelled() && !has(MirrorKind::Servers) {
-        let wait = match gateway.lock_members().get_local_rank("list") {
-            _ if !has(MirrorKind::Hosts) => FIRST_LISTING_WAIT,
-            (_, 1) => Duration::ZERO,
-            (rank, _) if rank < FIRST_LISTERS => FIRST_LISTER_WAIT,
-            _ => FIRST_LISTING_WAIT,
-        };
-        let is_fetching = gateway.is_fetching[MirrorKind::Servers as usize].load(Ordering::Relaxed);
-        if started.elapsed() >= wait && !is_fetching {
-            return;
-        }
-        tokio::time::sleep(FIRST_LISTING_POLL).await;
-    }
-}
-
 /// Keeps the mirror of a prefix current by listing and watching it in the store.
 pub(crate) async fn keep_mirror(gateway: Arc<Gateway>, kind: MirrorKind) {
     let mut backoff = Backoff::default();
-    if kind == MirrorKind::Servers {
-        wait_for_servers_of_peer(&gateway).await;
-    }
     loop {
         // Unless this entry has to watch, one listing is enough: later changes come from other entries.
         let has_listed = gateway.lock_mirror(kind).get_revision() > 0;
