--- a/lentilcart_route/src/pool/preflight.rs
+++ b/lentilcart_route/src/pool/preflight.rs
@@ -13,7 +13,7 @@
 ///
 /// `before` and `after` are the expected latencies of the request before and after the server was
 /// probed, in the same unit; see
-/// [`ServerPool::get_current_latency`](crate::ServerPool::get_current_latency).
+/// [`ServerPool::get_current_latency_factor`](crate::ServerPool::get_current_latency_factor).
 #[must_use]
 pub fn is_latency_much_higher(before: f64, after: f64) -> bool {
     after > before * MAX_LATENCY_RATIO
