--- a/lentilcart_route/src/pool/server_pool.rs
+++ b/lentilcart_route/src/pool/server_pool.rs
@@ -213,12 +213,6 @@
             .then_some(Micros(self.service_times.get_mean() as u64))
     }
 
-    /// Returns the estimated base service time of requests with this latency objective.
-    #[must_use]
-    pub fn get_service_time(&self, latency_objective: Option<Micros>) -> Micros {
-        Micros(self.service_times.get_estimate(latency_objective) as u64)
-    }
-
     /// Returns the latency that is expected now of a request that is already outstanding at the
     /// server, in base service times; 0 for an unknown server. Without an outstanding request, it is
     /// that of the first one.
@@ -661,12 +655,11 @@
             .map(|(_, latency_factor)| *latency_factor)
             .fold(f64::MAX, f64::min);
         let has_eligible_server = |pool: &Self, request: &PendingRequest| {
-            let max_latency = pool.get_max_latency(now, request, lowest_slowdown);
-            let service_time = pool.service_times.get_estimate(request.latency_objective);
+            let max_factor = pool.get_max_latency_factor(now, request, lowest_slowdown);
             let mut available_servers = available_servers.iter();
-            fastest * service_time <= max_latency
+            fastest <= max_factor
                 && available_servers
-                    .any(|&(index, _)| pool.is_eligible(now, request, index, max_latency))
+                    .any(|&(index, _)| pool.is_eligible(now, request, index, max_factor))
         };
         if self.config.policy.source != LoadSource::Reports {
             return self.pop(has_eligible_server);
@@ -709,13 +702,13 @@
 
     /// Returns whether a server may get a request: it has room below its limit for the data centre
     /// of the request's origin, is not excluded, is not on probation if the request must run at
-    /// most once, and its expected latency in microseconds is at most `max_latency`.
+    /// most once, and its expected latency in base service times is at most `max_factor`.
     fn is_eligible(
         &self,
         now: Micros,
         request: &PendingRequest,
         index: usize,
-        max_latency: f64,
+        max_factor: f64,
     ) -> bool {
         let state = &self.states[index];
         let is_allowed = !request.excluded.contains(&index);
@@ -728,36 +721,38 @@
         };
         let has_room =
             self.get_counted_requests(now, state) + reserved < self.get_effective_limit(now, state);
-        let is_fast = || {
-            let latency_factor = state.get_latency_factor(now, self.service_times.get_mean());
-            let service_time = self.service_times.get_estimate(request.latency_objective);
-            latency_factor * service_time <= max_latency
-        };
+        let is_fast = || state.get_latency_factor(now, self.service_times.get_mean()) <= max_factor;
         has_room && is_allowed && is_trusted && is_fast()
     }
 
-    /// Returns the largest expected latency with which a server may get a request, in microseconds;
-    /// otherwise the request is kept for a faster server. `lowest_slowdown` is the slowdown factor of
-    /// the fastest server, which gives the expected latency there if it were idle (the idle latency).
-    /// The result is:
+    /// Returns the largest expected latency with which a server may get a request, in base service times
+    /// of its kind; otherwise the request is kept for a faster server. `lowest_slowdown` is the slowdown
+    /// factor of the fastest server, which is the expected latency there if it were idle. The result is:
     ///
-    /// - the time left until the objective, if it is longer than the idle latency;
-    /// - otherwise the time from arrival to the objective, if it is at least the idle latency;
+    /// - the time left until the objective, if it is longer than `lowest_slowdown`;
+    /// - otherwise the time from arrival to the objective, if it is at least `lowest_slowdown`;
     /// - no bound, if no server is that fast or the policy has no load reports.
     ///
     /// A request is assumed to keep the slowdown that the server has when the request begins, so
     /// that a request at a slow server is late and occupies a slot for several times as long: when
     /// many requests are queued, such requests would occupy most slots.
-    fn get_max_latency(&self, now: Micros, request: &PendingRequest, lowest_slowdown: f64) -> f64 {
+    fn get_max_latency_factor(
+        &self,
+        now: Micros,
+        request: &PendingRequest,
+        lowest_slowdown: f64,
+    ) -> f64 {
         let service_time = self.service_times.get_estimate(request.latency_objective);
-        let idle_latency = lowest_slowdown * service_time;
-        let remaining = (request.objective - now).0 as f64;
-        let total = (request.objective - request.arrived).0 as f64;
+        let to_factor = |time: Micros| time.0 as f64 / service_time;
+        let remaining = to_factor(request.objective - now);
+        let total = to_factor(request.objective - request.arrived);
         match () {
             () if self.config.policy.source != LoadSource::Reports => f64::MAX,
-            () if idle_latency < remaining => remaining,
+            // A service that takes no time is fast enough anywhere.
+            () if service_time <= 0.0 => f64::MAX,
+            () if lowest_slowdown < remaining => remaining,
             // The request misses its objective in any case, and must not make others miss theirs.
-            () if idle_latency <= total => total,
+            () if lowest_slowdown <= total => total,
             () => f64::MAX,
         }
     }
@@ -816,8 +811,8 @@
     }
 
     fn has_eligible_server(&self, now: Micros, request: &PendingRequest) -> bool {
-        let max_latency = self.get_max_latency(now, request, self.get_lowest_slowdown(now));
-        (0..self.states.len()).any(|index| self.is_eligible(now, request, index, max_latency))
+        let max_factor = self.get_max_latency_factor(now, request, self.get_lowest_slowdown(now));
+        (0..self.states.len()).any(|index| self.is_eligible(now, request, index, max_factor))
     }
 
     /// Picks a server by the policy among those that are eligible, and adds the attempt to its
@@ -825,10 +820,10 @@
     fn assign_server(&mut self, now: Micros, request: &PendingRequest) -> Option<usize> {
         let mut candidates = std::mem::take(&mut self.candidates);
         candidates.clear();
-        let max_latency = self.get_max_latency(now, request, self.get_lowest_slowdown(now));
+        let max_factor = self.get_max_latency_factor(now, request, self.get_lowest_slowdown(now));
         let states = 0..self.states.len();
         candidates
-            .extend(states.filter(|&index| self.is_eligible(now, request, index, max_latency)));
+            .extend(states.filter(|&index| self.is_eligible(now, request, index, max_factor)));
         let picked = (!candidates.is_empty()).then(|| {
             let mut context = PickContext {
                 states: &self.states,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -101,6 +101,15 @@
         self.route.class == RequestClass::Idempotent
     }
 
+    /// Combines the results of an attempt and its hedge. If one of them was not sent, it is taken off the
+    /// attempts; if neither was, [`dispatch`] takes off the other with the result.
+    fn combine_results(&mut self, first: AttemptResult, second: AttemptResult) -> AttemptResult {
+        if let (AttemptResult::NotSent(_), _) | (_, AttemptResult::NotSent(_)) = (&first, &second) {
+            self.attempts -= 1;
+        }
+        first.combine(second)
+    }
+
     /// Returns the request for a permit to send the next attempt to a server that is not `excluded`.
     fn get_permit_request(
         &self,
@@ -301,7 +310,9 @@
         Either::Right(((), first)) => first,
     };
     let permit_request = inbound.get_permit_request(gateway, dispatcher, excluded);
-    let pool_request = to_pool_request(gateway, dispatcher, &permit_request, gateway.clock.now());
+    let own_address = gateway.settings.load().listen.peer;
+    let now = gateway.clock.now();
+    let pool_request = to_pool_request(dispatcher, own_address, &permit_request, now);
     if !dispatcher.update_pool(|pool, _| pool.take_retry_token()) {
         return first.await;
     }
@@ -313,32 +324,20 @@
     inbound.attempts += 1;
     let request = inbound.build_request(&permit.server_id, gateway.clock.now());
     let second = Box::pin(send_attempt(gateway, context, permit, request));
-    // The results of the attempt and of the hedge; `None` for the one that is cancelled.
-    let (first, second) = match select(first, second).await {
-        Either::Left((first @ AttemptResult::Response(_), _)) => (Some(first), None),
-        Either::Left((first, second)) => (Some(first), Some(second.await)),
-        Either::Right((second @ AttemptResult::Response(_), _)) => (None, Some(second)),
-        Either::Right((second, first)) => (Some(first.await), Some(second)),
+    let (result, has_won) = match select(first, second).await {
+        Either::Left((first @ AttemptResult::Response(_), _)) => (first, false),
+        Either::Right((second @ AttemptResult::Response(_), _)) => (second, true),
+        Either::Left((first, second)) => {
+            let second = second.await;
+            let has_won = matches!(second, AttemptResult::Response(_));
+            (inbound.combine_results(first, second), has_won)
+        }
+        Either::Right((second, first)) => (inbound.combine_results(first.await, second), false),
     };
-    let has_won = matches!(
-        (&first, &second),
-        (first, Some(AttemptResult::Response(_))) if !matches!(first, Some(AttemptResult::Response(_)))
-    );
     metrics::counter!("lentilcart_hedges_total", "won" => if has_won { "yes" } else { "no" })
         .increment(1);
     dispatcher.update_pool(|pool, _| pool.record_hedge(has_won));
-    match (first, second) {
-        (Some(first), Some(second)) => {
-            // The caller of this function takes off the attempt of the result itself.
-            let is_unsent = |result: &AttemptResult| matches!(result, AttemptResult::NotSent(_));
-            let unsent = u32::from(is_unsent(&first)) + u32::from(is_unsent(&second));
-            let result = first.combine(second);
-            inbound.attempts -= unsent - u32::from(is_unsent(&result));
-            result
-        }
-        (Some(result), None) | (None, Some(result)) => result,
-        (None, None) => unreachable!("one of the two has ended"),
-    }
+    result
 }
 
 /// Sends a request to the server of a permit, reads the response and releases the permit with the
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,7 +12,7 @@
 use super::datagram::{Datagram, GatewayHeartbeat, encode};
 use super::gateway::{Gateway, MirrorKind};
 use super::permit_table::{handle_permit_request, record_owner_reply, release_permit};
-use crate::http::{HttpBody, collect_body, empty_body, full_body};
+use crate::http::{HttpBody, build_get, collect_body, full_body};
 
 /// Maximum size of a datagram that is read, in bytes; larger than any that is sent.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
@@ -251,10 +251,7 @@
     peer: SocketAddr,
 ) -> Result<MirrorSnapshot, String> {
     let after = gateway.lock_mirror(kind).get_revision();
-    let request = Request::get(format!("/mirror/{}?{after}", kind as usize))
-        .header("host", peer.to_string())
-        .body(empty_body())
-        .map_err(|e| e.to_string())?;
+    let request = build_get(peer, &format!("/mirror/{}?{after}", kind as usize))?;
     let received = gateway.peer_client.send(peer, request).await;
     let response = received.map_err(|e| e.to_string())?.into_streamed(|_| ());
     let status = response.status();
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -120,11 +120,12 @@
         log::info!(owner:% = owner, server:% = permit.server_id; "server of the granted permit is not serving");
         permit.release(AttemptOutcome::Cancelled);
     }
+    let own_address = gateway.settings.load().listen.peer;
     let now = gateway.clock.now();
     acquire_local_permit(
         gateway,
         dispatcher,
-        to_pool_request(gateway, dispatcher, &request, now),
+        to_pool_request(dispatcher, own_address, &request, now),
     )
     .await
 }
@@ -227,11 +228,11 @@
     )
 }
 
-/// Converts a permit request, whose times are relative, into a request of a dispatcher's pool that this
-/// entry sends to the server.
+/// Converts a permit request, whose times are relative, into a request of a dispatcher's pool.
+/// `sender` is the peer address of the entry that sends it to the server.
 pub(crate) fn to_pool_request(
-    gateway: &Gateway,
     dispatcher: &Dispatcher,
+    sender: SocketAddr,
     request: &PermitRequest,
     now: Micros,
 ) -> PendingRequest {
@@ -251,7 +252,7 @@
         objective: now + request.until_objective,
         latency_objective: get_latency_objective(request),
         origin: None,
-        sender: Some(gateway.settings.load().listen.peer),
+        sender: Some(sender),
         excluded,
     }
 }
@@ -314,8 +315,7 @@
         // Identifiers are unique within an entry only, so the requester's may equal one of this entry.
         let pool_request = PendingRequest {
             id: gateway.next_attempt_id(),
-            sender: Some(requester),
-            ..to_pool_request(&gateway, &dispatcher, &request, now)
+            ..to_pool_request(&dispatcher, requester, &request, now)
         };
         let mut acquired = Box::pin(acquire_local_permit(&gateway, &dispatcher, pool_request));
         let early = timeout(QUEUED_NOTICE_DELAY, &mut acquired).await;
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -2,7 +2,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::Request;
 use lentilcart_platform::{HEADER_NAMES, decode_load_report};
 use lentilcart_route::LoadReport;
 use lentilcart_state::rendezvous_rank;
@@ -15,7 +14,7 @@
 use super::peers::{get_peers, send_to_all};
 use super::permit_table::get_owner;
 use crate::entry::Dispatcher;
-use crate::http::{SendError, collect_body, empty_body, get_header_text};
+use crate::http::{MAX_HEALTH_BYTES, SendError, build_get, collect_body, get_header_text};
 
 /// Interval at which the servers that this entry probes are determined.
 const ASSIGNMENT_INTERVAL: Micros = Micros::from_millis(500);
@@ -32,9 +31,6 @@
 /// and there are more recipients than this in all, only the owners get the updates.
 const MAX_BROADCAST_PEERS: usize = 8;
 
-/// Largest body of a response to a probe, in bytes.
-const MAX_PROBE_BYTES: usize = 16 * 1024;
-
 /// A server to be probed, the dispatcher of its service, and the path of its health endpoint.
 pub(crate) struct ProbeTarget {
     pub(crate) dispatcher: Arc<Dispatcher>,
@@ -157,10 +153,7 @@
 /// Requests a server's health endpoint and returns the load report from the response headers, if any.
 /// The status is ignored: a response with any status is an answer.
 async fn fetch_load(gateway: &Gateway, server: &ProbeTarget) -> Result<Option<LoadReport>, String> {
-    let new_request = || {
-        let request = Request::get(&*server.path).header("host", server.address.to_string());
-        request.body(empty_body()).map_err(|e| e.to_string())
-    };
+    let new_request = || build_get(server.address, &server.path);
     let client = &gateway.server_client;
     let received = match client.send(server.address, new_request()?).await {
         // The server may have forgotten an idle connection, which says nothing about its state.
@@ -177,7 +170,7 @@
         return Err("the response belongs to another request".to_owned());
     }
     let load = get_header_text(response.headers(), HEADER_NAMES.load).and_then(decode_load_report);
-    collect_body(response.into_body(), MAX_PROBE_BYTES).await?;
+    collect_body(response.into_body(), MAX_HEALTH_BYTES).await?;
     Ok(load)
 }
 
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -1,9 +1,9 @@
 use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame};
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Response, StatusCode};
@@ -105,12 +105,10 @@
             let end = Box::pin(sleep_until(deadline + STREAM_GRACE));
             let rest = PrefixedBody {
                 prefix,
-                rest: body,
-                max_bytes: MAX_STREAMED_BYTES,
+                rest: Limited::new(body, MAX_STREAMED_BYTES),
                 end,
             };
-            let rest = stream_body(rest);
-            return Ok(Response::from_parts(parts, rest));
+            return Ok(Response::from_parts(parts, stream_body(rest)));
         }
     }
 }
@@ -119,9 +117,7 @@
 /// after too many bytes.
 struct PrefixedBody {
     prefix: Option<Bytes>,
-    rest: HttpBody,
-    /// Largest number of bytes that the rest may still have.
-    max_bytes: usize,
+    rest: Limited<HttpBody>,
     end: Pin<Box<Sleep>>,
 }
 
@@ -138,20 +134,7 @@
             None if self.end.as_mut().poll(cx).is_ready() => {
                 Poll::Ready(Some(Err("the body did not end in time".into())))
             }
-            None => {
-                let frame = ready!(Pin::new(&mut self.rest).poll_frame(cx));
-                let data = frame
-                    .as_ref()
-                    .and_then(|frame| frame.as_ref().ok()?.data_ref());
-                let length = data.map_or(0, Bytes::len);
-                Poll::Ready(match self.max_bytes.checked_sub(length) {
-                    Some(max_bytes) => {
-                        self.max_bytes = max_bytes;
-                        frame
-                    }
-                    None => Some(Err("the body is too large".into())),
-                })
-            }
+            None => Pin::new(&mut self.rest).poll_frame(cx),
         }
     }
 }
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -1,10 +1,13 @@
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::Request;
 use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::HOST;
 
 /// Error of any layer that reads or writes a body.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -34,28 +37,36 @@
     body.map_err(Into::into).boxed_unsync()
 }
 
+/// Returns a request with GET and without a body for a path of the host at `address`.
+///
+/// # Errors
+///
+/// Fails with the reason if `path` is not a valid path.
+pub fn build_get(address: SocketAddr, path: &str) -> Result<Request<HttpBody>, String> {
+    let request = Request::get(path).header(HOST, address.to_string());
+    request
+        .body(empty_body())
+        .map_err(|error| error.to_string())
+}
+
 /// Reads a body that has to fit into memory completely.
 ///
 /// # Errors
 ///
 /// Fails with the reason if the body has more than `max_bytes` bytes or cannot be read; the rest is not
 /// read.
-pub async fn collect_body<B>(mut body: B, max_bytes: usize) -> Result<Bytes, String>
+pub async fn collect_body<B>(body: B, max_bytes: usize) -> Result<Bytes, String>
 where
-    B: Body<Data = Bytes> + Unpin,
+    B: Body<Data = Bytes>,
     B::Error: std::fmt::Display,
 {
-    let mut read = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| error.to_string())?;
-        // Trailers, the only other kind of frame, are dropped.
-        let data = frame.into_data().unwrap_or_default();
-        if read.len() + data.len() > max_bytes {
-            return Err(format!("more than {max_bytes} bytes"));
-        }
-        read.extend_from_slice(&data);
+    // The error as a text, since futures that convert a boxed error are not accepted as `Send`.
+    let body = body.map_err(|error| error.to_string());
+    match Limited::new(body, max_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(format!("more than {max_bytes} bytes")),
+        Err(error) => Err(error.to_string()),
     }
-    Ok(read.freeze())
 }
 
 /// How a body ended.
--- a/src/http/http_client.rs
+++ b/src/http/http_client.rs
@@ -11,15 +11,15 @@
 use quick_error::quick_error;
 use tokio_util::task::TaskTracker;
 
-use super::body::{BodyEnd, HttpBody, NotifyOnEnd, collect_body, empty_body, stream_body};
+use super::body::{BodyEnd, HttpBody, NotifyOnEnd, build_get, collect_body, stream_body};
 use super::connect::{ConnectTimeouts, connect};
 
 /// Largest number of idle connections kept to each address, unless the response sets another number.
 const DEFAULT_MAX_IDLE_CONNECTIONS: usize = 1000;
 /// Size of the read buffer of a connection, in bytes, which the head of a response must fit into.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// Largest body of a response to a connection check, in bytes.
-const MAX_CHECK_BYTES: usize = 16 * 1024;
+/// Largest body of a response of a health endpoint, to a probe or to a connection check, in bytes.
+pub const MAX_HEALTH_BYTES: usize = 16 * 1024;
 /// Largest number of connections tried for a request if each is closed before anything is sent.
 const MAX_CONNECTION_TRIES: usize = 3;
 
@@ -257,11 +257,10 @@
     /// Returns whether a connection answers in time, and can be used again.
     async fn passes(&self, address: SocketAddr, sender: &mut SendRequest<HttpBody>) -> bool {
         let exchange = async {
-            let request = Request::get(&*self.path).header("host", address.to_string());
-            let request = request.body(empty_body()).ok()?;
+            let request = build_get(address, &self.path).ok()?;
             let response = sender.send_request(request).await.ok()?;
             let is_foreign = response.headers().contains_key(self.foreign_header);
-            collect_body(response.into_body(), MAX_CHECK_BYTES)
+            collect_body(response.into_body(), MAX_HEALTH_BYTES)
                 .await
                 .ok()?;
             sender.ready().await.ok()?;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -7,7 +7,8 @@
 mod listener;
 
 pub use self::body::{
-    BodyEnd, BoxError, HttpBody, NotifyOnEnd, collect_body, empty_body, full_body, stream_body,
+    BodyEnd, BoxError, HttpBody, NotifyOnEnd, build_get, collect_body, empty_body, full_body,
+    stream_body,
 };
 pub use self::connect::{ConnectTimeouts, connect};
 pub use self::headers::{
@@ -15,5 +16,7 @@
     LOAD_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER, find_request_error, get_header_duration,
     get_header_number, get_header_text, set_header, strip_hop_by_hop,
 };
-pub use self::http_client::{ConnectionCheck, HttpClient, SendError, ServerResponse};
+pub use self::http_client::{
+    ConnectionCheck, HttpClient, MAX_HEALTH_BYTES, SendError, ServerResponse,
+};
 pub use self::listener::{ListenerLimits, ShutdownTokens, bind_listener, serve_listener};
