feat(gateway): log servers that are kept after their registration lapsed

`registration lapsed` names the server, whether the removal was relayed, and for how long the server is kept; `lapsed server removed` ends that. The gauge lentilcart_servers_lapsed counts such servers. No decision changes: ServerDirectory::remove_lapsed returns the identifiers instead of whether there were any.

--- a/lentilcart_state/src/directory/directory.rs
+++ b/lentilcart_state/src/directory/directory.rs
@@ -104,8 +104,8 @@
         }
     }
 
-    /// Removes the lapsed servers whose grace period is over; returns whether there were any.
-    pub fn remove_lapsed(&mut self, now: Micros) -> bool {
+    /// Removes the lapsed servers whose grace period is over; returns their identifiers.
+    pub fn remove_lapsed(&mut self, now: Micros) -> Vec<Name> {
         if let Outage::Ended(at) = self.outage
             && now >= at + OUTAGE_GRACE
         {
@@ -121,7 +121,20 @@
             self.removal_times.remove(id);
             self.registrations.remove(id);
         }
-        !expired.is_empty()
+        expired
+    }
+
+    /// Returns the time at which a lapsed server is removed, or `None` if the server has not lapsed. It
+    /// is `Micros(u64::MAX)` while an outage of the store lasts.
+    #[must_use]
+    pub fn get_lapse_end(&self, id: &str) -> Option<Micros> {
+        self.removal_times.get(id).copied()
+    }
+
+    /// Returns the number of lapsed servers.
+    #[must_use]
+    pub fn get_lapsed_count(&self) -> usize {
+        self.removal_times.len()
     }
 
     /// Returns an iterator over the servers of all services, lapsed ones included.
--- a/lentilcart_state/tests/testsuite/directory.rs
+++ b/lentilcart_state/tests/testsuite/directory.rs
@@ -48,7 +48,7 @@
     directory.record_outage_end(ms(60_000));
     directory.remove_lapsed(ms(61_900));
     assert_eq!(directory.len(), 1);
-    assert!(directory.remove_lapsed(ms(62_200)));
+    assert_eq!(directory.remove_lapsed(ms(62_200)), ["i-1".into()]);
     assert!(directory.is_empty());
 }
 
@@ -82,5 +82,5 @@
     let mut directory = with_one_server();
     directory.record_outage_start();
     assert!(!directory.record_relayed_removal(&"i-1".into(), ms(1000)));
-    assert!(directory.remove_lapsed(ms(3200)));
+    assert_eq!(directory.remove_lapsed(ms(3200)), ["i-1".into()]);
 }
--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -6,7 +6,7 @@
     EjectLimits, PoolConfig, RetryLimits, ServerConfig, ServerPool, get_policy,
 };
 use lentilcart_state::{MirrorChange, RouteTable};
-use lentilcart_util::{Map, Name, Set};
+use lentilcart_util::{Map, Micros, Name, Set};
 
 use super::datagram::GatewayHeartbeat;
 use super::gateway::{ActiveRoutes, Gateway, MirrorKind};
@@ -164,6 +164,14 @@
                     };
                     log::info!(server:% = id, state, relayed; "server changed");
                     changed_services.extend(old_service);
+                } else if let Some(end) = directory.get_lapse_end(&id) {
+                    let is_bounded = end < Micros(u64::MAX);
+                    let kept_ms = if is_bounded {
+                        (end - now).as_millis()
+                    } else {
+                        -1.0
+                    };
+                    log::info!(server:% = id, relayed, kept_ms; "registration lapsed");
                 }
             }
         }
@@ -173,7 +181,11 @@
     /// Removes the lapsed servers whose grace period is over, and updates the pools of all services if
     /// there were any.
     pub(crate) fn remove_lapsed_servers(&self) {
-        if self.lock_directory().remove_lapsed(self.clock.now()) {
+        let removed = self.lock_directory().remove_lapsed(self.clock.now());
+        for id in &removed {
+            log::info!(server:% = id, state = "gone"; "lapsed server removed");
+        }
+        if !removed.is_empty() {
             let services = self
                 .get_active_routes()
                 .dispatchers
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -81,12 +81,15 @@
     }
 }
 
-/// Records the gauges for the age of the store's last reply and for opened connections.
+/// Records the gauges for the age of the store's last reply, for lapsed servers and for opened
+/// connections.
 fn record_gauges(gateway: &Gateway) {
     let age = gateway
         .get_store_reply_age()
         .map_or(f64::INFINITY, Micros::as_secs);
     metrics::gauge!("lentilcart_store_age_seconds").set(age);
+    metrics::gauge!("lentilcart_servers_lapsed")
+        .set(gateway.lock_directory().get_lapsed_count() as f64);
     metrics::gauge!("lentilcart_server_connections_opened")
         .set(gateway.server_client.get_opened_count() as f64);
 }
