--- a/lentilcart_state/tests/testsuite/directory.rs
+++ b/lentilcart_state/tests/testsuite/directory.rs
@@ -84,3 +84,14 @@
     assert!(!directory.record_relayed_removal(&"i-1".into(), ms(1000)));
     assert_eq!(directory.remove_lapsed(ms(3200)), ["i-1".into()]);
 }
+
+/// Guards against the end of an outage at this entry that prolongs the time for which a server stays after
+/// another entry has reported its removal.
+#[test]
+fn relayed_removal_is_not_postponed_by_end_of_outage() {
+    let mut directory = with_one_server();
+    directory.record_outage_start();
+    assert!(!directory.record_relayed_removal(&"i-1".into(), ms(1000)));
+    directory.record_outage_end(ms(1500));
+    assert_eq!(directory.remove_lapsed(ms(3200)), ["i-1".into()]);
+}
