fix(gateway): end the grace period of an outage with the first entry that regains the store

Cause: each entry judged an outage of the store by its own calls alone. An entry that found the store again 3.2 s after the watchers took the relayed removal for a lapsed registration, kept the server for a grace period of 2.1 s, and the end of its own outage started that period anew. Ruled out: a change that was lost (the mirror counted both), and an old permit (the requests had arrived after the removal).

Change: there is an outage while the last call of an entry has failed and no watcher says in its heartbeats that the store answers it. The end of an outage leaves removal times that are fixed. The wire is unchanged.

src/entry has no grace period and counts the contact of other entries already.

--- a/lentilcart_state/src/directory/directory.rs
+++ b/lentilcart_state/src/directory/directory.rs
@@ -9,7 +9,8 @@
 /// Registered servers, and servers whose registration lapsed because of an outage of the store.
 ///
 /// A registration lapses when the store is unreachable and the server can't renew it. Such a server
-/// stays in the directory until a grace period after the outage has passed.
+/// stays in the directory until a grace period after the outage has passed. A store that does not answer
+/// this entry but others is not unreachable: servers renew their registrations there.
 #[derive(Debug, Default)]
 pub struct ServerDirectory {
     /// All servers by identifier, lapsed ones included.
@@ -24,7 +25,7 @@
     /// The store answers, and the grace period after the last outage is over.
     #[default]
     None,
-    /// The store does not answer.
+    /// The store answers no entry.
     Ongoing,
     /// The store has answered again since this time, and the grace period is not over.
     Ended(Micros),
@@ -42,10 +43,9 @@
 
     /// Records that a registration was removed; returns whether the server is removed at once.
     ///
-    /// A server stays while the store is unreachable and until the grace period after the outage is
-    /// over, unless the server is leaving. Where another outage begins within the grace period, a
-    /// server that lapsed before is still removed at the end of that period, unless the other outage
-    /// has ended by then, which starts the grace period anew for every lapsed server.
+    /// In an outage of the store and until the grace period after it is over, a server stays unless it
+    /// is leaving. Where another outage begins within the grace period, a server that lapsed before is
+    /// still removed at the end of that period.
     pub fn record_removal(&mut self, id: &Name, now: Micros) -> bool {
         let removal_time = self.get_removal_time(now);
         self.end_registration(id, now, removal_time)
@@ -54,9 +54,7 @@
     /// Records that a registration was removed, as another entry learned from the store; returns
     /// whether the server is removed at once.
     ///
-    /// Otherwise the server is removed after one grace period at most, even while the store is
-    /// unreachable from this entry. Where an outage ends at this entry before that, the server is
-    /// removed one grace period after the end of the outage.
+    /// Otherwise the server is removed after one grace period at most, even while the outage lasts.
     pub fn record_relayed_removal(&mut self, id: &Name, now: Micros) -> bool {
         // The store answers the other entry, so that servers can register again.
         let removal_time = self.get_removal_time(now).min(now + OUTAGE_GRACE);
@@ -88,18 +86,19 @@
         }
     }
 
-    /// Records that an outage of the store began.
+    /// Records that there is an outage of the store: as far as this entry knows, the store answers
+    /// neither it nor any other entry.
     pub fn record_outage_start(&mut self) {
         self.outage = Outage::Ongoing;
     }
 
-    /// Records that the store answers again, which starts the grace period for all lapsed servers,
-    /// also for those whose removal time was already fixed.
+    /// Records that there is no outage of the store. Where there was one, this starts the grace period
+    /// of the lapsed servers whose removal time is not fixed yet.
     pub fn record_outage_end(&mut self, now: Micros) {
         if matches!(self.outage, Outage::Ongoing) {
             self.outage = Outage::Ended(now);
             for removal_time in self.removal_times.values_mut() {
-                *removal_time = now + OUTAGE_GRACE;
+                *removal_time = (*removal_time).min(now + OUTAGE_GRACE);
             }
         }
     }
--- a/src/gateway/store_contact.rs
+++ b/src/gateway/store_contact.rs
@@ -3,7 +3,7 @@
 use std::sync::MutexGuard;
 
 use lentilcart_state::rendezvous_rank;
-use lentilcart_util::{Micros, Name};
+use lentilcart_util::{Map, Micros, Name};
 
 use super::gateway::Gateway;
 
@@ -26,6 +26,18 @@
     /// When the heartbeat arrived that last set or confirmed `name`, also to `None`, by the gateway's
     /// clock.
     updated: Micros,
+    /// When each watcher last said that the store answers it, by the gateway's clock. A watcher that
+    /// says the contrary is removed.
+    answered: Map<Name, Micros>,
+}
+
+impl LatestWatcher {
+    /// Returns whether a watcher has said lately that the store answers it.
+    fn is_store_answering(&self, now: Micros) -> bool {
+        self.answered
+            .values()
+            .any(|answered| now - *answered <= WATCHER_TIMEOUT)
+    }
 }
 
 /// Whether and when the store answered this entry.
@@ -50,10 +62,11 @@
         if contact.last_call_failed {
             contact.last_call_failed = false;
             log::info!("store regained");
-            self.lock_directory().record_outage_end(now);
             // The store may have forgotten the watches in progress, which waited through the outage.
             self.relist.notify_waiters();
         }
+        drop(contact);
+        self.update_outage();
     }
 
     /// Records that a call to the store failed, and why: there was no reply, or not the expected one.
@@ -62,10 +75,28 @@
         if !contact.last_call_failed {
             contact.last_call_failed = true;
             log::warn!(call, reason; "store lost");
-            self.lock_directory().record_outage_start();
             // Another entry has to watch instead.
             self.trigger_heartbeat();
         }
+        drop(contact);
+        self.update_outage();
+    }
+
+    /// Updates whether there is an outage of the store, in which servers whose registration lapses are
+    /// kept: the last call of this entry failed, and no watcher says that the store answers it. As long
+    /// as the store answers a watcher, servers can renew their registrations, so a removed one has not
+    /// lapsed.
+    pub(crate) fn update_outage(&self) {
+        let now = self.clock.now();
+        let watchers = self.latest_watcher.lock().expect("no panic under lock");
+        let is_outage = self.has_last_store_call_failed() && !watchers.is_store_answering(now);
+        drop(watchers);
+        let mut directory = self.lock_directory();
+        if is_outage {
+            directory.record_outage_start();
+        } else {
+            directory.record_outage_end(now);
+        }
     }
 
     /// Returns whether the store answers this entry: its last reply is recent, and no call failed
@@ -81,13 +112,23 @@
 
     /// Records by a heartbeat whether an entry watches the store.
     pub(crate) fn record_watcher(&self, name: &Name, watching: bool) {
-        let updated = self.clock.now();
+        let now = self.clock.now();
         let mut watcher = self.latest_watcher.lock().expect("no panic under lock");
         let is_current = watcher.name.as_ref() == Some(name);
         if watching || is_current {
-            let name = watching.then(|| name.clone());
-            *watcher = LatestWatcher { name, updated };
+            watcher.name = watching.then(|| name.clone());
+            watcher.updated = now;
+        }
+        if watching {
+            watcher.answered.insert(name.clone(), now);
+        } else {
+            watcher.answered.remove(name);
         }
+        watcher
+            .answered
+            .retain(|_, answered| now - *answered <= WATCHER_TIMEOUT);
+        drop(watcher);
+        self.update_outage();
     }
 
     /// Returns this entry's rank, from 0, in the rendezvous order in which entries watch the store: the
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -23,8 +23,9 @@
 /// Idle time after which a connection to a server is closed, whether for requests or for probes.
 const MAX_CONNECTION_IDLE: Duration = Duration::from_secs(9);
 
-/// Runs the periodic work: ticks the dispatchers, probes servers for waiting requests, removes lapsed
-/// servers, does housekeeping, and detects when the process was suspended.
+/// Runs the periodic work: ticks the dispatchers, probes servers for waiting requests, updates whether
+/// there is an outage of the store, removes lapsed servers, does housekeeping, and detects when the
+/// process was suspended.
 pub(crate) async fn run_periodic_work(gateway: Arc<Gateway>) {
     let mut last_tick = Instant::now();
     let mut last_housekeeping = Instant::now();
@@ -58,6 +59,7 @@
                 probe_stale_servers(&gateway, dispatcher, &service_settings.health_path);
             }
         }
+        gateway.update_outage();
         gateway.remove_lapsed_servers();
         if last_housekeeping.elapsed() >= HOUSEKEEPING_INTERVAL {
             last_housekeeping = Instant::now();
