feat(gateway): read and log the rate limits that servers name

No source read the header, so logs and metrics could not tell whether a limit was unknown, kept by each entry for itself, or passed by.

The head of every response to a request and to a probe is read; the owner of the service learns of it with the outcome of the attempt, or by a datagram where no outcome tells it. Entries of an earlier version ignore both. `rate limit of server changed` and the gauge lentilcart_servers_rate_limited show it. No decision changes.

--- a/lentilcart_bench/src/model/simulation.rs
+++ b/lentilcart_bench/src/model/simulation.rs
@@ -4,7 +4,7 @@
 
 use lentilcart_route::{
     AttemptOutcome, Decision, MAX_PREFLIGHT_PROBES, PendingRequest, PoolConfig, ServerConfig,
-    ServerPool, get_policy, is_latency_much_higher,
+    ServerNotice, ServerPool, get_policy, is_latency_much_higher,
 };
 use lentilcart_util::{Map, Micros, Rng, seeded_rng};
 use rand::RngExt;
@@ -315,7 +315,10 @@
                     now,
                     request_id,
                     server,
-                    AttemptOutcome::Full { load },
+                    AttemptOutcome::Full {
+                        load,
+                        notice: ServerNotice::default(),
+                    },
                 );
                 decisions.extend(self.pool.offer(now, retry));
                 self.apply_decisions(now, decisions);
--- a/lentilcart_route/src/pool/mod.rs
+++ b/lentilcart_route/src/pool/mod.rs
@@ -12,6 +12,7 @@
 mod config;
 mod pending_request;
 mod preflight;
+mod server_notice;
 mod server_phase;
 mod server_pool;
 mod server_state;
@@ -20,6 +21,7 @@
 pub use self::config::{PoolConfig, ServerConfig, Shard};
 pub use self::pending_request::{AttemptOutcome, Decision, LoadReport, PendingRequest, Rejection};
 pub use self::preflight::{MAX_PREFLIGHT_PROBES, is_latency_much_higher};
+pub use self::server_notice::ServerNotice;
 pub use self::server_phase::ServerPhase;
 pub use self::server_pool::ServerPool;
 pub use self::server_state::{ServerState, ServerSummary};
--- a/lentilcart_route/src/pool/pending_request.rs
+++ b/lentilcart_route/src/pool/pending_request.rs
@@ -1,5 +1,7 @@
 use lentilcart_util::{Micros, Name, common};
 
+use super::ServerNotice;
+
 /// A request that needs a server, for its first attempt or a further one.
 #[derive(Debug, Clone)]
 pub struct PendingRequest {
@@ -134,15 +136,21 @@
     pub enum AttemptOutcome {
         /// The server answered, and its answer does not count as a failure.
         Answered {
-        /// Load report that came with the answer.
+            /// Load report that came with the answer.
             load: Option<LoadReport>,
+            /// What the server says of itself in the answer; empty from an entry of an earlier version.
+            #[serde(default, skip_serializing_if = "ServerNotice::is_empty")]
+            notice: ServerNotice,
         },
         /// The server refused the request and did not run it, normally because it is full. If its
         /// load report shows free slots, this counts as a failure in the failure rate, but never
         /// for ejections.
         Full {
-        /// Load report that came with the refusal.
+            /// Load report that came with the refusal.
             load: Option<LoadReport>,
+            /// What the server says of itself in the refusal; empty from an entry of an earlier version.
+            #[serde(default, skip_serializing_if = "ServerNotice::is_empty")]
+            notice: ServerNotice,
         },
         /// The connection failed after it was made, or the answer counts as a failure, such as a
         /// server error.
@@ -158,9 +166,10 @@
 }
 
 impl AttemptOutcome {
-    /// Creates the outcome of an attempt that the server answered.
+    /// Creates the outcome of an attempt that the server answered without a notice.
     #[must_use]
     pub const fn answered(load: Option<LoadReport>) -> Self {
-        Self::Answered { load }
+        let notice = ServerNotice { rate_limit: None };
+        Self::Answered { load, notice }
     }
 }
--- a/lentilcart_route/src/pool/server_pool.rs
+++ b/lentilcart_route/src/pool/server_pool.rs
@@ -4,7 +4,7 @@
 use super::service_times::ServiceTimes;
 use super::{
     AttemptOutcome, Decision, LoadReport, PendingRequest, PoolConfig, Rejection, ServerConfig,
-    ServerPhase, ServerState, ServerSummary, Shard,
+    ServerNotice, ServerPhase, ServerState, ServerSummary, Shard,
 };
 use crate::limits::{Hedger, TokenBucket};
 use crate::policy::{LoadSource, PickContext};
@@ -182,6 +182,13 @@
             .collect()
     }
 
+    /// Returns the number of listed servers that name a rate limit.
+    #[must_use]
+    pub fn get_rate_limited_count(&self) -> usize {
+        let is_limited = |state: &&ServerState| state.listed && state.pacer.get_limit().is_some();
+        self.states.iter().filter(is_limited).count()
+    }
+
     /// Returns the number of queued requests.
     #[must_use]
     pub fn get_queue_len(&self) -> usize {
@@ -290,7 +297,8 @@
         };
         let elapsed = now - attempt.started;
         match outcome {
-            AttemptOutcome::Answered { load } => {
+            AttemptOutcome::Answered { load, notice } => {
+                state.pacer.set_limit(notice.rate_limit);
                 state.record_answer(now, elapsed, load, self.config.overcommit);
                 let kind = attempt.latency_objective;
                 self.service_times
@@ -300,7 +308,8 @@
                 self.mean_latency += MEAN_WEIGHT * (elapsed.0 as f64 - self.mean_latency);
                 self.promote_after_answer(now, server);
             }
-            AttemptOutcome::Full { load } => {
+            AttemptOutcome::Full { load, notice } => {
+                state.pacer.set_limit(notice.rate_limit);
                 state.record_report(now, load);
                 // A server that refuses requests while it has free slots has another reason than
                 // load: in the failure rate, but only there, that counts as a failed attempt. Any
@@ -491,7 +500,7 @@
         latency_objective: Option<Micros>,
         outcome: &AttemptOutcome,
     ) {
-        if let AttemptOutcome::Answered { load } = outcome {
+        if let AttemptOutcome::Answered { load, .. } = outcome {
             self.hedger.record_latency(now, elapsed);
             self.retry_tokens.deposit(self.config.retry.ratio);
             // The reported slowdown stands for the whole expected latency here: what a busy or full
@@ -502,6 +511,20 @@
         }
     }
 
+    /// Records what a server says of itself in an answer to a request, and returns whether that is new.
+    /// For an attempt of this pool, the outcome may carry it instead.
+    pub fn record_notice(&mut self, server: usize, notice: ServerNotice) -> bool {
+        let state = self.states.get_mut(server);
+        state.is_some_and(|state| state.pacer.set_limit(notice.rate_limit))
+    }
+
+    /// Records what a server says of itself in an answer to a probe, and returns whether that is new. A
+    /// notice that the server gives only in its answers to requests is not ended by a probe.
+    pub fn record_probe_notice(&mut self, server: usize, notice: ServerNotice) -> bool {
+        let state = self.states.get_mut(server);
+        state.is_some_and(|state| state.pacer.set_probe_limit(notice.rate_limit))
+    }
+
     /// Records that a server did not answer a probe of either kind.
     pub fn record_probe_failure(&mut self, now: Micros, server: usize) {
         if let Some(state) = self.states.get_mut(server) {
--- a/lentilcart_route/src/pool/server_state.rs
+++ b/lentilcart_route/src/pool/server_state.rs
@@ -1,7 +1,7 @@
 use lentilcart_util::{Map, Micros, Name};
 
 use super::{LoadReport, PoolConfig, ServerConfig, ServerPhase, Shard};
-use crate::limits::TokenBucket;
+use crate::limits::{RatePacer, TokenBucket};
 
 /// Weight of the newest answer in the mean latency of a server.
 const LATENCY_WEIGHT: f64 = 0.1;
@@ -81,6 +81,8 @@
     pub(crate) failed: u64,
     /// Time of the last answer to a request.
     pub(crate) last_answered: Option<Micros>,
+    /// Rate limit that the server names.
+    pub(crate) pacer: RatePacer,
     /// Budget of load probes.
     pub(crate) probe_tokens: TokenBucket,
     /// Budget of bytes of load probes and their answers.
@@ -147,6 +149,7 @@
             answered: 0,
             failed: 0,
             last_answered: None,
+            pacer: RatePacer::default(),
             probe_tokens: TokenBucket::new(0.0, PROBE_BURST, now),
             byte_tokens: TokenBucket::new(0.0, PROBE_BURST * PROBE_BYTES, now),
         }
--- a/lentilcart_state/src/routing/headers.rs
+++ b/lentilcart_state/src/routing/headers.rs
@@ -14,4 +14,6 @@
     pub signature: &'static str,
     /// Header with the load report of the server.
     pub load: &'static str,
+    /// Header with the rate limit that the server names.
+    pub rate_limit: &'static str,
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -70,6 +70,7 @@
 /// What an attempt needs of its request, besides the request to send.
 #[derive(Clone)]
 struct AttemptContext {
+    dispatcher: Arc<Dispatcher>,
     request_id: Name,
     class: RequestClass,
     deadline: Instant,
@@ -294,6 +295,7 @@
 ) -> AttemptResult {
     let delay = permit.hedge_after.filter(|_| inbound.is_idempotent());
     let context = AttemptContext {
+        dispatcher: dispatcher.clone(),
         request_id: inbound.id.clone(),
         class: inbound.route.class,
         deadline: Instant::from_std(gateway.clock.to_instant(inbound.deadline)),
@@ -349,6 +351,7 @@
     request: Request<HttpBody>,
 ) -> AttemptResult {
     let AttemptContext {
+        dispatcher,
         request_id,
         class,
         deadline,
@@ -392,6 +395,8 @@
         .and_then(decode_load_report);
     let verdict = classify_response(&received.response, &request_id, class);
     let status = received.response.status().as_u16();
+    let notice =
+        gateway.handle_response_notice(&dispatcher, address, received.response.headers(), verdict);
     match verdict {
         ResponseVerdict::Valid | ResponseVerdict::ErrorResponse => {}
         ResponseVerdict::Unusable(reason) => {
@@ -403,7 +408,7 @@
         ResponseVerdict::NotRun | ResponseVerdict::Misdirected => {
             log::info!(request:% = request_id, server:% = server, status; "server did not run the request");
             permit.release(match verdict {
-                ResponseVerdict::NotRun => AttemptOutcome::Full { load },
+                ResponseVerdict::NotRun => AttemptOutcome::Full { load, notice },
                 // The server that the pool knows at this address is gone: another has taken its place.
                 _ => AttemptOutcome::Leaving,
             });
@@ -430,7 +435,7 @@
                 slowness = load.and_then(|load| load.slowdown).unwrap_or(1.0);
                 "server answered"
             );
-            permit.release(AttemptOutcome::answered(load));
+            permit.release(AttemptOutcome::Answered { load, notice });
             AttemptResult::Response(response)
         }
         Ok(response) => {
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use lentilcart_route::{AttemptOutcome, LoadReport};
+use lentilcart_route::{AttemptOutcome, LoadReport, ServerNotice};
 use lentilcart_util::{Micros, Name, common};
 
 const PERCENT_PER_UNIT: f64 = 100.0;
@@ -106,6 +106,9 @@
         /// identifier of the permit request and the outcome of the attempt.
         #[serde(rename = "Settle")]
         Release(u64, AttemptOutcome),
+        /// Tells the owner of a service what one of its servers says of itself, where no outcome tells it:
+        /// the answer was one to a probe, or counts as a failure. Entries of an earlier version ignore it.
+        Notice(Name, SocketAddr, ServerNotice),
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,7 +8,7 @@
 //! Requests: `serve` reads a caller's request and matches a route, `attempt` sends it and retries,
 //! `permit_table` gets the permit for each attempt, `on_demand_probe` probes the chosen server, if its
 //! load report is old, before the request is sent, `response` classifies what the server sends back,
-//! and `error_reply` is the reply if no server's response can be passed on.
+//! `notice` reads what the server says of itself there, and `error_reply` is the reply if no server's response can be passed on.
 //!
 //! State that requests read: `mirror` watches the store, `changes` puts routes, servers and entries in
 //! force, `store_contact` tracks whether the store answers, `peers` and `datagram` exchange state with
@@ -25,6 +25,7 @@
 mod gateway;
 mod handle;
 mod mirror;
+mod notice;
 mod on_demand_probe;
 mod ops;
 mod peers;
--- /dev/null
+++ b/src/gateway/notice.rs
@@ -0,0 +1,104 @@
+//! Reads what servers say of themselves in the heads of their answers, and passes it on.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hyper::header::HeaderMap;
+use lentilcart_platform::{HEADER_NAMES, decode_rate_limit};
+use lentilcart_route::ServerNotice;
+
+use super::datagram::Datagram;
+use super::gateway::Gateway;
+use super::permit_table::get_owner;
+use super::response::ResponseVerdict;
+use crate::entry::Dispatcher;
+
+/// The kind of answer that a notice came with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NoticeSource {
+    /// An answer to a request.
+    Request,
+    /// An answer to a probe.
+    Probe,
+}
+
+/// Reads the notice in the head of a server's answer.
+pub(crate) fn read_notice(headers: &HeaderMap) -> ServerNotice {
+    let limits = headers.get_all(HEADER_NAMES.rate_limit).iter();
+    let limits = limits.filter_map(|value| value.to_str().ok());
+    ServerNotice {
+        rate_limit: decode_rate_limit(limits),
+    }
+}
+
+impl Gateway {
+    /// Handles the notice in a server's response to a request and returns it.
+    pub(crate) fn handle_response_notice(
+        &self,
+        dispatcher: &Arc<Dispatcher>,
+        server: SocketAddr,
+        headers: &HeaderMap,
+        verdict: ResponseVerdict,
+    ) -> ServerNotice {
+        let notice = read_notice(headers);
+        let is_of_server = match verdict {
+            // Another server has answered.
+            ResponseVerdict::Misdirected => false,
+            // Its head may have lost the notice.
+            ResponseVerdict::Unusable(_) => !notice.is_empty(),
+            _ => true,
+        };
+        if is_of_server {
+            self.handle_notice(dispatcher, server, notice, NoticeSource::Request);
+        }
+        notice
+    }
+
+    /// Records the notice in an answer that this entry got from a server, and tells the owner of the
+    /// service, which chooses servers for this entry. An empty notice is not sent: the owner learns from
+    /// the outcome of the attempt that a notice has ended.
+    pub(crate) fn handle_notice(
+        &self,
+        dispatcher: &Arc<Dispatcher>,
+        server: SocketAddr,
+        notice: ServerNotice,
+        source: NoticeSource,
+    ) {
+        if notice.is_empty() && !dispatcher.read_pool(|pool| pool.get_rate_limited_count() > 0) {
+            return;
+        }
+        let has_changed = dispatcher.update_pool(|pool, _| {
+            let index = pool.get_server_index(server);
+            index.is_some_and(|index| match source {
+                NoticeSource::Request => pool.record_notice(index, notice),
+                NoticeSource::Probe => pool.record_probe_notice(index, notice),
+            })
+        });
+        if has_changed {
+            let per_second = notice.rate_limit.unwrap_or(-1.0);
+            log::info!(server:% = server, per_second, source:? = source; "rate limit of server changed");
+        }
+        let owner = get_owner(self, &dispatcher.service).filter(|_| !notice.is_empty());
+        if let Some(owner) = owner {
+            let service = dispatcher.service.clone();
+            self.send_datagram(&Datagram::Notice(service, server, notice), owner);
+        }
+    }
+
+    /// Records a notice that another entry got from a server and sent to this one as the owner.
+    pub(crate) fn record_peer_notice(
+        &self,
+        service: &str,
+        server: SocketAddr,
+        notice: ServerNotice,
+    ) {
+        let routes = self.get_active_routes();
+        if let Some(dispatcher) = routes.dispatchers.get(service) {
+            dispatcher.update_pool(|pool, _| {
+                if let Some(index) = pool.get_server_index(server) {
+                    pool.record_notice(index, notice);
+                }
+            });
+        }
+    }
+}
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -11,6 +11,7 @@
 
 use super::datagram::{Datagram, LoadUpdate};
 use super::gateway::Gateway;
+use super::notice::{NoticeSource, read_notice};
 use super::peers::{get_peers, send_to_all};
 use super::permit_table::get_owner;
 use crate::entry::Dispatcher;
@@ -150,7 +151,8 @@
     }
 }
 
-/// Requests a server's health endpoint and returns the load report from the response headers, if any.
+/// Requests a server's health endpoint and returns the load report from the response headers, if any;
+/// handles the notice there.
 /// The status is ignored: a response with any status is an answer.
 async fn fetch_load(gateway: &Gateway, server: &ProbeTarget) -> Result<Option<LoadReport>, String> {
     let new_request = || build_get(server.address, &server.path);
@@ -169,6 +171,13 @@
     if response.headers().contains_key(HEADER_NAMES.request_id) {
         return Err("the response belongs to another request".to_owned());
     }
+    let notice = read_notice(response.headers());
+    gateway.handle_notice(
+        &server.dispatcher,
+        server.address,
+        notice,
+        NoticeSource::Probe,
+    );
     let load = get_header_text(response.headers(), HEADER_NAMES.load).and_then(decode_load_report);
     collect_body(response.into_body(), MAX_HEALTH_BYTES).await?;
     Ok(load)
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use lentilcart_route::ServerPool;
 use lentilcart_util::Micros;
 
 use super::gateway::Gateway;
@@ -83,8 +84,8 @@
     }
 }
 
-/// Records the gauges for the age of the store's last reply, for lapsed servers and for opened
-/// connections.
+/// Records the gauges for the age of the store's last reply, for lapsed servers, for servers that name a
+/// rate limit, and for opened connections.
 fn record_gauges(gateway: &Gateway) {
     let age = gateway
         .get_store_reply_age()
@@ -92,6 +93,11 @@
     metrics::gauge!("lentilcart_store_age_seconds").set(age);
     metrics::gauge!("lentilcart_servers_lapsed")
         .set(gateway.lock_directory().get_lapsed_count() as f64);
+    for (service, dispatcher) in &gateway.get_active_routes().dispatchers {
+        let count = dispatcher.read_pool(ServerPool::get_rate_limited_count);
+        let service = service.to_string();
+        metrics::gauge!("lentilcart_servers_rate_limited", "service" => service).set(count as f64);
+    }
     metrics::gauge!("lentilcart_server_connections_opened")
         .set(gateway.server_client.get_opened_count() as f64);
 }
