fix(route): keep the rate limits that servers name

Change: a pool spaces the starts at a server by its share of the limit, without a burst; until its next turn the server has no room. The entries that choose servers have equal shares: the owners of the data centres, or all entries without owners; an entry that has an owner has none. A request that can only wait for a turn that comes too late is rejected at once. A limit ends with an answer without one and with the instance of the server.

--- a/lentilcart_route/src/limits/rate_pacer.rs
+++ b/lentilcart_route/src/limits/rate_pacer.rs
@@ -1,10 +1,19 @@
-/// Rate limit that a server names, and this entry's requests to the server.
+use lentilcart_util::Micros;
+
+/// Requests a second that a server with a lower limit gets all the same from all entries together: only
+/// its answers tell when the limit ends.
+const MIN_TRIAL_RATE: f64 = 0.1;
+
+/// Rate limit that a server names, and the pace of this entry's requests to the server by its share of
+/// the limit. There is no burst: servers in need name low limits.
 #[derive(Debug, Default)]
 pub(crate) struct RatePacer {
     /// Requests a second that the server accepts from all entries together; `None` for no limit.
     limit: Option<f64>,
     /// Whether the server has named a limit in an answer to a probe.
     in_probes: bool,
+    /// When the last request to the server was started.
+    last_start: Option<Micros>,
 }
 
 impl RatePacer {
@@ -27,4 +36,25 @@
         self.in_probes |= limit.is_some();
         self.in_probes && self.set_limit(limit)
     }
+
+    /// Records the start of a request.
+    pub(crate) fn record_start(&mut self, now: Micros) {
+        self.last_start = Some(now);
+    }
+
+    /// Returns the requests a second that this entry may start with a share from 0 to 1 of the limit;
+    /// `None` for no limit.
+    pub(crate) fn get_rate(&self, share: f64) -> Option<f64> {
+        self.limit.map(|limit| limit.max(MIN_TRIAL_RATE) * share)
+    }
+
+    /// Returns the earliest start of the next request with a share of the limit; `Micros(u64::MAX)` if
+    /// the share is 0.
+    pub(crate) fn get_next_start(&self, share: f64) -> Micros {
+        match (self.get_rate(share), self.last_start) {
+            (Some(rate), _) if rate <= 0.0 => Micros(u64::MAX),
+            (Some(rate), Some(last_start)) => last_start + Micros::from_secs(1.0 / rate),
+            (None, _) | (Some(_), None) => Micros::ZERO,
+        }
+    }
 }
--- a/lentilcart_route/src/pool/server_pool.rs
+++ b/lentilcart_route/src/pool/server_pool.rs
@@ -6,7 +6,7 @@
     AttemptOutcome, Decision, LoadReport, PendingRequest, PoolConfig, Rejection, ServerConfig,
     ServerNotice, ServerPhase, ServerState, ServerSummary, Shard,
 };
-use crate::limits::{Hedger, TokenBucket};
+use crate::limits::{Hedger, RatePacer, TokenBucket};
 use crate::policy::{LoadSource, PickContext};
 use crate::queue::RequestQueue;
 
@@ -38,6 +38,10 @@
     retry_tokens: TokenBucket,
     hedger: Hedger,
     shard: Shard,
+    /// This entry's share, from 0 to 1, of the rate limits that servers name.
+    rate_share: f64,
+    /// Whether a listed server names a rate limit.
+    has_rate_limits: bool,
     /// Moving average of the latency of all servers, in microseconds.
     ///
     /// It starts at 0 and moves by `MEAN_WEIGHT` of the difference with each answer, so that it is
@@ -69,6 +73,8 @@
             retry_tokens,
             hedger: Hedger::new(config.retry.hedge, Micros::ZERO),
             shard: Shard::default(),
+            rate_share: 1.0,
+            has_rate_limits: false,
             mean_latency: 0.0,
             service_times: ServiceTimes::new(),
             picks: 0,
@@ -123,6 +129,7 @@
                 }
             }
         }
+        self.has_rate_limits = self.get_rate_limited_count() > 0;
     }
 
     /// Sets the shard of this entry among the entries that dispatch for the service.
@@ -130,6 +137,12 @@
         self.shard = shard;
     }
 
+    /// Sets this entry's share, from 0 to 1, of the rate limits that servers name; 1 in a new pool. The
+    /// shares of all entries must not add up to more than 1.
+    pub fn set_rate_share(&mut self, share: f64) {
+        self.rate_share = share;
+    }
+
     /// Marks a server as leaving or as no longer leaving, and returns whether that changed it.
     ///
     /// A server that is no longer leaving begins with a slow start, also if it was ejected or on
@@ -182,6 +195,12 @@
             .collect()
     }
 
+    /// Returns whether a listed server names a rate limit.
+    #[must_use]
+    pub fn has_rate_limits(&self) -> bool {
+        self.has_rate_limits
+    }
+
     /// Returns the number of listed servers that name a rate limit.
     #[must_use]
     pub fn get_rate_limited_count(&self) -> usize {
@@ -297,8 +316,7 @@
         };
         let elapsed = now - attempt.started;
         match outcome {
-            AttemptOutcome::Answered { load, notice } => {
-                state.pacer.set_limit(notice.rate_limit);
+            AttemptOutcome::Answered { load, .. } => {
                 state.record_answer(now, elapsed, load, self.config.overcommit);
                 let kind = attempt.latency_objective;
                 self.service_times
@@ -308,8 +326,7 @@
                 self.mean_latency += MEAN_WEIGHT * (elapsed.0 as f64 - self.mean_latency);
                 self.promote_after_answer(now, server);
             }
-            AttemptOutcome::Full { load, notice } => {
-                state.pacer.set_limit(notice.rate_limit);
+            AttemptOutcome::Full { load, .. } => {
                 state.record_report(now, load);
                 // A server that refuses requests while it has free slots has another reason than
                 // load: in the failure rate, but only there, that counts as a failed attempt. Any
@@ -329,6 +346,11 @@
             AttemptOutcome::Leaving => state.phase = ServerPhase::Leaving,
             AttemptOutcome::Cancelled => {}
         }
+        if let AttemptOutcome::Answered { notice, .. } | AttemptOutcome::Full { notice, .. } =
+            outcome
+        {
+            self.record_notice(server, notice);
+        }
         self.dispatch_queue(now)
     }
 
@@ -514,15 +536,23 @@
     /// Records what a server says of itself in an answer to a request, and returns whether that is new.
     /// For an attempt of this pool, the outcome may carry it instead.
     pub fn record_notice(&mut self, server: usize, notice: ServerNotice) -> bool {
-        let state = self.states.get_mut(server);
-        state.is_some_and(|state| state.pacer.set_limit(notice.rate_limit))
+        self.update_pacer(server, |pacer| pacer.set_limit(notice.rate_limit))
     }
 
     /// Records what a server says of itself in an answer to a probe, and returns whether that is new. A
     /// notice that the server gives only in its answers to requests is not ended by a probe.
     pub fn record_probe_notice(&mut self, server: usize, notice: ServerNotice) -> bool {
+        self.update_pacer(server, |pacer| pacer.set_probe_limit(notice.rate_limit))
+    }
+
+    /// Runs a function that may change the rate limit of a server, and returns whether it did.
+    fn update_pacer(&mut self, server: usize, update: impl FnOnce(&mut RatePacer) -> bool) -> bool {
         let state = self.states.get_mut(server);
-        state.is_some_and(|state| state.pacer.set_probe_limit(notice.rate_limit))
+        let has_changed = state.is_some_and(|state| update(&mut state.pacer));
+        if has_changed {
+            self.has_rate_limits = self.get_rate_limited_count() > 0;
+        }
+        has_changed
     }
 
     /// Records that a server did not answer a probe of either kind.
@@ -583,17 +613,46 @@
         self.hedger.get_quantile(MEDIAN).unwrap_or_default()
     }
 
-    /// Returns whether the queued requests ahead of a new one will take longer than it can wait.
+    /// Returns whether the queued requests ahead of a new one will take longer than it can wait, or its
+    /// turn by the rate limits of the servers will come too late.
     fn is_wait_too_long(&self, now: Micros, request: &PendingRequest) -> bool {
         let ahead = self.queue.get_ahead_count(request.priority);
-        if ahead == 0 {
+        let paced_wait = self.get_paced_wait(now, request, ahead);
+        if ahead == 0 && paced_wait == Micros::ZERO {
             return false;
         }
         let limit = |state: &ServerState| self.get_effective_limit(now, state);
         let total_limit: u32 = self.states.iter().map(limit).sum();
         let wait =
             Micros((ahead as f64 * self.mean_latency / f64::from(total_limit.max(1))) as u64);
-        now + wait > self.get_latest_start(request, self.get_median_latency())
+        now + wait.max(paced_wait) > self.get_latest_start(request, self.get_median_latency())
+    }
+
+    /// Returns how long a request with a number of queued requests `ahead` of it waits at least because
+    /// all servers that it may get name rate limits; zero if one does not, or if there is none.
+    fn get_paced_wait(&self, now: Micros, request: &PendingRequest, ahead: usize) -> Micros {
+        if !self.has_rate_limits {
+            return Micros::ZERO;
+        }
+        let mut next_start = Micros(u64::MAX);
+        let mut total_rate = 0.0;
+        let mut has_server = false;
+        for (index, state) in self.states.iter().enumerate() {
+            if state.get_limit(now, &self.config) == 0 || request.excluded.contains(&index) {
+                continue;
+            }
+            let Some(rate) = state.pacer.get_rate(self.rate_share) else {
+                return Micros::ZERO;
+            };
+            has_server = true;
+            total_rate += rate;
+            next_start = next_start.min(state.pacer.get_next_start(self.rate_share));
+        }
+        match () {
+            () if !has_server => Micros::ZERO,
+            () if total_rate <= 0.0 => Micros(u64::MAX),
+            () => (next_start - now) + Micros::from_secs(ahead as f64 / total_rate),
+        }
     }
 
     /// Updates whether the limits are reduced, and starts queued requests while a server is below
@@ -789,14 +848,15 @@
     }
 
     /// Returns how many requests a server may have at once. In an overload, that is at most its
-    /// slots less `PoolConfig::reserve`, and at least 1 if the server accepts requests.
+    /// slots less `PoolConfig::reserve`, and at least 1 if the server accepts requests. It is 0 until
+    /// the next request may start by the rate limit that the server names.
     fn get_effective_limit(&self, now: Micros, state: &ServerState) -> u32 {
         let limit = state.get_limit(now, &self.config);
-        if self.has_reduced_limits {
-            let kept = state.config.slots.saturating_sub(self.config.reserve);
-            limit.min(kept.max(1))
-        } else {
-            limit
+        let kept = state.config.slots.saturating_sub(self.config.reserve);
+        match () {
+            () if now < state.pacer.get_next_start(self.rate_share) => 0,
+            () if self.has_reduced_limits => limit.min(kept.max(1)),
+            () => limit,
         }
     }
 
--- a/lentilcart_route/src/pool/server_state.rs
+++ b/lentilcart_route/src/pool/server_state.rs
@@ -321,6 +321,7 @@
         base_service_time: f64,
     ) {
         self.remove_attempt(request_id);
+        self.pacer.record_start(now);
         let attempt = Attempt {
             request_id,
             started: now,
--- a/lentilcart_route/tests/testsuite/main.rs
+++ b/lentilcart_route/tests/testsuite/main.rs
@@ -3,4 +3,5 @@
 mod late_paced;
 mod limits;
 mod property;
+mod rate_limits;
 mod server_pool;
--- a/lentilcart_state/src/member/member_table.rs
+++ b/lentilcart_state/src/member/member_table.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use lentilcart_util::{Map, Micros, Name};
+use lentilcart_util::{Map, Micros, Name, Set};
 
 use super::rendezvous_rank;
 
@@ -123,6 +123,15 @@
         self.members.iter()
     }
 
+    /// Returns the number of data centres that have entries; at least 1.
+    ///
+    /// An entry that is not live counts until it is no longer listed.
+    #[must_use]
+    pub fn get_data_center_count(&self) -> usize {
+        let data_centers = self.members.values().map(|member| &member.data_center);
+        data_centers.collect::<Set<&Name>>().len()
+    }
+
     /// Returns whether an entry is live: this entry always, another one while its heartbeats
     /// arrive. An entry that is leaving may still be live.
     #[must_use]
--- a/lentilcart_util/src/units/micros.rs
+++ b/lentilcart_util/src/units/micros.rs
@@ -32,6 +32,15 @@
         Self(millis * 1000)
     }
 
+    /// Creates a duration from seconds, rounded down to whole microseconds.
+    ///
+    /// A number below zero and `NaN` become zero, and one that is too large becomes `u64::MAX`
+    /// microseconds.
+    #[must_use]
+    pub fn from_secs(secs: f64) -> Self {
+        Self((secs * MICROS_PER_SECOND) as u64)
+    }
+
     /// Returns the duration in milliseconds, including the fractional part.
     #[must_use]
     pub fn as_millis(self) -> f64 {
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -5,7 +5,8 @@
 
 use hyper::header::HeaderMap;
 use lentilcart_platform::{HEADER_NAMES, decode_rate_limit};
-use lentilcart_route::ServerNotice;
+use lentilcart_route::{ServerNotice, ServerPool};
+use lentilcart_util::Name;
 
 use super::datagram::Datagram;
 use super::gateway::Gateway;
@@ -64,7 +65,7 @@
         notice: ServerNotice,
         source: NoticeSource,
     ) {
-        if notice.is_empty() && !dispatcher.read_pool(|pool| pool.get_rate_limited_count() > 0) {
+        if notice.is_empty() && !dispatcher.read_pool(ServerPool::has_rate_limits) {
             return;
         }
         let has_changed = dispatcher.update_pool(|pool, _| {
@@ -85,6 +86,31 @@
         }
     }
 
+    /// Returns the share of the rate limits of a service's servers that this entry may use. The entries
+    /// that choose servers have equal shares: the owner in each data centre or, without owners, every
+    /// entry. An entry that has an owner chooses none of these servers by itself.
+    fn get_rate_share(&self, service: &Name) -> f64 {
+        if get_owner(self, service).is_some() {
+            return 0.0;
+        }
+        let has_owners = self.settings.load().servers.owner_dispatch;
+        let members = self.lock_members();
+        let sharers = if has_owners {
+            members.get_data_center_count()
+        } else {
+            members.iter().count()
+        };
+        1.0 / sharers.max(1) as f64
+    }
+
+    /// Updates this entry's share of the rate limits that the servers of a service name.
+    pub(crate) fn update_rate_share(&self, dispatcher: &Dispatcher) {
+        if dispatcher.read_pool(ServerPool::has_rate_limits) {
+            let share = self.get_rate_share(&dispatcher.service);
+            dispatcher.update_pool(|pool, _| pool.set_rate_share(share));
+        }
+    }
+
     /// Records a notice that another entry got from a server and sent to this one as the owner.
     pub(crate) fn record_peer_notice(
         &self,
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -24,9 +24,9 @@
 /// Idle time after which a connection to a server is closed, whether for requests or for probes.
 const MAX_CONNECTION_IDLE: Duration = Duration::from_secs(9);
 
-/// Runs the periodic work: ticks the dispatchers, probes servers for waiting requests, updates whether
-/// there is an outage of the store, removes lapsed servers, does housekeeping, and detects when the
-/// process was suspended.
+/// Runs the periodic work: ticks the dispatchers and updates their shares of rate limits, probes servers
+/// for waiting requests, updates whether there is an outage of the store, removes lapsed servers, does
+/// housekeeping, and detects when the process was suspended.
 pub(crate) async fn run_periodic_work(gateway: Arc<Gateway>) {
     let mut last_tick = Instant::now();
     let mut last_housekeeping = Instant::now();
@@ -55,6 +55,7 @@
         }
         let routes = gateway.get_active_routes();
         for (service, dispatcher) in &routes.dispatchers {
+            gateway.update_rate_share(dispatcher);
             dispatcher.tick();
             if let Some(service_settings) = routes.table.services.get(service) {
                 probe_stale_servers(&gateway, dispatcher, &service_settings.health_path);
