feat(gateway): send nothing to servers that say that they are leaving

Cause: a server that leaves says so in all its answers, and no source read that. Until the store had reported it, requests went on to reach the server; with the store away, for as long as that lasted.

The head of each answer, of requests with any status and of probes, is read. The instance is marked as leaving in the directory, where its registration cannot undo it, and in the pool; the owner learns of it with the outcome of the attempt or by a datagram. A server that turns out to leave while it is probed right before a request does not get that request.

Not read: the heads of connection checks and of hedges that are cancelled.

--- a/lentilcart_route/src/pool/pending_request.rs
+++ b/lentilcart_route/src/pool/pending_request.rs
@@ -169,7 +169,18 @@
     /// Creates the outcome of an attempt that the server answered without a notice.
     #[must_use]
     pub const fn answered(load: Option<LoadReport>) -> Self {
-        let notice = ServerNotice { rate_limit: None };
+        let notice = ServerNotice::EMPTY;
         Self::Answered { load, notice }
     }
+
+    /// Returns what the server says of itself in its answer; empty if the outcome carries no notice.
+    #[must_use]
+    pub const fn get_notice(&self) -> ServerNotice {
+        match self {
+            Self::Answered { notice, .. } | Self::Full { notice, .. } => *notice,
+            Self::Failed | Self::Unreachable | Self::Leaving | Self::Cancelled => {
+                ServerNotice::EMPTY
+            }
+        }
+    }
 }
--- a/lentilcart_route/src/pool/server_pool.rs
+++ b/lentilcart_route/src/pool/server_pool.rs
@@ -536,13 +536,25 @@
     /// Records what a server says of itself in an answer to a request, and returns whether that is new.
     /// For an attempt of this pool, the outcome may carry it instead.
     pub fn record_notice(&mut self, server: usize, notice: ServerNotice) -> bool {
-        self.update_pacer(server, |pacer| pacer.set_limit(notice.rate_limit))
+        let is_leaving = notice.leaving && self.mark_leaving(server);
+        self.update_pacer(server, |pacer| pacer.set_limit(notice.rate_limit)) || is_leaving
     }
 
     /// Records what a server says of itself in an answer to a probe, and returns whether that is new. A
     /// notice that the server gives only in its answers to requests is not ended by a probe.
     pub fn record_probe_notice(&mut self, server: usize, notice: ServerNotice) -> bool {
-        self.update_pacer(server, |pacer| pacer.set_probe_limit(notice.rate_limit))
+        let is_leaving = notice.leaving && self.mark_leaving(server);
+        self.update_pacer(server, |pacer| pacer.set_probe_limit(notice.rate_limit)) || is_leaving
+    }
+
+    /// Marks a server as leaving, and returns whether that changed it.
+    fn mark_leaving(&mut self, server: usize) -> bool {
+        let state = self.states.get_mut(server);
+        let state = state.filter(|state| state.phase != ServerPhase::Leaving);
+        state.is_some_and(|state| {
+            state.phase = ServerPhase::Leaving;
+            true
+        })
     }
 
     /// Runs a function that may change the rate limit of a server, and returns whether it did.
--- a/lentilcart_route/tests/testsuite/rate_limits.rs
+++ b/lentilcart_route/tests/testsuite/rate_limits.rs
@@ -22,6 +22,7 @@
 fn limit(per_second: f64) -> ServerNotice {
     ServerNotice {
         rate_limit: Some(per_second),
+        ..ServerNotice::EMPTY
     }
 }
 
--- a/lentilcart_route/tests/testsuite/server_pool.rs
+++ b/lentilcart_route/tests/testsuite/server_pool.rs
@@ -4,7 +4,7 @@
 
 use lentilcart_route::{
     AttemptOutcome, Decision, LoadReport, PendingRequest, PoolConfig, Rejection, ServerConfig,
-    ServerPhase, ServerPool, get_policy,
+    ServerNotice, ServerPhase, ServerPool, get_policy,
 };
 use lentilcart_util::Micros;
 
@@ -286,3 +286,27 @@
         "{count} probes, budget {budget}"
     );
 }
+
+/// Guards against a server that says in an answer that it is leaving and is sent further requests.
+#[test]
+fn leaving_server_gets_no_requests() {
+    let mut pool = pool(2, PoolConfig::default());
+    let leaving = ServerNotice {
+        leaving: true,
+        ..ServerNotice::EMPTY
+    };
+    assert!(pool.record_notice(0, leaving));
+    assert!(!pool.record_notice(0, ServerNotice::EMPTY));
+    let decisions: Vec<Decision> = (0..6)
+        .flat_map(|id| offer(&mut pool, Micros::ZERO, id))
+        .collect();
+    assert_eq!(decisions.len(), 5);
+    let is_at_other = |decision: &Decision| matches!(decision, Decision::Start { server: 1, .. });
+    assert!(decisions.iter().all(is_at_other), "{decisions:?}");
+    assert!(pool.record_probe_notice(1, leaving));
+    let rejection = Decision::Reject {
+        request_id: 7,
+        reason: Rejection::NoServer,
+    };
+    assert_eq!(offer(&mut pool, Micros::ZERO, 7), [rejection]);
+}
--- a/lentilcart_state/src/directory/directory.rs
+++ b/lentilcart_state/src/directory/directory.rs
@@ -17,6 +17,9 @@
     registrations: Map<Name, ServerRegistration>,
     /// Time at which each server whose registration lapsed is removed, by server identifier.
     removal_times: Map<Name, Micros>,
+    /// Start, in Unix milliseconds, of each instance that has said itself that it is leaving, by server
+    /// identifier.
+    leaving_instances: Map<Name, u64>,
     outage: Outage,
 }
 
@@ -32,8 +35,17 @@
 }
 
 impl ServerDirectory {
-    /// Records a registration; returns whether it changed anything.
-    pub fn record_registration(&mut self, registration: ServerRegistration) -> bool {
+    /// Records a registration; returns whether it changed anything. An instance that has said that it is
+    /// leaving stays so, whatever its registration says.
+    pub fn record_registration(&mut self, mut registration: ServerRegistration) -> bool {
+        match self.leaving_instances.get(&registration.id) {
+            Some(started_ms) if *started_ms == registration.started_ms => {
+                registration.leaving = true;
+            }
+            _ => {
+                self.leaving_instances.remove(&registration.id);
+            }
+        }
         let lapsed = self.removal_times.remove(&registration.id).is_some();
         let previous = self
             .registrations
@@ -41,6 +53,17 @@
         lapsed || previous != Some(registration)
     }
 
+    /// Records that the registered instance of a server has said itself that it is leaving; returns
+    /// whether that was not known.
+    pub fn record_leaving(&mut self, id: &Name) -> bool {
+        let registration = self.registrations.get_mut(id);
+        registration.is_some_and(|registration| {
+            self.leaving_instances
+                .insert(id.clone(), registration.started_ms);
+            !std::mem::replace(&mut registration.leaving, true)
+        })
+    }
+
     /// Records that a registration was removed; returns whether the server is removed at once.
     ///
     /// In an outage of the store and until the grace period after it is over, a server stays unless it
@@ -79,8 +102,7 @@
                 false
             }
             Some(_) => {
-                self.removal_times.remove(id);
-                self.registrations.remove(id);
+                self.remove(id);
                 true
             }
         }
@@ -117,12 +139,17 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &expired {
-            self.removal_times.remove(id);
-            self.registrations.remove(id);
+            self.remove(id);
         }
         expired
     }
 
+    fn remove(&mut self, id: &Name) {
+        self.removal_times.remove(id);
+        self.registrations.remove(id);
+        self.leaving_instances.remove(id);
+    }
+
     /// Returns the time at which a lapsed server is removed, or `None` if the server has not lapsed. It
     /// is `Micros(u64::MAX)` while an outage of the store lasts.
     #[must_use]
--- a/lentilcart_state/src/routing/headers.rs
+++ b/lentilcart_state/src/routing/headers.rs
@@ -14,6 +14,8 @@
     pub signature: &'static str,
     /// Header with the load report of the server.
     pub load: &'static str,
+    /// Header by which the server says that it is leaving.
+    pub leaving: &'static str,
     /// Header with the rate limit that the server names.
     pub rate_limit: &'static str,
 }
--- a/lentilcart_state/tests/testsuite/directory.rs
+++ b/lentilcart_state/tests/testsuite/directory.rs
@@ -95,3 +95,25 @@
     directory.record_outage_end(ms(1500));
     assert_eq!(directory.remove_lapsed(ms(3200)), ["i-1".into()]);
 }
+
+/// Guards against an instance that has said that it is leaving and gets requests again when its
+/// registration is written once more, and against the next instance that gets none.
+#[test]
+fn leaving_instance_stays_so_until_next_instance() {
+    let mut directory = with_one_server();
+    assert!(directory.record_leaving(&"i-1".into()));
+    assert!(!directory.record_leaving(&"i-1".into()));
+    let is_leaving = |directory: &ServerDirectory| directory.get("i-1").unwrap().leaving;
+    directory.record_registration(ServerRegistration {
+        slots: 5,
+        ..registration("i-1", 1)
+    });
+    assert!(is_leaving(&directory));
+    directory.record_registration(registration("i-1", 2));
+    assert!(!is_leaving(&directory));
+    assert!(directory.record_leaving(&"i-1".into()));
+    assert!(directory.record_removal(&"i-1".into(), ms(5)));
+    directory.record_registration(registration("i-1", 2));
+    assert!(!is_leaving(&directory));
+    assert!(!directory.record_leaving(&"i-2".into()));
+}
--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -178,6 +178,22 @@
         self.update_pools(&changed_services);
     }
 
+    /// Records that a server has said itself that it is leaving: it gets no new requests, whatever its
+    /// registration says.
+    pub(crate) fn record_server_leaving(&self, id: &Name) {
+        let service = {
+            let mut directory = self.lock_directory();
+            if !directory.record_leaving(id) {
+                return;
+            }
+            directory
+                .get(id)
+                .map(|registration| registration.service.clone())
+        };
+        log::info!(server:% = id, state = "leaving"; "server said that it leaves");
+        self.update_pools(&service.into_iter().collect());
+    }
+
     /// Removes the lapsed servers whose grace period is over, and updates the pools of all services if
     /// there were any.
     pub(crate) fn remove_lapsed_servers(&self) {
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use hyper::header::HeaderMap;
-use lentilcart_platform::{HEADER_NAMES, decode_rate_limit};
+use lentilcart_platform::{HEADER_NAMES, decode_leaving, decode_rate_limit};
 use lentilcart_route::{ServerNotice, ServerPool};
 use lentilcart_util::Name;
 
@@ -25,10 +25,13 @@
 
 /// Reads the notice in the head of a server's answer.
 pub(crate) fn read_notice(headers: &HeaderMap) -> ServerNotice {
-    let limits = headers.get_all(HEADER_NAMES.rate_limit).iter();
-    let limits = limits.filter_map(|value| value.to_str().ok());
+    let get_values = |name| {
+        let values = headers.get_all(name).iter();
+        values.filter_map(|value| value.to_str().ok())
+    };
     ServerNotice {
-        rate_limit: decode_rate_limit(limits),
+        rate_limit: decode_rate_limit(get_values(HEADER_NAMES.rate_limit)),
+        leaving: decode_leaving(get_values(HEADER_NAMES.leaving)),
     }
 }
 
@@ -68,17 +71,7 @@
         if notice.is_empty() && !dispatcher.read_pool(ServerPool::has_rate_limits) {
             return;
         }
-        let has_changed = dispatcher.update_pool(|pool, _| {
-            let index = pool.get_server_index(server);
-            index.is_some_and(|index| match source {
-                NoticeSource::Request => pool.record_notice(index, notice),
-                NoticeSource::Probe => pool.record_probe_notice(index, notice),
-            })
-        });
-        if has_changed {
-            let per_second = notice.rate_limit.unwrap_or(-1.0);
-            log::info!(server:% = server, per_second, source:? = source; "rate limit of server changed");
-        }
+        self.record_notice(dispatcher, server, notice, source);
         let owner = get_owner(self, &dispatcher.service).filter(|_| !notice.is_empty());
         if let Some(owner) = owner {
             let service = dispatcher.service.clone();
@@ -120,11 +113,35 @@
     ) {
         let routes = self.get_active_routes();
         if let Some(dispatcher) = routes.dispatchers.get(service) {
-            dispatcher.update_pool(|pool, _| {
-                if let Some(index) = pool.get_server_index(server) {
-                    pool.record_notice(index, notice);
-                }
-            });
+            self.record_notice(dispatcher, server, notice, NoticeSource::Request);
+        }
+    }
+
+    /// Records a notice in the pool of the service and, if the server is leaving, in the directory.
+    fn record_notice(
+        &self,
+        dispatcher: &Dispatcher,
+        server: SocketAddr,
+        notice: ServerNotice,
+        source: NoticeSource,
+    ) {
+        let changed = dispatcher.update_pool(|pool, _| {
+            let index = pool.get_server_index(server)?;
+            let has_changed = match source {
+                NoticeSource::Request => pool.record_notice(index, notice),
+                NoticeSource::Probe => pool.record_probe_notice(index, notice),
+            };
+            let state = pool.get_server_state(index).filter(|_| has_changed);
+            state.map(|state| state.get_config().id.clone())
+        });
+        let Some(id) = changed else {
+            return;
+        };
+        let per_second = notice.rate_limit.unwrap_or(-1.0);
+        let leaving = notice.leaving;
+        log::info!(server:% = id, per_second, leaving, source:? = source; "notice of server changed");
+        if leaving {
+            self.record_server_leaving(&id);
         }
     }
 }
--- a/src/gateway/on_demand_probe.rs
+++ b/src/gateway/on_demand_probe.rs
@@ -17,11 +17,32 @@
 use lentilcart_util::Name;
 
 use super::gateway::Gateway;
+use super::permit_table::is_serving;
 use super::probe::{ProbeTarget, probe};
 use crate::entry::{Dispatcher, Permit};
 
-/// Gets a permit from this entry's own dispatcher, then probes its server if the last load report is
-/// older than `preflight_age`.
+/// Gets a permit from this entry's own dispatcher, for a server that is serving after the probes.
+///
+/// # Errors
+///
+/// Returns the pool's rejection.
+pub(crate) async fn acquire_local_permit(
+    gateway: &Arc<Gateway>,
+    dispatcher: &Arc<Dispatcher>,
+    mut request: PendingRequest,
+) -> Result<Permit, Rejection> {
+    loop {
+        let permit = acquire_probed_permit(gateway, dispatcher, &mut request).await?;
+        if is_serving(gateway, &permit.server_id) {
+            return Ok(permit);
+        }
+        // The server was removed, or said that it is leaving, while it was probed.
+        request.excluded.extend(permit.get_server_index());
+        permit.release(AttemptOutcome::Cancelled);
+    }
+}
+
+/// Gets a permit, then probes its server if the last load report is older than `preflight_age`.
 ///
 /// If the probe does not end within `preflight_timeout`, or the server has slowed down, the permit is
 /// given back for another one, up to [`MAX_PREFLIGHT_PROBES`] times.
@@ -29,10 +50,10 @@
 /// # Errors
 ///
 /// Returns the pool's rejection.
-pub(crate) async fn acquire_local_permit(
+async fn acquire_probed_permit(
     gateway: &Arc<Gateway>,
     dispatcher: &Arc<Dispatcher>,
-    mut request: PendingRequest,
+    request: &mut PendingRequest,
 ) -> Result<Permit, Rejection> {
     let mut permit = dispatcher.acquire(request.clone()).await?;
     let Some(path) = gateway.get_health_path(&dispatcher.service) else {
@@ -63,8 +84,7 @@
         if timed_out {
             request.excluded.push(server);
             // If no server answers probes, requests may still succeed, so this permit is kept.
-            if !dispatcher.read_pool(|pool| pool.has_usable_server(dispatcher.get_now(), &request))
-            {
+            if !dispatcher.read_pool(|pool| pool.has_usable_server(dispatcher.get_now(), request)) {
                 break;
             }
         }
@@ -76,7 +96,7 @@
     }
     if let Some(server) = permit.get_server_index() {
         // The attempt starts now, after the probes.
-        dispatcher.update_pool(|pool, now| pool.reset_attempt_start(now, &request, server));
+        dispatcher.update_pool(|pool, now| pool.reset_attempt_start(now, request, server));
     }
     Ok(permit)
 }
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -131,8 +131,9 @@
 }
 
 /// Returns whether this entry knows a server, and not as leaving. It is checked after a grant because an
-/// owner that is cut off from the store learns later than this entry that a server leaves.
-fn is_serving(gateway: &Gateway, server: &Name) -> bool {
+/// owner that is cut off from the store learns later than this entry that a server leaves, and after a
+/// probe of the server.
+pub(crate) fn is_serving(gateway: &Gateway, server: &Name) -> bool {
     let directory = gateway.lock_directory();
     directory.get(server).is_some_and(|server| !server.leaving)
 }
@@ -411,7 +412,11 @@
     if let Some(peer_request) = peer_request {
         peer_request.cancel.cancel();
         if let Some(permit) = peer_request.permit {
+            let server = permit.server_id.clone();
             permit.release(outcome);
+            if outcome.get_notice().leaving {
+                gateway.record_server_leaving(&server);
+            }
         }
     }
 }
