feat(gateway): hold off servers that answer with Retry-After

Requests that no server would take were parked for half of their time, and retries that had tried every server too.

The pool keeps for each server and sender until when it wants nothing. A request that no server wants is rejected at once, with a Retry-After at which one has room; before that, Retry-After of a rejection did not follow what servers say. A server's own Retry-After with 503 or 429 no longer reaches callers: it is about this host. Regular probes spare such a server.

A hold-off ends with its time or the instance.

Not done: a measurement of whether other hosts should spare the server too; connection checks and cancelled hedges are not read; `lentilcart status` does not reach gateways.

--- a/lentilcart_route/src/lib.rs
+++ b/lentilcart_route/src/lib.rs
@@ -36,6 +36,6 @@
 pub use self::policy::{LoadSource, POLICIES, PickContext, Policy, get_policy, get_policy_names};
 pub use self::pool::{
     AttemptOutcome, Decision, LoadReport, MAX_PREFLIGHT_PROBES, PendingRequest, PoolConfig,
-    Rejection, ServerConfig, ServerNotice, ServerPhase, ServerPool, ServerState, ServerSummary,
-    Shard, is_latency_much_higher,
+    Rejection, Restriction, ServerConfig, ServerNotice, ServerPhase, ServerPool, ServerState,
+    ServerSummary, Shard, is_latency_much_higher,
 };
--- a/lentilcart_route/src/pool/server_notice.rs
+++ b/lentilcart_route/src/pool/server_notice.rs
@@ -1,8 +1,8 @@
-use lentilcart_util::common;
+use lentilcart_util::{Micros, common};
 
 common! { message,
-    /// What a server says of itself in the head of an answer, besides its load. It holds until an answer
-    /// of the same instance says otherwise.
+    /// What a server says of itself in the head of an answer, besides its load. A limit holds until an
+    /// answer of the same instance says otherwise.
     #[derive(Copy, Default)]
     #[serde(default)]
     pub struct ServerNotice {
@@ -11,6 +11,31 @@
         pub rate_limit: Option<f64>,
         /// Whether the server is leaving. This is not taken back: the instance gets no new requests.
         pub leaving: bool,
+        /// Time from the answer for which the server wants no requests from the entry that got it; `None`
+        /// if it says nothing of that. Other answers do not end it.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub retry_after: Option<Micros>,
+    }
+}
+
+common! { value,
+    /// How servers restrict the requests to them by their notices.
+    pub enum Restriction {
+        /// They accept a number of requests a second.
+        RateLimit,
+        /// They want no requests from the sender for a time.
+        HoldOff,
+    }
+}
+
+impl Restriction {
+    /// Returns the fixed name in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::RateLimit => "rate-limit",
+            Self::HoldOff => "hold-off",
+        }
     }
 }
 
@@ -19,6 +44,7 @@
     pub const EMPTY: Self = Self {
         rate_limit: None,
         leaving: false,
+        retry_after: None,
     };
 
     /// Returns whether the server says nothing that restricts the requests to it.
--- a/lentilcart_route/src/pool/server_pool.rs
+++ b/lentilcart_route/src/pool/server_pool.rs
@@ -1,10 +1,12 @@
+use std::net::SocketAddr;
+
 use lentilcart_util::{Micros, Name, Rng, seeded_rng};
 
 use super::server_state::PROBE_BYTES;
 use super::service_times::ServiceTimes;
 use super::{
-    AttemptOutcome, Decision, LoadReport, PendingRequest, PoolConfig, Rejection, ServerConfig,
-    ServerNotice, ServerPhase, ServerState, ServerSummary, Shard,
+    AttemptOutcome, Decision, LoadReport, PendingRequest, PoolConfig, Rejection, Restriction,
+    ServerConfig, ServerNotice, ServerPhase, ServerState, ServerSummary, Shard,
 };
 use crate::limits::{Hedger, RatePacer, TokenBucket};
 use crate::policy::{LoadSource, PickContext};
@@ -42,6 +44,8 @@
     rate_share: f64,
     /// Whether a listed server names a rate limit.
     has_rate_limits: bool,
+    /// Latest time until which a server wants no requests from a sender.
+    hold_off_end: Micros,
     /// Moving average of the latency of all servers, in microseconds.
     ///
     /// It starts at 0 and moves by `MEAN_WEIGHT` of the difference with each answer, so that it is
@@ -75,6 +79,7 @@
             shard: Shard::default(),
             rate_share: 1.0,
             has_rate_limits: false,
+            hold_off_end: Micros::ZERO,
             mean_latency: 0.0,
             service_times: ServiceTimes::new(),
             picks: 0,
@@ -179,7 +184,7 @@
 
     /// Returns the index of the listed server with this address.
     #[must_use]
-    pub fn get_server_index(&self, address: std::net::SocketAddr) -> Option<usize> {
+    pub fn get_server_index(&self, address: SocketAddr) -> Option<usize> {
         self.states
             .iter()
             .position(|state| state.listed && state.config.address == address)
@@ -195,6 +200,60 @@
             .collect()
     }
 
+    /// Returns the addresses of the listed servers that want no requests from a sender now.
+    #[must_use]
+    pub fn get_held_off_servers(&self, now: Micros, sender: Option<SocketAddr>) -> Vec<SocketAddr> {
+        if now >= self.hold_off_end {
+            return Vec::new();
+        }
+        let is_held_off =
+            |state: &&ServerState| state.listed && state.get_hold_off_end(sender) > now;
+        let states = self.states.iter().filter(is_held_off);
+        states.map(|state| state.config.address).collect()
+    }
+
+    /// Returns whether a server that is listed and not leaving is not excluded by the request and wants
+    /// requests from its sender now. It may have no room.
+    #[must_use]
+    pub fn has_wanting_server(&self, now: Micros, request: &PendingRequest) -> bool {
+        let mut states = self.states.iter().enumerate();
+        states.any(|(index, state)| {
+            state.listed
+                && state.phase != ServerPhase::Leaving
+                && !request.excluded.contains(&index)
+                && state.get_hold_off_end(request.sender) <= now
+        })
+    }
+
+    /// Returns how long a request of the entry with the address `sender` waits at least because of what the
+    /// servers that are not `excluded` say of themselves, and how they restrict it. Returns `None` if one of
+    /// them does not, or if that time is not known.
+    #[must_use]
+    pub fn get_restriction(
+        &self,
+        now: Micros,
+        sender: Option<SocketAddr>,
+        excluded: &[SocketAddr],
+    ) -> Option<(Micros, Restriction)> {
+        if !self.has_rate_limits && now >= self.hold_off_end {
+            return None;
+        }
+        let usable = self.states.iter().filter(|state| {
+            state.get_limit(now, &self.config) > 0 && !excluded.contains(&state.config.address)
+        });
+        let starts = usable.map(|state| {
+            let held_off = state.get_hold_off_end(sender);
+            let paced = state.pacer.get_next_start(self.rate_share);
+            if held_off >= paced {
+                (held_off, Restriction::HoldOff)
+            } else {
+                (paced, Restriction::RateLimit)
+            }
+        });
+        let (start, restriction) = starts.min_by_key(|(start, _)| *start)?;
+        (start > now && start < Micros(u64::MAX)).then_some((start - now, restriction))
+    }
+
     /// Returns whether a listed server names a rate limit.
     #[must_use]
     pub fn has_rate_limits(&self) -> bool {
@@ -216,7 +275,7 @@
 
     /// Returns the load digest of this entry: the address of each listed server, and the number of
     /// this entry's outstanding requests there.
-    pub fn get_load_digest(&self) -> impl Iterator<Item = (std::net::SocketAddr, u32)> {
+    pub fn get_load_digest(&self) -> impl Iterator<Item = (SocketAddr, u32)> {
         let listed = self.states.iter().filter(|state| state.listed);
         listed.map(|state| (state.config.address, state.get_outstanding()))
     }
@@ -285,7 +344,9 @@
                 request_id: request.id,
                 reason: Rejection::NoServer,
             }],
-            () if self.is_wait_too_long(now, &request) => {
+            () if !self.has_wanting_server(now, &request)
+                || self.is_wait_too_long(now, &request) =>
+            {
                 vec![Decision::Reject {
                     request_id: request.id,
                     reason: Rejection::Overload,
@@ -349,7 +410,7 @@
         if let AttemptOutcome::Answered { notice, .. } | AttemptOutcome::Full { notice, .. } =
             outcome
         {
-            self.record_notice(server, notice);
+            self.record_notice(now, server, attempt.sender, notice);
         }
         self.dispatch_queue(now)
     }
@@ -360,7 +421,7 @@
     pub fn reset_attempt_start(&mut self, now: Micros, request: &PendingRequest, server: usize) {
         if let Some(state) = self.states.get_mut(server) {
             let service_time = self.service_times.get_mean();
-            state.start_attempt(now, request.id, request.latency_objective, service_time);
+            state.start_attempt(now, request, service_time);
         }
     }
 
@@ -430,11 +491,7 @@
     /// The report goes to [`record_load_report`](Self::record_load_report) with the server index
     /// from [`get_server_index`](Self::get_server_index).
     #[must_use]
-    pub fn get_servers_to_refresh(
-        &self,
-        now: Micros,
-        min_age: Micros,
-    ) -> Vec<std::net::SocketAddr> {
+    pub fn get_servers_to_refresh(&self, now: Micros, min_age: Micros) -> Vec<SocketAddr> {
         if self.queue.len() == 0 {
             return Vec::new();
         }
@@ -442,6 +499,7 @@
             state.listed
                 && state.config.data_center == self.config.data_center
                 && self.is_below_limit(now, state)
+                && !state.is_held_off(now)
                 && state.get_report_age(now).is_none_or(|age| age >= min_age)
         };
         let states = self.states.iter().filter(is_stale);
@@ -533,28 +591,56 @@
         }
     }
 
-    /// Records what a server says of itself in an answer to a request, and returns whether that is new.
-    /// For an attempt of this pool, the outcome may carry it instead.
-    pub fn record_notice(&mut self, server: usize, notice: ServerNotice) -> bool {
-        let is_leaving = notice.leaving && self.mark_leaving(server);
-        self.update_pacer(server, |pacer| pacer.set_limit(notice.rate_limit)) || is_leaving
+    /// Records what a server says of itself in an answer to a request of the entry with the address
+    /// `sender`, and returns whether that is new. For an attempt of this pool, the outcome may carry it
+    /// instead.
+    pub fn record_notice(
+        &mut self,
+        now: Micros,
+        server: usize,
+        sender: Option<SocketAddr>,
+        notice: ServerNotice,
+    ) -> bool {
+        let has_limit_changed =
+            self.update_pacer(server, |pacer| pacer.set_limit(notice.rate_limit));
+        self.record_refusal(now, server, sender, notice) || has_limit_changed
     }
 
     /// Records what a server says of itself in an answer to a probe, and returns whether that is new. A
     /// notice that the server gives only in its answers to requests is not ended by a probe.
-    pub fn record_probe_notice(&mut self, server: usize, notice: ServerNotice) -> bool {
-        let is_leaving = notice.leaving && self.mark_leaving(server);
-        self.update_pacer(server, |pacer| pacer.set_probe_limit(notice.rate_limit)) || is_leaving
+    pub fn record_probe_notice(
+        &mut self,
+        now: Micros,
+        server: usize,
+        sender: Option<SocketAddr>,
+        notice: ServerNotice,
+    ) -> bool {
+        let set_limit = |pacer: &mut RatePacer| pacer.set_probe_limit(notice.rate_limit);
+        let has_limit_changed = self.update_pacer(server, set_limit);
+        self.record_refusal(now, server, sender, notice) || has_limit_changed
     }
 
-    /// Marks a server as leaving, and returns whether that changed it.
-    fn mark_leaving(&mut self, server: usize) -> bool {
-        let state = self.states.get_mut(server);
-        let state = state.filter(|state| state.phase != ServerPhase::Leaving);
-        state.is_some_and(|state| {
+    /// Records that a server wants no requests, for a time from one sender or because it is leaving, if
+    /// its notice says so; returns whether that is new.
+    fn record_refusal(
+        &mut self,
+        now: Micros,
+        server: usize,
+        sender: Option<SocketAddr>,
+        notice: ServerNotice,
+    ) -> bool {
+        let Some(state) = self.states.get_mut(server) else {
+            return false;
+        };
+        let is_leaving = notice.leaving && state.phase != ServerPhase::Leaving;
+        if is_leaving {
             state.phase = ServerPhase::Leaving;
-            true
-        })
+        }
+        let is_held_off = notice.retry_after.is_some_and(|time| {
+            self.hold_off_end = self.hold_off_end.max(now + time);
+            state.hold_off(now, sender, time)
+        });
+        is_leaving || is_held_off
     }
 
     /// Runs a function that may change the rate limit of a server, and returns whether it did.
@@ -584,7 +670,7 @@
         &mut self,
         now: Micros,
         entry: &Name,
-        digest: impl IntoIterator<Item = (std::net::SocketAddr, u32)>,
+        digest: impl IntoIterator<Item = (SocketAddr, u32)>,
     ) {
         for (address, count) in digest {
             let state = self
@@ -795,8 +881,8 @@
     }
 
     /// Returns whether a server may get a request: it has room below its limit for the data centre
-    /// of the request's origin, is not excluded, is not on probation if the request must run at
-    /// most once, and its expected latency in base service times is at most `max_factor`.
+    /// of the request's origin, is not excluded, wants requests from the sender, is not on probation
+    /// if the request must run at most once, and its expected latency in base service times is at most `max_factor`.
     fn is_eligible(
         &self,
         now: Micros,
@@ -805,7 +891,8 @@
         max_factor: f64,
     ) -> bool {
         let state = &self.states[index];
-        let is_allowed = !request.excluded.contains(&index);
+        let is_allowed =
+            !request.excluded.contains(&index) && state.get_hold_off_end(request.sender) <= now;
         let is_trusted = !request.at_most_once || state.phase != ServerPhase::Probation;
         let origin = request.origin.as_ref().unwrap_or(&self.config.data_center);
         let reserved = if state.config.data_center == *origin {
@@ -851,9 +938,11 @@
         }
     }
 
-    /// Returns the slowdown factor of the fastest server that accepts requests.
+    /// Returns the slowdown factor of the fastest server that accepts requests of every sender.
     fn get_lowest_slowdown(&self, now: Micros) -> f64 {
-        let is_usable = |state: &&ServerState| self.get_effective_limit(now, state) > 0;
+        let is_usable = |state: &&ServerState| {
+            self.get_effective_limit(now, state) > 0 && !state.is_held_off(now)
+        };
         let states = self.states.iter().filter(is_usable);
         let slowdowns = states.map(|state| state.get_slowdown(now));
         slowdowns.fold(f64::MAX, f64::min)
@@ -941,12 +1030,7 @@
         self.picks += 1;
         if let Some(server) = picked {
             let service_time = self.service_times.get_mean();
-            self.states[server].start_attempt(
-                now,
-                request.id,
-                request.latency_objective,
-                service_time,
-            );
+            self.states[server].start_attempt(now, request, service_time);
         }
         picked
     }
--- a/lentilcart_route/src/pool/server_state.rs
+++ b/lentilcart_route/src/pool/server_state.rs
@@ -1,6 +1,8 @@
+use std::net::SocketAddr;
+
 use lentilcart_util::{Map, Micros, Name};
 
-use super::{LoadReport, PoolConfig, ServerConfig, ServerPhase, Shard};
+use super::{LoadReport, PendingRequest, PoolConfig, ServerConfig, ServerPhase, Shard};
 use crate::limits::{RatePacer, TokenBucket};
 
 /// Weight of the newest answer in the mean latency of a server.
@@ -83,6 +85,8 @@
     pub(crate) last_answered: Option<Micros>,
     /// Rate limit that the server names.
     pub(crate) pacer: RatePacer,
+    /// Until when the server wants no requests from each sender, an entry by its address.
+    pub(crate) hold_offs: Map<Option<SocketAddr>, Micros>,
     /// Budget of load probes.
     pub(crate) probe_tokens: TokenBucket,
     /// Budget of bytes of load probes and their answers.
@@ -94,6 +98,8 @@
 pub(crate) struct Attempt {
     pub(crate) request_id: u64,
     pub(crate) started: Micros,
+    /// Address of the entry that sends it; `None` if the request named none.
+    pub(crate) sender: Option<SocketAddr>,
     /// Latency objective of its kind of request; `None` for none.
     pub(crate) latency_objective: Option<Micros>,
     /// Expected latency at its start, in base service times.
@@ -150,6 +156,7 @@
             failed: 0,
             last_answered: None,
             pacer: RatePacer::default(),
+            hold_offs: Map::default(),
             probe_tokens: TokenBucket::new(0.0, PROBE_BURST, now),
             byte_tokens: TokenBucket::new(0.0, PROBE_BURST * PROBE_BYTES, now),
         }
@@ -316,21 +323,46 @@
     pub(crate) fn start_attempt(
         &mut self,
         now: Micros,
-        request_id: u64,
-        latency_objective: Option<Micros>,
+        request: &PendingRequest,
         base_service_time: f64,
     ) {
-        self.remove_attempt(request_id);
+        self.remove_attempt(request.id);
         self.pacer.record_start(now);
         let attempt = Attempt {
-            request_id,
+            request_id: request.id,
             started: now,
-            latency_objective,
+            sender: request.sender,
+            latency_objective: request.latency_objective,
             latency_factor: self.get_latency_factor(now, base_service_time),
         };
         self.attempts.push(attempt);
     }
 
+    /// Records that the server wants no requests from a sender for a time; returns whether it wanted some
+    /// before.
+    pub(crate) fn hold_off(
+        &mut self,
+        now: Micros,
+        sender: Option<SocketAddr>,
+        time: Micros,
+    ) -> bool {
+        self.hold_offs.retain(|_, end| *end > now);
+        let end = self.hold_offs.entry(sender).or_insert(now);
+        let has_changed = *end <= now;
+        *end = (*end).max(now + time);
+        has_changed && *end > now
+    }
+
+    /// Returns until when the server wants no requests from a sender; zero if it wants them.
+    pub(crate) fn get_hold_off_end(&self, sender: Option<SocketAddr>) -> Micros {
+        self.hold_offs.get(&sender).copied().unwrap_or_default()
+    }
+
+    /// Returns whether the server wants no requests from some sender now.
+    pub(crate) fn is_held_off(&self, now: Micros) -> bool {
+        self.hold_offs.values().any(|end| *end > now)
+    }
+
     /// Removes and returns the attempt of a request.
     pub(crate) fn remove_attempt(&mut self, request_id: u64) -> Option<Attempt> {
         let index = self
--- a/lentilcart_route/tests/testsuite/server_pool.rs
+++ b/lentilcart_route/tests/testsuite/server_pool.rs
@@ -295,15 +295,15 @@
         leaving: true,
         ..ServerNotice::EMPTY
     };
-    assert!(pool.record_notice(0, leaving));
-    assert!(!pool.record_notice(0, ServerNotice::EMPTY));
+    assert!(pool.record_notice(Micros::ZERO, 0, None, leaving));
+    assert!(!pool.record_notice(Micros::ZERO, 0, None, ServerNotice::EMPTY));
     let decisions: Vec<Decision> = (0..6)
         .flat_map(|id| offer(&mut pool, Micros::ZERO, id))
         .collect();
     assert_eq!(decisions.len(), 5);
     let is_at_other = |decision: &Decision| matches!(decision, Decision::Start { server: 1, .. });
     assert!(decisions.iter().all(is_at_other), "{decisions:?}");
-    assert!(pool.record_probe_notice(1, leaving));
+    assert!(pool.record_probe_notice(Micros::ZERO, 1, None, leaving));
     let rejection = Decision::Reject {
         request_id: 7,
         reason: Rejection::NoServer,
--- a/lentilcart_state/src/directory/directory.rs
+++ b/lentilcart_state/src/directory/directory.rs
@@ -163,6 +163,16 @@
         self.removal_times.len()
     }
 
+    /// Returns the number of servers of a service that are leaving, by their registration or by their own
+    /// word.
+    #[must_use]
+    pub fn get_leaving_count(&self, service: &str) -> usize {
+        let is_leaving = |registration: &&ServerRegistration| {
+            registration.leaving && *registration.service == *service
+        };
+        self.registrations.values().filter(is_leaving).count()
+    }
+
     /// Returns an iterator over the servers of all services, lapsed ones included.
     pub fn iter(&self) -> impl Iterator<Item = &ServerRegistration> {
         self.registrations.values()
--- a/lentilcart_state/src/routing/headers.rs
+++ b/lentilcart_state/src/routing/headers.rs
@@ -16,6 +16,8 @@
     pub load: &'static str,
     /// Header by which the server says that it is leaving.
     pub leaving: &'static str,
+    /// Header with the time for which the server wants no requests from this entry.
+    pub retry_after: &'static str,
     /// Header with the rate limit that the server names.
     pub rate_limit: &'static str,
 }
--- a/src/entry/dispatcher.rs
+++ b/src/entry/dispatcher.rs
@@ -130,6 +130,15 @@
         })
     }
 
+    /// Returns whether a server wants no requests from the entry with the address `sender` now.
+    pub(crate) fn is_held_off(&self, address: SocketAddr, sender: SocketAddr) -> bool {
+        let now = self.clock.now();
+        self.read_pool(|pool| {
+            let held_off = pool.get_held_off_servers(now, Some(sender));
+            held_off.contains(&address)
+        })
+    }
+
     /// Returns the current time on the clock of the pool.
     pub(crate) fn get_now(&self) -> Micros {
         self.clock.now()
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
 use lentilcart_platform::{HEADER_NAMES, decode_load_report};
-use lentilcart_route::{AttemptOutcome, Rejection, ServerPool};
+use lentilcart_route::{AttemptOutcome, Rejection, Restriction, ServerPool};
 use lentilcart_state::{PathRoute, RequestClass};
 use lentilcart_util::{Micros, Name};
 use tokio::time::{Instant, timeout_at};
@@ -45,6 +45,9 @@
     /// Length of this entry's own queue for the service when the request was rejected, by this entry or
     /// by the owner, because no server would be free in time; else 0.
     pub(crate) queue_len: usize,
+    /// Time after which a server has room again, and how the servers restrict requests, if the request was
+    /// rejected for that; else `None`.
+    pub(crate) restriction: Option<(Micros, Restriction)>,
     /// Whether a server may have run the request without a usable response having arrived.
     pub(crate) may_have_run: bool,
 }
@@ -111,7 +114,8 @@
         first.combine(second)
     }
 
-    /// Returns the request for a permit to send the next attempt to a server that is not `excluded`.
+    /// Returns the request for a permit to send the next attempt to a server that is not `excluded` and
+    /// wants requests from this entry.
     fn get_permit_request(
         &self,
         gateway: &Gateway,
@@ -119,6 +123,10 @@
         excluded: &[SocketAddr],
     ) -> PermitRequest {
         let now = gateway.clock.now();
+        let own_address = gateway.settings.load().listen.peer;
+        // The owner may not know yet which servers want no requests from this entry.
+        let held_off =
+            dispatcher.read_pool(|pool| pool.get_held_off_servers(now, Some(own_address)));
         PermitRequest {
             id: gateway.next_attempt_id(),
             service: dispatcher.service.clone(),
@@ -129,7 +137,7 @@
             until_objective: self.arrived + self.route.latency_objective - now,
             latency_objective: self.route.latency_objective,
             remaining: self.deadline - now,
-            excluded: excluded.to_vec(),
+            excluded: [excluded, &held_off].concat(),
         }
     }
 
@@ -229,6 +237,9 @@
             }
             Ok(Err(_)) => {
                 inbound.queue_len = dispatcher.read_pool(ServerPool::get_queue_len);
+                let (now, sender) = (gateway.clock.now(), gateway.settings.load().listen.peer);
+                inbound.restriction =
+                    dispatcher.read_pool(|pool| pool.get_restriction(now, Some(sender), &excluded));
                 return inbound.finish(last, ErrorReason::Overload);
             }
             Err(_) => return inbound.finish(last, ErrorReason::TimeoutNotRun),
@@ -395,8 +406,7 @@
         .and_then(decode_load_report);
     let verdict = classify_response(&received.response, &request_id, class);
     let status = received.response.status().as_u16();
-    let notice =
-        gateway.handle_response_notice(&dispatcher, address, received.response.headers(), verdict);
+    let notice = gateway.handle_response_notice(&dispatcher, address, &received.response, verdict);
     match verdict {
         ResponseVerdict::Valid | ResponseVerdict::ErrorResponse => {}
         ResponseVerdict::Unusable(reason) => {
--- a/src/gateway/error_reply.rs
+++ b/src/gateway/error_reply.rs
@@ -113,7 +113,7 @@
             .status(status)
             .header("content-type", "application/json");
         if let (StatusCode::SERVICE_UNAVAILABLE, Some(retry_after)) = (status, self.retry_after) {
-            // Seconds with three decimals, though HTTP defines whole seconds: all values are below one.
+            // Seconds with three decimals, though HTTP defines whole seconds: most values are below one.
             builder = builder.header(RETRY_AFTER, format!("{:.3}", retry_after.as_secs()));
         }
         builder
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -3,48 +3,53 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use hyper::header::HeaderMap;
-use lentilcart_platform::{HEADER_NAMES, decode_leaving, decode_rate_limit};
+use hyper::Response;
+use lentilcart_platform::{HEADER_NAMES, decode_leaving, decode_rate_limit, decode_retry_after};
 use lentilcart_route::{ServerNotice, ServerPool};
 use lentilcart_util::Name;
 
 use super::datagram::Datagram;
 use super::gateway::Gateway;
 use super::permit_table::get_owner;
-use super::response::ResponseVerdict;
+use super::response::{ResponseVerdict, is_refusal};
 use crate::entry::Dispatcher;
 
 /// The kind of answer that a notice came with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum NoticeSource {
+enum NoticeSource {
     /// An answer to a request.
     Request,
     /// An answer to a probe.
     Probe,
 }
 
-/// Reads the notice in the head of a server's answer.
-pub(crate) fn read_notice(headers: &HeaderMap) -> ServerNotice {
-    let get_values = |name| {
-        let values = headers.get_all(name).iter();
-        values.filter_map(|value| value.to_str().ok())
-    };
-    ServerNotice {
-        rate_limit: decode_rate_limit(get_values(HEADER_NAMES.rate_limit)),
-        leaving: decode_leaving(get_values(HEADER_NAMES.leaving)),
+impl Gateway {
+    /// Reads the notice in the head of a server's answer.
+    fn read_notice<B>(&self, response: &Response<B>) -> ServerNotice {
+        let get_values = |name| {
+            let values = response.headers().get_all(name).iter();
+            values.filter_map(|value| value.to_str().ok())
+        };
+        let retry_after = decode_retry_after(get_values(HEADER_NAMES.retry_after));
+        let longest = self.settings.load().servers.max_hold_off;
+        ServerNotice {
+            rate_limit: decode_rate_limit(get_values(HEADER_NAMES.rate_limit)),
+            leaving: decode_leaving(get_values(HEADER_NAMES.leaving)),
+            retry_after: retry_after
+                .filter(|_| is_refusal(response.status()))
+                .map(|time| time.min(longest)),
+        }
     }
-}
 
-impl Gateway {
     /// Handles the notice in a server's response to a request and returns it.
-    pub(crate) fn handle_response_notice(
+    pub(crate) fn handle_response_notice<B>(
         &self,
         dispatcher: &Arc<Dispatcher>,
         server: SocketAddr,
-        headers: &HeaderMap,
+        response: &Response<B>,
         verdict: ResponseVerdict,
     ) -> ServerNotice {
-        let notice = read_notice(headers);
+        let notice = self.read_notice(response);
         let is_of_server = match verdict {
             // Another server has answered.
             ResponseVerdict::Misdirected => false,
@@ -58,10 +63,21 @@
         notice
     }
 
+    /// Handles the notice in a server's response to a probe.
+    pub(crate) fn handle_probe_notice<B>(
+        &self,
+        dispatcher: &Arc<Dispatcher>,
+        server: SocketAddr,
+        response: &Response<B>,
+    ) {
+        let notice = self.read_notice(response);
+        self.handle_notice(dispatcher, server, notice, NoticeSource::Probe);
+    }
+
     /// Records the notice in an answer that this entry got from a server, and tells the owner of the
     /// service, which chooses servers for this entry. An empty notice is not sent: the owner learns from
     /// the outcome of the attempt that a notice has ended.
-    pub(crate) fn handle_notice(
+    fn handle_notice(
         &self,
         dispatcher: &Arc<Dispatcher>,
         server: SocketAddr,
@@ -71,7 +87,8 @@
         if notice.is_empty() && !dispatcher.read_pool(ServerPool::has_rate_limits) {
             return;
         }
-        self.record_notice(dispatcher, server, notice, source);
+        let own_address = self.settings.load().listen.peer;
+        self.record_notice(dispatcher, server, own_address, notice, source);
         let owner = get_owner(self, &dispatcher.service).filter(|_| !notice.is_empty());
         if let Some(owner) = owner {
             let service = dispatcher.service.clone();
@@ -107,29 +124,33 @@
     /// Records a notice that another entry got from a server and sent to this one as the owner.
     pub(crate) fn record_peer_notice(
         &self,
+        peer: SocketAddr,
         service: &str,
         server: SocketAddr,
         notice: ServerNotice,
     ) {
         let routes = self.get_active_routes();
         if let Some(dispatcher) = routes.dispatchers.get(service) {
-            self.record_notice(dispatcher, server, notice, NoticeSource::Request);
+            self.record_notice(dispatcher, server, peer, notice, NoticeSource::Request);
         }
     }
 
-    /// Records a notice in the pool of the service and, if the server is leaving, in the directory.
+    /// Records a notice to the entry `sender` in the pool of the service and, if the server is leaving, in
+    /// the directory.
     fn record_notice(
         &self,
         dispatcher: &Dispatcher,
         server: SocketAddr,
+        sender: SocketAddr,
         notice: ServerNotice,
         source: NoticeSource,
     ) {
-        let changed = dispatcher.update_pool(|pool, _| {
+        let changed = dispatcher.update_pool(|pool, now| {
             let index = pool.get_server_index(server)?;
+            let sender = Some(sender);
             let has_changed = match source {
-                NoticeSource::Request => pool.record_notice(index, notice),
-                NoticeSource::Probe => pool.record_probe_notice(index, notice),
+                NoticeSource::Request => pool.record_notice(now, index, sender, notice),
+                NoticeSource::Probe => pool.record_probe_notice(now, index, sender, notice),
             };
             let state = pool.get_server_state(index).filter(|_| has_changed);
             state.map(|state| state.get_config().id.clone())
@@ -138,8 +159,9 @@
             return;
         };
         let per_second = notice.rate_limit.unwrap_or(-1.0);
-        let leaving = notice.leaving;
-        log::info!(server:% = id, per_second, leaving, source:? = source; "notice of server changed");
+        let (leaving, hold_off) = (notice.leaving, notice.retry_after.unwrap_or_default());
+        let hold_off_ms = hold_off.as_millis();
+        log::info!(server:% = id, per_second, leaving, hold_off_ms, source:? = source; "notice of server changed");
         if leaving {
             self.record_server_leaving(&id);
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -124,7 +124,7 @@
             }
             Ok(Datagram::Release(id, outcome)) => release_permit(&gateway, remote, id, outcome),
             Ok(Datagram::Notice(service, server, notice)) => {
-                gateway.record_peer_notice(&service, server, notice);
+                gateway.record_peer_notice(remote, &service, server, notice);
             }
             Ok(Datagram::LoadUpdates(updates)) => {
                 let routes = gateway.get_active_routes();
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -98,8 +98,8 @@
 }
 
 /// Gets a permit for a request from the owner of its service. This entry's own dispatcher decides if
-/// this entry is the owner or owner dispatch is off, or if the owner does not answer or grants a permit
-/// for a server that is not serving.
+/// this entry is the owner or owner dispatch is off, if no server wants requests from this entry, or if the
+/// owner does not answer or grants a permit for a server that is not serving or wants none.
 ///
 /// # Errors
 ///
@@ -109,25 +109,26 @@
     dispatcher: &Arc<Dispatcher>,
     request: PermitRequest,
 ) -> Result<Permit, Rejection> {
-    if let Some(owner) = get_owner(gateway, &dispatcher.service)
+    let own_address = gateway.settings.load().listen.peer;
+    let pool_request = to_pool_request(dispatcher, own_address, &request, gateway.clock.now());
+    // Where this entry may use none of the servers that it knows, no owner can help.
+    let may_ask = request.excluded.is_empty()
+        || dispatcher
+            .read_pool(|pool| pool.has_wanting_server(dispatcher.get_now(), &pool_request));
+    if may_ask
+        && let Some(owner) = get_owner(gateway, &dispatcher.service)
         && let Some(reply) = request_permit(gateway, owner, &request).await
     {
         let permit =
             reply.map(|reply| permit_from_reply(gateway, dispatcher, owner, &request, reply))?;
-        if is_serving(gateway, &permit.server_id) {
+        let is_held_off = dispatcher.is_held_off(permit.address, own_address);
+        if is_serving(gateway, &permit.server_id) && !is_held_off {
             return Ok(permit);
         }
         log::info!(owner:% = owner, server:% = permit.server_id; "server of the granted permit is not serving");
         permit.release(AttemptOutcome::Cancelled);
     }
-    let own_address = gateway.settings.load().listen.peer;
-    let now = gateway.clock.now();
-    acquire_local_permit(
-        gateway,
-        dispatcher,
-        to_pool_request(dispatcher, own_address, &request, now),
-    )
-    .await
+    acquire_local_permit(gateway, dispatcher, pool_request).await
 }
 
 /// Returns whether this entry knows a server, and not as leaving. It is checked after a grant because an
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -11,7 +11,6 @@
 
 use super::datagram::{Datagram, LoadUpdate};
 use super::gateway::Gateway;
-use super::notice::{NoticeSource, read_notice};
 use super::peers::{get_peers, send_to_all};
 use super::permit_table::get_owner;
 use crate::entry::Dispatcher;
@@ -75,7 +74,12 @@
         let server = targets.get(next % targets.len().max(1)).cloned();
         // A response that has arrived meanwhile carried a load report as well.
         let max_age = period;
-        if let Some(server) = server.filter(|s| s.dispatcher.is_load_stale(s.address, max_age)) {
+        let own_address = settings.listen.peer;
+        let is_due = |server: &Arc<ProbeTarget>| {
+            server.dispatcher.is_load_stale(server.address, max_age)
+                && !server.dispatcher.is_held_off(server.address, own_address)
+        };
+        if let Some(server) = server.filter(is_due) {
             let (gateway, timeout) = (gateway.clone(), settings.servers.probe_timeout);
             let tasks = gateway.tasks.clone();
             tasks.spawn(async move { probe(&gateway, &server, timeout).await });
@@ -171,13 +175,7 @@
     if response.headers().contains_key(HEADER_NAMES.request_id) {
         return Err("the response belongs to another request".to_owned());
     }
-    let notice = read_notice(response.headers());
-    gateway.handle_notice(
-        &server.dispatcher,
-        server.address,
-        notice,
-        NoticeSource::Probe,
-    );
+    gateway.handle_probe_notice(&server.dispatcher, server.address, &response);
     let load = get_header_text(response.headers(), HEADER_NAMES.load).and_then(decode_load_report);
     collect_body(response.into_body(), MAX_HEALTH_BYTES).await?;
     Ok(load)
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -78,6 +78,15 @@
     }
 }
 
+/// Returns whether a status says that a request is turned away for now, so that a `Retry-After` with it is
+/// about further requests.
+pub(crate) fn is_refusal(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    )
+}
+
 /// Reads a response body up to [`MAX_BUFFERED_BYTES`]; the rest of a longer body is streamed until
 /// [`STREAM_GRACE`] after the `deadline`, and up to [`MAX_STREAMED_BYTES`]. Trailers of a body that is
 /// read completely are dropped.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -8,6 +8,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response, Uri};
 use lentilcart_platform::HEADER_NAMES;
+use lentilcart_route::Restriction;
 use lentilcart_util::{Micros, Name};
 use rand::RngExt;
 use tokio::time::{Instant, timeout_at};
@@ -15,6 +16,7 @@
 use super::attempt::{GatewayRequest, dispatch};
 use super::error_reply::{ErrorReason, ErrorReply};
 use super::gateway::{ActiveRoutes, Gateway};
+use super::response::is_refusal;
 use crate::http::{
     BodyEnd, HttpBody, NotifyOnEnd, find_request_error, get_header_duration, get_header_text,
     set_header, stream_body, strip_hop_by_hop,
@@ -47,6 +49,9 @@
     attempts: u32,
     /// Length of this entry's own queue for the service when the request was rejected, else 0.
     queue_len: usize,
+    /// How long the servers have no room by what they say of themselves, and how they restrict requests, if
+    /// the request was rejected for that.
+    restriction: Option<(Micros, Restriction)>,
     /// Version of the routes in force.
     routes_version: u64,
     /// The request's timeout, as far as it is known, and once it was dispatched the time left until its
@@ -68,6 +73,7 @@
         service: "none".into(),
         attempts: 0,
         queue_len: 0,
+        restriction: None,
         routes_version: 0,
         remaining: DEFAULT_REMAINING,
     };
@@ -76,18 +82,32 @@
     let result = handle_request(&gateway, request, started, &mut summary).await;
     let elapsed = gateway.clock.now() - started;
     let mut response = match result {
-        Ok(response) => {
+        Ok(mut response) => {
+            if is_refusal(response.status()) {
+                // It holds for this entry, while the caller may get another server.
+                response.headers_mut().remove(HEADER_NAMES.retry_after);
+            }
             record_metrics(&summary, "answered", elapsed);
             log::debug!(request:% = summary.id, route:% = summary.route, took_ms = elapsed.as_millis(); "answered");
             response
         }
         Err(mut reply) => {
             record_metrics(&summary, reply.reason.as_str(), elapsed);
-            reply.retry_after = Some(get_retry_after(reply.reason, summary.remaining));
+            let restriction = summary.restriction;
+            let room_after = restriction.map(|(room_after, _)| room_after);
+            reply.retry_after = Some(get_retry_after(reply.reason, summary.remaining, room_after));
+            let restricted = restriction.map_or("none", |(_, restriction)| restriction.as_str());
+            if restriction.is_some() {
+                metrics::counter!(
+                    "lentilcart_requests_restricted_total",
+                    "service" => summary.service.to_string(), "reason" => restricted
+                )
+                .increment(1);
+            }
             log::info!(
                 request:% = summary.id, route:% = summary.route, service:% = summary.service,
                 reason = reply.reason.as_str(), status = reply.reason.get_status().as_u16(),
-                sent = summary.attempts, waiting = summary.queue_len, number = summary.routes_version, took_ms = elapsed.as_millis(),
+                sent = summary.attempts, waiting = summary.queue_len, restricted, number = summary.routes_version, took_ms = elapsed.as_millis(),
                 detail = reply.detail.as_str();
                 "request not served"
             );
@@ -129,8 +149,9 @@
 
 /// Returns the time after which a rejected caller may retry, with random jitter so that callers do not
 /// return together: almost at once if another attempt may find a server that accepts it, later if the
-/// service or this entry needs time to recover.
-fn get_retry_after(reason: ErrorReason, remaining: Micros) -> Micros {
+/// service or this entry needs time to recover, and not before `room_after` if it is known that no server
+/// accepts a request until then.
+fn get_retry_after(reason: ErrorReason, remaining: Micros, room_after: Option<Micros>) -> Micros {
     let (shortest, longest) = match reason {
         ErrorReason::NotRun | ErrorReason::NoBudget | ErrorReason::Unreachable => {
             (MIN_QUICK_RETRY_AFTER, MAX_QUICK_RETRY_AFTER)
@@ -140,7 +161,7 @@
     let longest = remaining.scaled(RETRY_AFTER_SHARE).min(longest);
     let shortest = shortest.min(longest);
     let spread = (longest - shortest).scaled(rand::rng().random_range(0.0..1.0));
-    shortest + spread
+    shortest.max(room_after.unwrap_or_default()) + spread
 }
 
 /// Checks a request, matches its route, reads its body and dispatches it.
@@ -202,11 +223,13 @@
         deadline,
         attempts: 0,
         queue_len: 0,
+        restriction: None,
         may_have_run: false,
     };
     let result = dispatch(gateway, dispatcher, &mut inbound).await;
     summary.attempts = inbound.attempts;
     summary.queue_len = inbound.queue_len;
+    summary.restriction = inbound.restriction;
     summary.remaining = deadline - gateway.clock.now();
     result
 }
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -1,7 +1,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use lentilcart_route::ServerPool;
 use lentilcart_util::Micros;
 
 use super::gateway::Gateway;
@@ -85,8 +84,8 @@
     }
 }
 
-/// Records the gauges for the age of the store's last reply, for lapsed servers, for servers that name a
-/// rate limit, and for opened connections.
+/// Records the gauges for the age of the store's last reply, for lapsed servers, for servers that restrict
+/// requests by their own word, and for opened connections.
 fn record_gauges(gateway: &Gateway) {
     let age = gateway
         .get_store_reply_age()
@@ -94,10 +93,20 @@
     metrics::gauge!("lentilcart_store_age_seconds").set(age);
     metrics::gauge!("lentilcart_servers_lapsed")
         .set(gateway.lock_directory().get_lapsed_count() as f64);
+    let own_address = Some(gateway.settings.load().listen.peer);
     for (service, dispatcher) in &gateway.get_active_routes().dispatchers {
-        let count = dispatcher.read_pool(ServerPool::get_rate_limited_count);
+        let now = gateway.clock.now();
+        let (limited, held_off) = dispatcher.read_pool(|pool| {
+            let held_off = pool.get_held_off_servers(now, own_address);
+            (pool.get_rate_limited_count(), held_off.len())
+        });
+        let leaving = gateway.lock_directory().get_leaving_count(service);
         let service = service.to_string();
-        metrics::gauge!("lentilcart_servers_rate_limited", "service" => service).set(count as f64);
+        metrics::gauge!("lentilcart_servers_rate_limited", "service" => service.clone())
+            .set(limited as f64);
+        metrics::gauge!("lentilcart_servers_held_off", "service" => service.clone())
+            .set(held_off as f64);
+        metrics::gauge!("lentilcart_servers_leaving", "service" => service).set(leaving as f64);
     }
     metrics::gauge!("lentilcart_server_connections_opened")
         .set(gateway.server_client.get_opened_count() as f64);
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -188,6 +188,10 @@
     #[serde_as(as = "DurationText")]
     #[serde(rename = "check-wait")]
     pub preflight_timeout: Micros,
+    /// Longest time for which a server that wants no requests gets none, so that a wrong value does not
+    /// take it out of use for good; 0 if servers get requests all the same.
+    #[serde_as(as = "DurationText")]
+    pub max_hold_off: Micros,
     /// Age of a load report from which its server is probed while requests are queued, if it is in
     /// this data centre. A server without a load report is probed too.
     #[serde_as(as = "DurationText")]
@@ -212,6 +216,7 @@
             probe_timeout: Micros::from_millis(250),
             preflight_age: Micros::from_millis(10),
             preflight_timeout: Micros::from_millis(25),
+            max_hold_off: Micros::from_millis(600_000),
             queued_age: Micros::from_millis(40),
         }
     }
