fix(gateway): notices that another entry passes on do not end a rate limit

Found by reading the diff, not played: a notice that an entry passes on to the owner because of a hold-off or of leaving names no limit where it came with a probe, and the owner took that for the end of the limit. And a limit passed on from an answer to a request counted there as one of a request, so that only the source decided what its absence means.

NoticeSource says how a notice reached an entry; ServerPool::record_notice replaces the two methods for requests and probes. limit_does_not_end_with_notice_of_peer guards against it (the old interface had no such case, so it could not be run there).

--- a/lentilcart_route/src/lib.rs
+++ b/lentilcart_route/src/lib.rs
@@ -35,7 +35,7 @@
 pub use self::limits::{EjectLimits, Hedger, ProbeBudget, RetryLimits, TokenBucket};
 pub use self::policy::{LoadSource, POLICIES, PickContext, Policy, get_policy, get_policy_names};
 pub use self::pool::{
-    AttemptOutcome, Decision, LoadReport, MAX_PREFLIGHT_PROBES, PendingRequest, PoolConfig,
-    Rejection, Restriction, ServerConfig, ServerNotice, ServerPhase, ServerPool, ServerState,
-    ServerSummary, Shard, is_latency_much_higher,
+    AttemptOutcome, Decision, LoadReport, MAX_PREFLIGHT_PROBES, NoticeSource, PendingRequest,
+    PoolConfig, Rejection, Restriction, ServerConfig, ServerNotice, ServerPhase, ServerPool,
+    ServerState, ServerSummary, Shard, is_latency_much_higher,
 };
--- a/lentilcart_route/src/limits/rate_pacer.rs
+++ b/lentilcart_route/src/limits/rate_pacer.rs
@@ -1,5 +1,7 @@
 use lentilcart_util::Micros;
 
+use crate::pool::NoticeSource;
+
 /// Requests a second that a server with a lower limit gets all the same from all entries together: only
 /// its answers tell when the limit ends.
 const MIN_TRIAL_RATE: f64 = 0.1;
@@ -22,19 +24,19 @@
         self.limit
     }
 
-    /// Sets the limit that the server names in an answer to a request, and returns whether that changed
-    /// it.
-    pub(crate) fn set_limit(&mut self, limit: Option<f64>) -> bool {
-        let has_changed = self.limit != limit;
-        self.limit = limit;
-        has_changed
-    }
-
-    /// Sets the limit that the server names in an answer to a probe, and returns whether that changed
-    /// it. A probe without a limit ends one only where the server names limits in its answers to probes.
-    pub(crate) fn set_probe_limit(&mut self, limit: Option<f64>) -> bool {
-        self.in_probes |= limit.is_some();
-        self.in_probes && self.set_limit(limit)
+    /// Records the limit in a notice of the server, and returns whether that changed it.
+    pub(crate) fn record_limit(&mut self, limit: Option<f64>, source: NoticeSource) -> bool {
+        self.in_probes |= limit.is_some() && source == NoticeSource::Probe;
+        let ends_limit = match source {
+            NoticeSource::Request => true,
+            NoticeSource::Probe => self.in_probes,
+            NoticeSource::Peer => false,
+        };
+        let old = self.limit;
+        if limit.is_some() || ends_limit {
+            self.limit = limit;
+        }
+        self.limit != old
     }
 
     /// Records the start of a request.
--- a/lentilcart_route/src/pool/mod.rs
+++ b/lentilcart_route/src/pool/mod.rs
@@ -21,7 +21,7 @@
 pub use self::config::{PoolConfig, ServerConfig, Shard};
 pub use self::pending_request::{AttemptOutcome, Decision, LoadReport, PendingRequest, Rejection};
 pub use self::preflight::{MAX_PREFLIGHT_PROBES, is_latency_much_higher};
-pub use self::server_notice::{Restriction, ServerNotice};
+pub use self::server_notice::{NoticeSource, Restriction, ServerNotice};
 pub use self::server_phase::ServerPhase;
 pub use self::server_pool::ServerPool;
 pub use self::server_state::{ServerState, ServerSummary};
--- a/lentilcart_route/src/pool/server_notice.rs
+++ b/lentilcart_route/src/pool/server_notice.rs
@@ -18,6 +18,18 @@
     }
 }
 
+common! { value,
+    /// How a notice reached this entry, which decides what it means that it names no limit.
+    pub enum NoticeSource {
+        /// In an answer to a request: there is no limit any more.
+        Request,
+        /// In an answer to a probe: there is no limit any more if the server has named one there before.
+        Probe,
+        /// From another entry that got the answer: nothing.
+        Peer,
+    }
+}
+
 common! { value,
     /// How servers restrict the requests to them by their notices.
     pub enum Restriction {
--- a/lentilcart_route/src/pool/server_pool.rs
+++ b/lentilcart_route/src/pool/server_pool.rs
@@ -5,10 +5,10 @@
 use super::server_state::PROBE_BYTES;
 use super::service_times::ServiceTimes;
 use super::{
-    AttemptOutcome, Decision, LoadReport, PendingRequest, PoolConfig, Rejection, Restriction,
-    ServerConfig, ServerNotice, ServerPhase, ServerState, ServerSummary, Shard,
+    AttemptOutcome, Decision, LoadReport, NoticeSource, PendingRequest, PoolConfig, Rejection,
+    Restriction, ServerConfig, ServerNotice, ServerPhase, ServerState, ServerSummary, Shard,
 };
-use crate::limits::{Hedger, RatePacer, TokenBucket};
+use crate::limits::{Hedger, TokenBucket};
 use crate::policy::{LoadSource, PickContext};
 use crate::queue::RequestQueue;
 
@@ -410,7 +410,8 @@
         if let AttemptOutcome::Answered { notice, .. } | AttemptOutcome::Full { notice, .. } =
             outcome
         {
-            self.record_notice(now, server, attempt.sender, notice);
+            let source = NoticeSource::Request;
+            self.record_notice(now, server, attempt.sender, notice, source);
         }
         self.dispatch_queue(now)
     }
@@ -591,47 +592,20 @@
         }
     }
 
-    /// Records what a server says of itself in an answer to a request of the entry with the address
-    /// `sender`, and returns whether that is new. For an attempt of this pool, the outcome may carry it
-    /// instead.
+    /// Records what a server says of itself in an answer to the entry with the address `sender`, and
+    /// returns whether that is new. For an attempt of this pool, the outcome may carry it instead.
     pub fn record_notice(
         &mut self,
         now: Micros,
         server: usize,
         sender: Option<SocketAddr>,
         notice: ServerNotice,
-    ) -> bool {
-        let has_limit_changed =
-            self.update_pacer(server, |pacer| pacer.set_limit(notice.rate_limit));
-        self.record_refusal(now, server, sender, notice) || has_limit_changed
-    }
-
-    /// Records what a server says of itself in an answer to a probe, and returns whether that is new. A
-    /// notice that the server gives only in its answers to requests is not ended by a probe.
-    pub fn record_probe_notice(
-        &mut self,
-        now: Micros,
-        server: usize,
-        sender: Option<SocketAddr>,
-        notice: ServerNotice,
-    ) -> bool {
-        let set_limit = |pacer: &mut RatePacer| pacer.set_probe_limit(notice.rate_limit);
-        let has_limit_changed = self.update_pacer(server, set_limit);
-        self.record_refusal(now, server, sender, notice) || has_limit_changed
-    }
-
-    /// Records that a server wants no requests, for a time from one sender or because it is leaving, if
-    /// its notice says so; returns whether that is new.
-    fn record_refusal(
-        &mut self,
-        now: Micros,
-        server: usize,
-        sender: Option<SocketAddr>,
-        notice: ServerNotice,
+        source: NoticeSource,
     ) -> bool {
         let Some(state) = self.states.get_mut(server) else {
             return false;
         };
+        let has_limit_changed = state.pacer.record_limit(notice.rate_limit, source);
         let is_leaving = notice.leaving && state.phase != ServerPhase::Leaving;
         if is_leaving {
             state.phase = ServerPhase::Leaving;
@@ -640,17 +614,10 @@
             self.hold_off_end = self.hold_off_end.max(now + time);
             state.hold_off(now, sender, time)
         });
-        is_leaving || is_held_off
-    }
-
-    /// Runs a function that may change the rate limit of a server, and returns whether it did.
-    fn update_pacer(&mut self, server: usize, update: impl FnOnce(&mut RatePacer) -> bool) -> bool {
-        let state = self.states.get_mut(server);
-        let has_changed = state.is_some_and(|state| update(&mut state.pacer));
-        if has_changed {
+        if has_limit_changed {
             self.has_rate_limits = self.get_rate_limited_count() > 0;
         }
-        has_changed
+        has_limit_changed || is_leaving || is_held_off
     }
 
     /// Records that a server did not answer a probe of either kind.
@@ -882,7 +849,8 @@
 
     /// Returns whether a server may get a request: it has room below its limit for the data centre
     /// of the request's origin, is not excluded, wants requests from the sender, is not on probation
-    /// if the request must run at most once, and its expected latency in base service times is at most `max_factor`.
+    /// if the request must run at most once, and its expected latency in base service times is at
+    /// most `max_factor`.
     fn is_eligible(
         &self,
         now: Micros,
--- a/lentilcart_route/tests/testsuite/hold_offs.rs
+++ b/lentilcart_route/tests/testsuite/hold_offs.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use lentilcart_route::{
-    AttemptOutcome, Decision, PendingRequest, PoolConfig, Rejection, Restriction, ServerConfig,
-    ServerNotice, ServerPool, get_policy,
+    AttemptOutcome, Decision, NoticeSource, PendingRequest, PoolConfig, Rejection, Restriction,
+    ServerConfig, ServerNotice, ServerPool, get_policy,
 };
 use lentilcart_util::Micros;
 use proptest::prelude::*;
@@ -102,8 +102,20 @@
     let other_sender = (40..80).map(|id| offer(&mut pool, ms(20), request(ms(20), id, 2)));
     assert!(other_sender.collect::<Vec<_>>().contains(&Some(Ok(server))));
     // Neither an answer without a notice nor a shorter time ends it.
-    pool.record_notice(ms(100), server, Some(sender(1)), ServerNotice::EMPTY);
-    pool.record_notice(ms(100), server, Some(sender(1)), hold_off(ms(5)));
+    pool.record_notice(
+        ms(100),
+        server,
+        Some(sender(1)),
+        ServerNotice::EMPTY,
+        NoticeSource::Request,
+    );
+    pool.record_notice(
+        ms(100),
+        server,
+        Some(sender(1)),
+        hold_off(ms(5)),
+        NoticeSource::Request,
+    );
     assert_eq!(
         pool.get_held_off_servers(ms(2009), Some(sender(1))).len(),
         1
@@ -120,7 +132,13 @@
 fn offer_rejects_where_all_servers_hold_off() {
     let mut pool = pool(2);
     for (server, time) in [(0, ms(900)), (1, ms(300))] {
-        pool.record_notice(ms(0), server, Some(sender(1)), hold_off(time));
+        pool.record_notice(
+            ms(0),
+            server,
+            Some(sender(1)),
+            hold_off(time),
+            NoticeSource::Request,
+        );
     }
     let rejected = offer(&mut pool, ms(100), request(ms(100), 1, 1));
     assert_eq!(rejected, Some(Err(Rejection::Overload)));
@@ -153,7 +171,13 @@
 #[test]
 fn hold_off_ends_with_instance() {
     let mut pool = pool(1);
-    pool.record_notice(ms(0), 0, Some(sender(1)), hold_off(Micros(u64::MAX)));
+    pool.record_notice(
+        ms(0),
+        0,
+        Some(sender(1)),
+        hold_off(Micros(u64::MAX)),
+        NoticeSource::Request,
+    );
     assert_eq!(
         offer(&mut pool, ms(60_000), request(ms(60_000), 1, 1)),
         Some(Err(Rejection::Overload))
@@ -233,7 +257,7 @@
                     };
                     let notice = time.map_or(ServerNotice::EMPTY, |time| hold_off(ms(time)));
                     held_until[index] = held_until[index].max(now + notice.retry_after.unwrap_or_default());
-                    own.record_notice(now, index, Some(sender(1)), notice);
+                    own.record_notice(now, index, Some(sender(1)), notice, NoticeSource::Request);
                     let outcome = AttemptOutcome::Full { load: None, notice };
                     owner.finish_attempt(now, request_id, index, outcome);
                 }
--- a/lentilcart_route/tests/testsuite/rate_limits.rs
+++ b/lentilcart_route/tests/testsuite/rate_limits.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use lentilcart_route::{
-    AttemptOutcome, Decision, PendingRequest, PoolConfig, Rejection, ServerConfig, ServerNotice,
-    ServerPool, get_policy,
+    AttemptOutcome, Decision, NoticeSource, PendingRequest, PoolConfig, Rejection, ServerConfig,
+    ServerNotice, ServerPool, get_policy,
 };
 use lentilcart_util::Micros;
 use proptest::prelude::*;
@@ -112,7 +112,7 @@
 #[test]
 fn limit_ends_with_answer_without_one() {
     let mut pool = pool(1, 1);
-    pool.record_notice(ms(0), 0, None, limit(1.0));
+    pool.record_notice(ms(0), 0, None, limit(1.0), NoticeSource::Request);
     assert!(pool.has_rate_limits());
     let counts = run(&mut pool, ms(0), ms(1000), |_| ServerNotice::default());
     assert!(!pool.has_rate_limits());
@@ -124,11 +124,25 @@
 #[test]
 fn limit_ends_with_probe_only_where_probes_name_limits() {
     let mut pool = pool(1, 1);
-    pool.record_notice(ms(0), 0, None, limit(1.0));
-    assert!(!pool.record_probe_notice(ms(0), 0, None, ServerNotice::default()));
+    pool.record_notice(ms(0), 0, None, limit(1.0), NoticeSource::Request);
+    assert!(!pool.record_notice(ms(0), 0, None, ServerNotice::default(), NoticeSource::Probe));
     assert!(pool.has_rate_limits());
-    assert!(!pool.record_probe_notice(ms(0), 0, None, limit(1.0)));
-    assert!(pool.record_probe_notice(ms(0), 0, None, ServerNotice::default()));
+    assert!(!pool.record_notice(ms(0), 0, None, limit(1.0), NoticeSource::Probe));
+    assert!(pool.record_notice(ms(0), 0, None, ServerNotice::default(), NoticeSource::Probe));
+    assert!(!pool.has_rate_limits());
+}
+
+/// Guards against a notice that another entry passes on for another reason and that ends a limit, and
+/// against one that makes probes end it.
+#[test]
+fn limit_does_not_end_with_notice_of_peer() {
+    let mut pool = pool(1, 1);
+    let source = NoticeSource::Peer;
+    assert!(pool.record_notice(ms(0), 0, None, limit(1.0), source));
+    assert!(!pool.record_notice(ms(0), 0, None, ServerNotice::EMPTY, source));
+    assert!(!pool.record_notice(ms(0), 0, None, ServerNotice::EMPTY, NoticeSource::Probe));
+    assert!(pool.has_rate_limits());
+    assert!(pool.record_notice(ms(0), 0, None, ServerNotice::EMPTY, NoticeSource::Request));
     assert!(!pool.has_rate_limits());
 }
 
@@ -136,7 +150,7 @@
 #[test]
 fn limit_ends_with_instance() {
     let mut pool = pool(1, 1);
-    pool.record_notice(ms(0), 0, None, limit(0.0));
+    pool.record_notice(ms(0), 0, None, limit(0.0), NoticeSource::Request);
     pool.set_servers(ms(10), &servers(1, 2));
     assert!(!pool.has_rate_limits());
     let (_, rejected) = run(&mut pool, ms(10), ms(1000), |_| ServerNotice::default());
@@ -148,7 +162,7 @@
 #[test]
 fn offer_rejects_without_turn_in_time() {
     let mut pool = pool(1, 1);
-    pool.record_notice(ms(0), 0, None, limit(2.5));
+    pool.record_notice(ms(0), 0, None, limit(2.5), NoticeSource::Request);
     let offer = |pool: &mut ServerPool, now, id| {
         pool.offer(now, PendingRequest::new(id, now, now + DEADLINE))
     };
@@ -187,7 +201,7 @@
         let notice = limit(per_second);
         let new_pool = || {
             let mut pool = pool(1, 1);
-            pool.record_notice(ms(0), 0, None, notice);
+            pool.record_notice(ms(0), 0, None, notice, NoticeSource::Request);
             pool.set_rate_share(1.0 / entries as f64);
             pool
         };
--- a/lentilcart_route/tests/testsuite/server_pool.rs
+++ b/lentilcart_route/tests/testsuite/server_pool.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use lentilcart_route::{
-    AttemptOutcome, Decision, LoadReport, PendingRequest, PoolConfig, Rejection, ServerConfig,
-    ServerNotice, ServerPhase, ServerPool, get_policy,
+    AttemptOutcome, Decision, LoadReport, NoticeSource, PendingRequest, PoolConfig, Rejection,
+    ServerConfig, ServerNotice, ServerPhase, ServerPool, get_policy,
 };
 use lentilcart_util::Micros;
 
@@ -295,15 +295,21 @@
         leaving: true,
         ..ServerNotice::EMPTY
     };
-    assert!(pool.record_notice(Micros::ZERO, 0, None, leaving));
-    assert!(!pool.record_notice(Micros::ZERO, 0, None, ServerNotice::EMPTY));
+    assert!(pool.record_notice(Micros::ZERO, 0, None, leaving, NoticeSource::Request));
+    assert!(!pool.record_notice(
+        Micros::ZERO,
+        0,
+        None,
+        ServerNotice::EMPTY,
+        NoticeSource::Request
+    ));
     let decisions: Vec<Decision> = (0..6)
         .flat_map(|id| offer(&mut pool, Micros::ZERO, id))
         .collect();
     assert_eq!(decisions.len(), 5);
     let is_at_other = |decision: &Decision| matches!(decision, Decision::Start { server: 1, .. });
     assert!(decisions.iter().all(is_at_other), "{decisions:?}");
-    assert!(pool.record_probe_notice(Micros::ZERO, 1, None, leaving));
+    assert!(pool.record_notice(Micros::ZERO, 1, None, leaving, NoticeSource::Probe));
     let rejection = Decision::Reject {
         request_id: 7,
         reason: Rejection::NoServer,
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -5,7 +5,7 @@
 
 use hyper::Response;
 use lentilcart_platform::{HEADER_NAMES, decode_leaving, decode_rate_limit, decode_retry_after};
-use lentilcart_route::{ServerNotice, ServerPool};
+use lentilcart_route::{NoticeSource, ServerNotice, ServerPool};
 use lentilcart_util::Name;
 
 use super::datagram::Datagram;
@@ -14,15 +14,6 @@
 use super::response::{ResponseVerdict, is_refusal};
 use crate::entry::Dispatcher;
 
-/// The kind of answer that a notice came with.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum NoticeSource {
-    /// An answer to a request.
-    Request,
-    /// An answer to a probe.
-    Probe,
-}
-
 impl Gateway {
     /// Reads the notice in the head of a server's answer.
     fn read_notice<B>(&self, response: &Response<B>) -> ServerNotice {
@@ -131,7 +122,7 @@
     ) {
         let routes = self.get_active_routes();
         if let Some(dispatcher) = routes.dispatchers.get(service) {
-            self.record_notice(dispatcher, server, peer, notice, NoticeSource::Request);
+            self.record_notice(dispatcher, server, peer, notice, NoticeSource::Peer);
         }
     }
 
@@ -147,11 +138,7 @@
     ) {
         let changed = dispatcher.update_pool(|pool, now| {
             let index = pool.get_server_index(server)?;
-            let sender = Some(sender);
-            let has_changed = match source {
-                NoticeSource::Request => pool.record_notice(now, index, sender, notice),
-                NoticeSource::Probe => pool.record_probe_notice(now, index, sender, notice),
-            };
+            let has_changed = pool.record_notice(now, index, Some(sender), notice, source);
             let state = pool.get_server_state(index).filter(|_| has_changed);
             state.map(|state| state.get_config().id.clone())
         });
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -156,8 +156,7 @@
 }
 
 /// Requests a server's health endpoint and returns the load report from the response headers, if any;
-/// handles the notice there.
-/// The status is ignored: a response with any status is an answer.
+/// handles the notice there. The status is ignored: a response with any status is an answer.
 async fn fetch_load(gateway: &Gateway, server: &ProbeTarget) -> Result<Option<LoadReport>, String> {
     let new_request = || build_get(server.address, &server.path);
     let client = &gateway.server_client;
