feat(bench): servers in need in the model, with and without named limits

A request that is turned away goes to another server.

servers_in_need_turn_few_requests_away guards against refusals beyond a server's slots.

--- a/lentilcart_bench/src/bin/lentilcart-bench.rs
+++ b/lentilcart_bench/src/bin/lentilcart-bench.rs
@@ -35,8 +35,11 @@
                                       uses only the first variant, `slopes` none
   model [--seed N] [--servers N] [--noise S] [--work-ms N] [--objective-ms N] [--deadline-ms N]
         [--check-ms N] [--wait-check-ms N] [--reserve N] [--overcommit N] [--loads A,B]
+        [--need S] [--need-limit N] [--unnamed]
                                       simulate one data centre on virtual time; loads are
-                                      shares of the capacity of the slots
+                                      shares of the capacity of the slots; a share S of the
+                                      servers is in need, accepts N requests a second each,
+                                      and names that limit unless --unnamed is given
   servers --listen ADDRESSES [--one-way-us N]
                                       run stubs of servers
   platform --listen ADDRESS           run the stub of the platform
@@ -95,7 +98,16 @@
         deadline: millis("--deadline-ms", 5000)?,
         probe_age: millis("--check-ms", 10)?,
         queued_probe_age: millis("--wait-check-ms", 40)?,
+        need_share: 0.0,
+        need_limit: 3.0,
+        names_limit: !args.contains("--unnamed"),
     };
+    config.need_share = args
+        .opt_value_from_str("--need")?
+        .unwrap_or(config.need_share);
+    config.need_limit = args
+        .opt_value_from_str("--need-limit")?
+        .unwrap_or(config.need_limit);
     config.servers = args
         .opt_value_from_str("--servers")?
         .unwrap_or(config.servers);
--- a/lentilcart_bench/src/model/server_model.rs
+++ b/lentilcart_bench/src/model/server_model.rs
@@ -1,6 +1,6 @@
 use std::collections::VecDeque;
 
-use lentilcart_route::LoadReport;
+use lentilcart_route::{LoadReport, TokenBucket};
 use lentilcart_util::{Micros, Rng};
 use rand::RngExt;
 use rand_distr::{Distribution, Exp};
@@ -25,7 +25,7 @@
     Started(Micros),
     /// The request waits in the server's queue.
     Queued,
-    /// The queue is full; the request does not run.
+    /// The queue is full, or the server is in need and has accepted enough; the request does not run.
     Full,
 }
 
@@ -44,6 +44,8 @@
     running: u32,
     /// Queued requests: id and service time.
     waiting: VecDeque<(u64, Micros)>,
+    /// Requests that the server may accept now while it is in need; `None` if it is not.
+    need: Option<TokenBucket>,
     rng: Rng,
 }
 
@@ -57,13 +59,26 @@
             next_change: Micros::ZERO,
             running: 0,
             waiting: VecDeque::new(),
+            need: None,
             rng: lentilcart_util::seeded_rng(seed),
         }
     }
 
+    /// Makes this a server in need, which accepts `limit` requests a second and turns others away.
+    #[must_use]
+    pub fn with_limit(mut self, limit: f64) -> Self {
+        self.need = Some(TokenBucket::new(limit, limit.max(1.0), Micros::ZERO));
+        self
+    }
+
     /// Takes a request in, to run or to wait, or rejects it.
     pub fn admit(&mut self, now: Micros, request_id: u64, service_time: Micros) -> Admission {
+        let is_accepted = self.need.as_mut().is_none_or(|tokens| {
+            tokens.refill(now);
+            tokens.try_take(1.0)
+        });
         match () {
+            () if !is_accepted => Admission::Full,
             () if self.running < SLOTS => Admission::Started(self.start(now, service_time)),
             () if self.waiting.len() >= MAX_QUEUE => Admission::Full,
             () => {
--- a/lentilcart_bench/src/model/simulation.rs
+++ b/lentilcart_bench/src/model/simulation.rs
@@ -45,6 +45,12 @@
     pub probe_age: Micros,
     /// Age from which a server's load report is renewed by a probe while requests are queued.
     pub queued_probe_age: Micros,
+    /// Share of the servers that are in need, from 0 to 1.
+    pub need_share: f64,
+    /// Requests a second that a server in need accepts; it turns others away.
+    pub need_limit: f64,
+    /// Whether servers in need name that limit in their answers.
+    pub names_limit: bool,
 }
 
 /// A phase of the load with a constant mean rate.
@@ -73,6 +79,8 @@
     /// pool again. Probes that renew load reports are not counted.
     #[serde(rename = "checks")]
     pub preflight_probes: u32,
+    /// Requests that a server turned away, counted each time.
+    pub turned_away: u32,
 }
 
 /// Something that happens at a virtual time.
@@ -148,7 +156,14 @@
         .map(|index| ServerConfig::new(get_address(index), 3))
         .collect();
     pool.set_servers(Micros::ZERO, &server_configs);
-    let model = |index| ServerModel::new(config.slow_share, seed << 16 | index as u64);
+    let model = |index| {
+        let server = ServerModel::new(config.slow_share, seed << 16 | index as u64);
+        if config.is_in_need(index) {
+            server.with_limit(config.need_limit)
+        } else {
+            server
+        }
+    };
     let mut sim = Simulation {
         config,
         pool,
@@ -182,6 +197,20 @@
     sim.tallies
 }
 
+impl ModelConfig {
+    fn is_in_need(&self, server: usize) -> bool {
+        (server as f64) < self.servers as f64 * self.need_share
+    }
+
+    /// Returns what a server says of itself in its answers.
+    fn get_notice(&self, server: usize) -> ServerNotice {
+        ServerNotice {
+            rate_limit: (self.names_limit && self.is_in_need(server)).then_some(self.need_limit),
+            ..ServerNotice::EMPTY
+        }
+    }
+}
+
 fn get_address(index: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (index >> 8) as u8, index as u8], 80))
 }
@@ -300,25 +329,26 @@
         self.apply_decisions(now, decisions);
     }
 
-    /// Hands a request to the server; one that finds the server full is offered to the pool again.
+    /// Hands a request to the server; one that is turned away is offered to the pool again, for another
+    /// server.
     fn reach_server(&mut self, now: Micros, request_id: u64, server: usize) {
-        let Some(request) = self.requests.get(&request_id) else {
+        let notice = self.config.get_notice(server);
+        let Some(request) = self.requests.get_mut(&request_id) else {
             return;
         };
         match self.servers[server].admit(now, request_id, request.service_time) {
             Admission::Started(end) => self.schedule(end, Event::Completion(request_id, server)),
             Admission::Queued => {}
             Admission::Full => {
+                request.pending.excluded.push(server);
                 let retry = request.pending.clone();
+                self.tallies[request.phase].turned_away += 1;
                 let load = Some(self.servers[server].report_load(now));
                 let mut decisions = self.pool.finish_attempt(
                     now,
                     request_id,
                     server,
-                    AttemptOutcome::Full {
-                        load,
-                        notice: ServerNotice::default(),
-                    },
+                    AttemptOutcome::Full { load, notice },
                 );
                 decisions.extend(self.pool.offer(now, retry));
                 self.apply_decisions(now, decisions);
@@ -341,9 +371,9 @@
                 tally.late += 1;
             }
         }
-        let decisions =
-            self.pool
-                .finish_attempt(at, request_id, server, AttemptOutcome::answered(load));
+        let notice = self.config.get_notice(server);
+        let outcome = AttemptOutcome::Answered { load, notice };
+        let decisions = self.pool.finish_attempt(at, request_id, server, outcome);
         self.apply_decisions(at, decisions);
     }
 
--- a/lentilcart_bench/tests/testsuite/model.rs
+++ b/lentilcart_bench/tests/testsuite/model.rs
@@ -6,9 +6,18 @@
 /// Length of each phase of the load.
 const PHASE_LENGTH: Micros = Micros::from_millis(6000);
 
+/// Requests that a server runs at the same time.
+const SLOTS: f64 = 3.0;
+
 /// Simulates phases of load one after the other, each a share of the capacity of the slots at the
 /// usual speed, and returns their tallies.
 fn simulate_loads(shares: &[f64]) -> Vec<PhaseTally> {
+    simulate_loads_in_need(shares, 0.0)
+}
+
+/// Simulates phases of load while a share of the servers is in need and names a limit of 3 requests a
+/// second each.
+fn simulate_loads_in_need(shares: &[f64], need_share: f64) -> Vec<PhaseTally> {
     let config = ModelConfig {
         servers: 50,
         slow_share: 0.25,
@@ -17,6 +26,9 @@
         deadline: Micros::from_millis(5000),
         probe_age: Micros::from_millis(10),
         queued_probe_age: Micros::from_millis(40),
+        need_share,
+        need_limit: 3.0,
+        names_limit: true,
     };
     let full_rate = config.servers as f64 * 3.0 / config.service_time.as_secs();
     let phases = shares.iter().zip(0..).map(|(share, index)| LoadPhase {
@@ -58,3 +70,18 @@
     let tallies = simulate_loads(&[1.2, 0.4]);
     assert!(get_prompt_share(tallies[1]) > 0.9, "{tallies:?}");
 }
+
+/// Guards against requests that are sent to servers in need again and again, and turned away there: before
+/// its first answer, a server is sent at most as many as it has slots.
+#[test]
+fn servers_in_need_turn_few_requests_away() {
+    for need_share in [0.1, 0.3, 1.0] {
+        let tallies = simulate_loads_in_need(&[0.2, 0.5], need_share);
+        let turned_away: u32 = tallies.iter().map(|tally| tally.turned_away).sum();
+        let max_turned_away = 50.0 * need_share * SLOTS;
+        assert!(
+            f64::from(turned_away) <= max_turned_away,
+            "{need_share}: {turned_away} of {max_turned_away}"
+        );
+    }
+}
