--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -106,8 +106,9 @@
         /// identifier of the permit request and the outcome of the attempt.
         #[serde(rename = "Settle")]
         Release(u64, AttemptOutcome),
-        /// Tells the owner of a service what one of its servers says of itself, where no outcome tells it:
-        /// the answer was one to a probe, or counts as a failure. Entries of an earlier version ignore it.
+        /// Tells the owner of a service what one of its servers says of itself, if it says anything. The
+        /// outcome of an attempt tells it too, but for answers to probes and those that count as failures.
+        /// Entries of an earlier version ignore it and log a warning.
         Notice(Name, SocketAddr, ServerNotice),
     }
 }
