--- a/review/rig/src/cases/lost_watch.rs
+++ b/review/rig/src/cases/lost_watch.rs
@@ -48,6 +48,10 @@
                 slots: 3,
                 work: Duration::from_millis(36),
                 repeats_misdirected: false,
+                repeats_rejection_each: 0,
+                tells_load: true,
+                queue: 6,
+                endless_each: 0,
             };
             let server = Server::start(SocketAddr::new(ip(50 + index as u8), 0), setup, record);
             store.put(&server.key(), &server.entry("ready", 1));
