--- a/review/rig/src/cases/waiting_at_stop.rs
+++ b/review/rig/src/cases/waiting_at_stop.rs
@@ -10,7 +10,7 @@
 use crate::server::{Server, Setup};
 use crate::world::{Route, World, ZONES};
 
-const SERVICE: &str = "sitelist";
+const SERVICE: &str = "apartados";
 const GRACE_S: u32 = 6;
 /// Time from the start of the traffic to the SIGTERM.
 const LEAD: Duration = Duration::from_secs(10);
