fix(gateway): compare the request's identifier before a 421 is believed

Cause: a second copy of a 421 to an earlier request came on a kept connection while the next request waited there. classify_response looked at the status before it compared the identifiers, so the copy was taken as a promise for the request in progress, which was sent to another server or rejected. The server was marked as leaving as well.

Ruled out: connections that are used again after an incomplete answer (hyper closes those with bytes left over), and the retry loop, which repeats only what is promised.

Change: the identifiers are compared first. An answer that names another request is discarded and its connection closed; a request that runs at most once gets 502.

--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -59,8 +59,9 @@
             | StatusCode::MISDIRECTED_REQUEST
     );
     match get_header_text(headers, HEADER_NAMES.request_id) {
-        _ if status == StatusCode::MISDIRECTED_REQUEST => ResponseVerdict::Misdirected,
+        // Before all else: whatever a response says is about the request that it names.
         Some(id) if id != request_id => ResponseVerdict::Unusable("it belongs to another request"),
+        _ if status == StatusCode::MISDIRECTED_REQUEST => ResponseVerdict::Misdirected,
         _ if headers.contains_key(HEADER_NAMES.not_run) => ResponseVerdict::NotRun,
         None => ResponseVerdict::Unusable("it names no request"),
         // Callers take these statuses as a promise that the request did not run; without the header
