fix(gateway): confirm watches that wait, since their replies may be lost

Cause: the store had lost the replies to the watches of the routes. A connection on which a reply was lost looks like one whose watch waits, which may take 25 s. The renewals of the lease were answered, so that the entry counted the store as reachable and told the others so.

Ruled out: TCP keep-alive (the store's host acknowledges), the order of versions (the new one never came), and the exchange between entries (none of them had it).

Change: a waiting watch of the routes is confirmed every 1.5 s by one that does not wait; the watches of servers and entries whenever that shows a revision of the store newer than theirs. Changes in a confirmation replace the watch whose reply was lost. New setting store.confirm; nothing on the wire is new.

--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -76,6 +76,8 @@
     /// again. It does not reach mirrors without a call in progress, such as during a backoff.
     pub(crate) relist: Notify,
     pub(crate) mirrors: [Mutex<Mirror>; 3],
+    /// Highest revision of the store that a confirmation of the routes has shown.
+    pub(crate) store_revision: watch::Sender<u64>,
     /// Load updates that have not been sent to other entries yet.
     pub(crate) load_updates: Mutex<VecDeque<LoadUpdate>>,
     /// The routes in force; the inner `Arc` is what requests hold.
@@ -130,6 +132,7 @@
             heartbeat_due: watch::Sender::new(0),
             relist: Notify::new(),
             mirrors: MirrorKind::ALL.map(|kind| Mutex::new(Mirror::new(kind.get_prefix().into()))),
+            store_revision: watch::Sender::new(0),
             load_updates: Mutex::default(),
             active_routes: ArcSwap::default(),
             leaving: AtomicBool::new(false),
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -1,6 +1,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lentilcart_state::{StoreCall, StoreReply};
+use lentilcart_util::Micros;
+use tokio::time::timeout;
+
 use super::gateway::{Gateway, MirrorKind};
 use crate::util::Backoff;
 
@@ -16,6 +20,11 @@
 /// cost a call, a heartbeat to every entry and a fetch by it.
 const HOST_BATCH_DELAY: Duration = Duration::from_secs(1);
 
+/// Longest wait of a watch that confirms another one: the shortest that the store knows.
+const CONFIRMATION_WAIT: Micros = Micros::from_millis(1);
+/// Time that the reply to a watch may take from when the store is known to be ahead of the mirror.
+const REPLY_DELAY: Duration = Duration::from_millis(200);
+
 /// Keeps the mirror of a prefix current by listing and watching it in the store.
 pub(crate) async fn keep_mirror(gateway: Arc<Gateway>, kind: MirrorKind) {
     let mut backoff = Backoff::default();
@@ -38,7 +47,7 @@
                 gateway.lock_mirror(kind).restart_listing();
                 continue;
             }
-            result = (gateway.store.call)(call) => result,
+            result = call_store(&gateway, kind, call) => result,
         };
         match result {
             Ok(reply) => {
@@ -79,6 +88,61 @@
     }
 }
 
+/// Makes a call to the store. While a watch waits, it is confirmed by watches that do not wait: if one
+/// of them has changes, the reply to the first has been lost, and they are returned in its place.
+async fn call_store(
+    gateway: &Gateway,
+    kind: MirrorKind,
+    call: StoreCall,
+) -> Result<StoreReply, String> {
+    let is_watch = matches!(call, StoreCall::Watch { .. });
+    let mut pending = (gateway.store.call)(call);
+    while is_watch {
+        tokio::select! {
+            result = &mut pending => return result,
+            () = wait_for_confirmation(gateway, kind) => {}
+        }
+        // The changes may be on their way.
+        if let Ok(result) = timeout(REPLY_DELAY, &mut pending).await {
+            return result;
+        }
+        let confirmation = gateway.lock_mirror(kind).next_call(CONFIRMATION_WAIT);
+        let reply = (gateway.store.call)(confirmation).await?;
+        gateway.record_store_reply();
+        match reply {
+            StoreReply::Events { events, revision } if events.is_empty() => {
+                gateway
+                    .lock_mirror(kind)
+                    .record_reply(StoreReply::Events { events, revision });
+                if kind == MirrorKind::Routes {
+                    gateway.store_revision.send_replace(revision);
+                }
+            }
+            reply => {
+                log::warn!(prefix = kind.get_prefix(); "reply to a watch lost");
+                return Ok(reply);
+            }
+        }
+    }
+    pending.await
+}
+
+/// Waits until a watch that waits has to be confirmed: that of the routes at an interval, the others when
+/// the store is ahead of their mirror.
+async fn wait_for_confirmation(gateway: &Gateway, kind: MirrorKind) {
+    if kind == MirrorKind::Routes {
+        let interval = gateway.settings.load().store.confirm_interval;
+        tokio::time::sleep(interval.into()).await;
+        return;
+    }
+    let mut revision = gateway.store_revision.subscribe();
+    let is_ahead = |revision: &u64| *revision > gateway.lock_mirror(kind).get_revision();
+    if revision.wait_for(is_ahead).await.is_err() {
+        // The sender lives as long as the gateway, so that this is not reached.
+        std::future::pending().await
+    }
+}
+
 /// Sleeps for a time, or until the gateway stops.
 pub(super) async fn sleep_unless_stopped(gateway: &Gateway, delay: Duration) {
     tokio::select! {
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -101,6 +101,12 @@
     #[serde_as(as = "DurationText")]
     #[serde(rename = "watch", default = "default_watch_timeout")]
     pub watch_timeout: Micros,
+    /// Time between two confirmations of a waiting watch of the routes, by a call that does not wait: the
+    /// reply to the watch may have been lost, which its connection does not show. The watches of servers
+    /// and entries are confirmed whenever that shows a newer revision of the store.
+    #[serde_as(as = "DurationText")]
+    #[serde(rename = "confirm", default = "default_confirm_interval")]
+    pub confirm_interval: Micros,
     /// Time to live of the lease under which this entry registers.
     #[serde_as(as = "DurationText")]
     #[serde(rename = "lease", default = "default_lease_ttl")]
@@ -119,6 +125,10 @@
     Micros::from_millis(25_000)
 }
 
+const fn default_confirm_interval() -> Micros {
+    Micros::from_millis(1500)
+}
+
 const fn default_lease_ttl() -> Micros {
     Micros::from_millis(9000)
 }
@@ -321,6 +331,10 @@
                     DurationText::format(renew)
                 ),
             ),
+            (
+                self.store.confirm_interval == Micros::ZERO,
+                "store.confirm = \"0ms\": expected a time above 0".to_owned(),
+            ),
             (
                 lame_duck >= grace,
                 format!(
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -89,6 +89,16 @@
     );
 }
 
+/// Guards against confirmations of watches without a pause between them.
+#[test]
+fn parse_rejects_confirmation_without_interval() {
+    check(
+        "[store]",
+        "[store]\nconfirm = \"0ms\"",
+        &expect![[r#"store.confirm = "0ms": expected a time above 0"#]],
+    );
+}
+
 /// A setting that is renamed or removed must not break the template that is deployed.
 #[test]
 fn parse_deployed_template_is_valid() {
