fix(gateway): reject requests without a server before a stop ends

Cause: a stop waits for the requests in flight until five sixths of the grace period and then lets the process end with the rest. A request may wait for half of its timeout, which ends later where the timeout is above 5 s; one whose body is still coming, even longer.

Ruled out: requests that had been sent (none of those counted had), and the closing of the connections, which waits for their requests.

Change: a sixth of the grace period before the end of the drain, requests without a server, or without their whole body, get 503 with the reason `stopping`, and no further attempt begins. Attempts in progress have that sixth to end, as before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -225,12 +225,15 @@
             return inbound.finish(last, ErrorReason::NoBudget);
         }
         let permit_request = inbound.get_permit_request(gateway, dispatcher, &excluded);
-        let permit = match timeout_at(
-            deadline,
-            acquire_permit(gateway, dispatcher, permit_request),
-        )
-        .await
-        {
+        let acquired = tokio::select! {
+            // Polled first: a permit that is granted now comes too late.
+            biased;
+            () = gateway.attempts_end.cancelled() => {
+                return inbound.finish(last, ErrorReason::Stopping);
+            }
+            acquired = timeout_at(deadline, acquire_permit(gateway, dispatcher, permit_request)) => acquired,
+        };
+        let permit = match acquired {
             Ok(Ok(permit)) => permit,
             Ok(Err(Rejection::NoServer)) => {
                 return inbound.finish(last, ErrorReason::NoServer);
--- a/src/gateway/error_reply.rs
+++ b/src/gateway/error_reply.rs
@@ -24,6 +24,8 @@
         NoServer,
         /// No server would be free in time.
         Overload,
+        /// This entry is about to stop, and the request had no server yet.
+        Stopping,
         /// The retry budget is exhausted.
         NoBudget,
         /// Connections to the servers tried last failed before anything was sent; no server can have
@@ -64,6 +66,7 @@
             Self::RoutesBehind => "routes-behind",
             Self::NoServer => "no-server",
             Self::Overload => "overload",
+            Self::Stopping => "stopping",
             Self::NoBudget => "no-budget",
             Self::Unreachable => "unreachable",
             Self::NotRun => "not-run",
@@ -87,6 +90,7 @@
             | Self::RoutesBehind
             | Self::NoServer
             | Self::Overload
+            | Self::Stopping
             | Self::NoBudget
             | Self::Unreachable
             | Self::NotRun
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -66,6 +66,9 @@
     pub(crate) peer_client: HttpClient,
     /// Internal connections and short-lived tasks, which are not waited for when the gateway stops.
     pub(crate) tasks: TaskTracker,
+    /// Cancelled when this entry, which is leaving, begins no more attempts: requests without a server are
+    /// rejected.
+    pub(crate) attempts_end: CancellationToken,
     /// Cancelled when the background tasks must end.
     pub(crate) stop: CancellationToken,
     /// Callers' requests whose responses have not been written completely.
@@ -127,6 +130,7 @@
             store,
             server_client: new_client(),
             peer_client: new_client(),
+            attempts_end: CancellationToken::new(),
             stop: CancellationToken::new(),
             in_flight: AtomicU64::new(0),
             heartbeat_due: watch::Sender::new(0),
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -30,6 +30,10 @@
 /// last sixth the platform no longer counts on responses. The listeners and background tasks get the
 /// first half of the reserved time to end.
 const EXIT_RESERVE_DIVISOR: u32 = 6;
+/// The grace period divided by this number is reserved for the requests that servers are running, before
+/// the time reserved for the exit. In it, requests that wait for a server are rejected, since an attempt
+/// that began would not end in time.
+const ATTEMPT_RESERVE_DIVISOR: u32 = 6;
 /// Interval at which a stopping gateway checks for requests in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -170,6 +174,9 @@
     /// for the listeners and background tasks to end. Tasks that these have started, such as probes,
     /// are not waited for.
     ///
+    /// Requests that still have no server some time before the end of the drain are rejected, so that
+    /// their callers get an answer and can send them elsewhere.
+    ///
     /// Returns whether all callers' requests finished and all their connections closed within the grace
     /// period, less the time reserved for the exit of the process.
     pub async fn stop(self) -> bool {
@@ -192,9 +199,18 @@
                 tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
             }
         };
-        let complete = tokio::time::timeout_at(drain_deadline, drained)
+        tokio::pin!(drained);
+        let attempt_deadline = drain_deadline - grace / ATTEMPT_RESERVE_DIVISOR;
+        let mut complete = tokio::time::timeout_at(attempt_deadline, drained.as_mut())
             .await
             .is_ok();
+        if !complete {
+            log::info!(in_flight = self.gateway.in_flight.load(Ordering::Relaxed); "rejecting requests without a server");
+            self.gateway.attempts_end.cancel();
+            complete = tokio::time::timeout_at(drain_deadline, drained)
+                .await
+                .is_ok();
+        }
         self.ready_shutdown.stop_accepting.cancel();
         self.ready_shutdown.close_connections.cancel();
         self.gateway.stop.cancel();
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -30,7 +30,7 @@
 /// Maximum time until a rejected caller may retry.
 const MAX_RETRY_AFTER: Micros = Micros::from_millis(250);
 /// Minimum time until a retry if another attempt may succeed at once: after [`ErrorReason::NotRun`],
-/// [`ErrorReason::NoBudget`] and [`ErrorReason::Unreachable`]. Less if [`RETRY_AFTER_SHARE`] of the
+/// [`ErrorReason::NoBudget`], [`ErrorReason::Unreachable`] and [`ErrorReason::Stopping`]. Less if [`RETRY_AFTER_SHARE`] of the
 /// remaining time is less.
 const MIN_QUICK_RETRY_AFTER: Micros = Micros::from_millis(2);
 /// Maximum time until a retry in that case.
@@ -153,9 +153,10 @@
 /// accepts a request until then.
 fn get_retry_after(reason: ErrorReason, remaining: Micros, room_after: Option<Micros>) -> Micros {
     let (shortest, longest) = match reason {
-        ErrorReason::NotRun | ErrorReason::NoBudget | ErrorReason::Unreachable => {
-            (MIN_QUICK_RETRY_AFTER, MAX_QUICK_RETRY_AFTER)
-        }
+        ErrorReason::NotRun
+        | ErrorReason::NoBudget
+        | ErrorReason::Unreachable
+        | ErrorReason::Stopping => (MIN_QUICK_RETRY_AFTER, MAX_QUICK_RETRY_AFTER),
         _ => (MIN_RETRY_AFTER, MAX_RETRY_AFTER),
     };
     let longest = remaining.scaled(RETRY_AFTER_SHARE).min(longest);
@@ -199,9 +200,15 @@
     let limit = routes.table.limits.body_bytes;
     let (mut parts, body) = request.into_parts();
     let deadline_at = Instant::from_std(gateway.clock.to_instant(deadline));
-    let body = match timeout_at(deadline_at, read_body(body, limit)).await {
-        Ok(body) => body?,
-        Err(_) => return Err(ErrorReply::new(ErrorReason::SlowBody, "")),
+    let read = timeout_at(deadline_at, read_body(body, limit));
+    let body = tokio::select! {
+        read = read => match read {
+            Ok(body) => body?,
+            Err(_) => return Err(ErrorReply::new(ErrorReason::SlowBody, "")),
+        },
+        () = gateway.attempts_end.cancelled() => {
+            return Err(ErrorReply::new(ErrorReason::Stopping, "the body is not complete"));
+        }
     };
     let service = route.pick_service().clone();
     summary.service = service.clone();
