fix(gateway): believe no refusal that does not name the request

Cause: X-Not-Executed, and a 421, were taken as a promise also in an answer that names no request, and one that names several was judged by the first name. Health checks share connections with requests and have no identifier that their answers could echo.

Ruled out: that servers refuse without naming the request.

Change: one function decides first whether an answer names the request and no other; all else is discarded with its connection. A request that runs at most once gets 502 then.

--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -5,13 +5,13 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame};
-use hyper::header::CONTENT_ENCODING;
+use hyper::header::{CONTENT_ENCODING, HeaderMap};
 use hyper::{Response, StatusCode};
 use lentilcart_platform::HEADER_NAMES;
 use lentilcart_state::RequestClass;
 use tokio::time::{Instant, Sleep, sleep_until};
 
-use crate::http::{BoxError, HttpBody, full_body, get_header_text, stream_body};
+use crate::http::{BoxError, HttpBody, full_body, stream_body};
 
 /// Maximum size of a response body that is buffered completely before the caller gets any of it, in
 /// bytes. Up to this size a caller never sees a truncated response, and memory stays bounded.
@@ -58,12 +58,11 @@
             | StatusCode::REQUEST_TIMEOUT
             | StatusCode::MISDIRECTED_REQUEST
     );
-    match get_header_text(headers, HEADER_NAMES.request_id) {
-        // Before all else: whatever a response says is about the request that it names.
-        Some(id) if id != request_id => ResponseVerdict::Unusable("it belongs to another request"),
-        _ if status == StatusCode::MISDIRECTED_REQUEST => ResponseVerdict::Misdirected,
-        _ if headers.contains_key(HEADER_NAMES.not_run) => ResponseVerdict::NotRun,
-        None => ResponseVerdict::Unusable("it names no request"),
+    match find_foreign_reason(headers, request_id) {
+        // Before all else: what a response says is about the request that it names.
+        Some(reason) => ResponseVerdict::Unusable(reason),
+        None if status == StatusCode::MISDIRECTED_REQUEST => ResponseVerdict::Misdirected,
+        None if headers.contains_key(HEADER_NAMES.not_run) => ResponseVerdict::NotRun,
         // Callers take these statuses as a promise that the request did not run; without the header
         // above, the server does not promise that. Status 421 has been handled above. In this text "it"
         // is the request; in the other texts it is the response.
@@ -79,6 +78,17 @@
     }
 }
 
+/// Returns why a response is not known to answer a request, or `None` if it names that request and no
+/// other. A late response to an earlier request, or to a health check, comes over the same connection.
+fn find_foreign_reason(headers: &HeaderMap, request_id: &str) -> Option<&'static str> {
+    let ids = headers.get_all(HEADER_NAMES.request_id);
+    match ids.iter().next() {
+        None => Some("it names no request"),
+        Some(_) if ids.iter().all(|id| id == request_id) => None,
+        Some(_) => Some("it belongs to another request"),
+    }
+}
+
 /// Returns whether a status says that a request is turned away for now, so that a `Retry-After` with it is
 /// about further requests.
 pub(crate) fn is_refusal(status: StatusCode) -> bool {
