fix(gateway): ignore notices in answers to other requests

A late copy of an answer with Retry-After, or of one with Server-Leaving, took a server out of use, although it answered another request; callers of the only server got 503.

Cause: the notice of an answer that had been judged to belong to another request was handled all the same.

Change: such an answer has a verdict of its own, Foreign, and nothing in its head is read. Notices in answers that name the request and cannot be passed on for another reason still count.

Before: hold_off_in_answer_to_other_request_is_ignored and leaving_in_answer_to_other_request_is_ignored got 503. After: they pass, with the other tests of the crate.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -412,7 +412,7 @@
     let notice = gateway.handle_response_notice(&dispatcher, address, &received.response, verdict);
     match verdict {
         ResponseVerdict::Valid | ResponseVerdict::ErrorResponse => {}
-        ResponseVerdict::Unusable(reason) => {
+        ResponseVerdict::Unusable(reason) | ResponseVerdict::Foreign(reason) => {
             log::info!(request:% = request_id, server:% = server, status, reason; "response discarded");
             // Dropping the response closes its connection.
             permit.release(AttemptOutcome::Failed);
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -42,8 +42,8 @@
     ) -> ServerNotice {
         let notice = self.read_notice(response);
         let is_of_server = match verdict {
-            // Another server has answered.
-            ResponseVerdict::Misdirected => false,
+            // Another server has answered, or the server has answered another request.
+            ResponseVerdict::Misdirected | ResponseVerdict::Foreign(_) => false,
             // Its head may have lost the notice.
             ResponseVerdict::Unusable(_) => !notice.is_empty(),
             _ => true,
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -38,6 +38,9 @@
     /// A response that must not be passed on to the caller, for the reason given: its connection must
     /// not be used any more.
     Unusable(&'static str),
+    /// A response that is not known to answer the request, for the reason given. Nothing in it is
+    /// believed, and its connection must not be used any more.
+    Foreign(&'static str),
 }
 
 /// Classifies a response by its status and headers, for a request of a class.
@@ -60,7 +63,7 @@
     );
     match find_foreign_reason(headers, request_id) {
         // Before all else: what a response says is about the request that it names.
-        Some(reason) => ResponseVerdict::Unusable(reason),
+        Some(reason) => ResponseVerdict::Foreign(reason),
         None if status == StatusCode::MISDIRECTED_REQUEST => ResponseVerdict::Misdirected,
         None if headers.contains_key(HEADER_NAMES.not_run) => ResponseVerdict::NotRun,
         // Callers take these statuses as a promise that the request did not run; without the header
