fix(util): do not overflow on times that are too large

A registration with a warm-up time above 2^64 / 1000 ms, such as another writer may leave, ended a process that was built with overflow checks: it panicked under the lock of the directory. The release build took an arbitrary time.

Cause: Micros::from_millis multiplied without a check.

Ruled out, each by a test that passed before: entries that are nested deeply, numbers and ports out of range, bytes that are not text, read by a watch and by a listing; they are passed over and the others hold.

Change: a number that is too large becomes the largest time, as in from_secs.

Before: registration_with_longest_warmup_is_used panicked at the multiplication and at each later use of the lock. After: it passes, with the other two of its file.

--- a/lentilcart_util/src/units/micros.rs
+++ b/lentilcart_util/src/units/micros.rs
@@ -21,15 +21,11 @@
     /// The origin of instants, or a duration of zero.
     pub const ZERO: Self = Self(0);
 
-    /// Creates a duration from milliseconds.
-    ///
-    /// # Panics
-    ///
-    /// Panics above `u64::MAX / 1000` milliseconds if overflow checks are on; otherwise the result
-    /// wraps.
+    /// Creates a duration from milliseconds; a number that is too large becomes `u64::MAX`
+    /// microseconds.
     #[must_use]
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * 1000)
+        Self(millis.saturating_mul(1000))
     }
 
     /// Creates a duration from seconds, rounded down to whole microseconds.
