perf(gateway): let one of the watchers confirm the watches

Change: the first watcher in the rendezvous order that says that the store answers it confirms for all, every second; the next one takes over when it has been silent for 1.2 s.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::BoxFuture;
 use lentilcart_state::{StoreCall, StoreReply};
 use lentilcart_util::Micros;
 use tokio::time::timeout;
@@ -88,22 +89,32 @@
     }
 }
 
-/// Makes a call to the store. While a watch waits, it is confirmed by watches that do not wait: if one
-/// of them has changes, the reply to the first has been lost, and they are returned in its place.
+/// Makes a call to the store; a watch is confirmed while it waits.
 async fn call_store(
     gateway: &Gateway,
     kind: MirrorKind,
     call: StoreCall,
 ) -> Result<StoreReply, String> {
-    let is_watch = matches!(call, StoreCall::Watch { .. });
-    let mut pending = (gateway.store.call)(call);
-    while is_watch {
+    match &call {
+        StoreCall::Watch { .. } => confirm_watch(gateway, kind, (gateway.store.call)(call)).await,
+        _ => (gateway.store.call)(call).await,
+    }
+}
+
+/// Waits for the reply to a watch, and confirms it meanwhile by watches that do not wait: if one of them has
+/// changes, the reply to the first has been lost, and the changes are returned in its place.
+async fn confirm_watch(
+    gateway: &Gateway,
+    kind: MirrorKind,
+    mut watch: BoxFuture<'static, Result<StoreReply, String>>,
+) -> Result<StoreReply, String> {
+    loop {
         tokio::select! {
-            result = &mut pending => return result,
+            result = &mut watch => return result,
             () = wait_for_confirmation(gateway, kind) => {}
         }
         // The changes may be on their way.
-        if let Ok(result) = timeout(REPLY_DELAY, &mut pending).await {
+        if let Ok(result) = timeout(REPLY_DELAY, &mut watch).await {
             return result;
         }
         let confirmation = gateway.lock_mirror(kind).next_call(CONFIRMATION_WAIT);
@@ -111,9 +122,8 @@
         gateway.record_store_reply();
         match reply {
             StoreReply::Events { events, revision } if events.is_empty() => {
-                gateway
-                    .lock_mirror(kind)
-                    .record_reply(StoreReply::Events { events, revision });
+                let reply = StoreReply::Events { events, revision };
+                gateway.lock_mirror(kind).record_reply(reply);
                 if kind == MirrorKind::Routes {
                     gateway.store_revision.send_replace(revision);
                 }
@@ -124,22 +134,25 @@
             }
         }
     }
-    pending.await
 }
 
-/// Waits until a watch that waits has to be confirmed: that of the routes at an interval, the others when
-/// the store is ahead of their mirror.
+/// Waits until a watch that waits has to be confirmed by this entry: that of the routes at an interval, the
+/// others when the store is ahead of their mirror.
 async fn wait_for_confirmation(gateway: &Gateway, kind: MirrorKind) {
-    if kind == MirrorKind::Routes {
-        let interval = gateway.settings.load().store.confirm_interval;
-        tokio::time::sleep(interval.into()).await;
-        return;
-    }
-    let mut revision = gateway.store_revision.subscribe();
-    let is_ahead = |revision: &u64| *revision > gateway.lock_mirror(kind).get_revision();
-    if revision.wait_for(is_ahead).await.is_err() {
-        // The sender lives as long as the gateway, so that this is not reached.
-        std::future::pending().await
+    match kind {
+        MirrorKind::Routes => loop {
+            let interval = gateway.settings.load().store.confirm_interval;
+            tokio::time::sleep(interval.into()).await;
+            if gateway.is_confirming_watcher() {
+                return;
+            }
+        },
+        kind => {
+            let mut revision = gateway.store_revision.subscribe();
+            let is_ahead = |revision: &u64| *revision > gateway.lock_mirror(kind).get_revision();
+            // The sender lives as long as the gateway, so that this does not fail.
+            revision.wait_for(is_ahead).await.ok();
+        }
     }
 }
 
--- a/src/gateway/store_contact.rs
+++ b/src/gateway/store_contact.rs
@@ -32,11 +32,17 @@
 }
 
 impl LatestWatcher {
+    /// Returns whether an entry has said lately that the store answers it, which it watches.
+    fn is_answering(&self, name: &Name, now: Micros) -> bool {
+        let answered = self.answered.get(name);
+        answered.is_some_and(|answered| now - *answered <= WATCHER_TIMEOUT)
+    }
+
     /// Returns whether a watcher has said lately that the store answers it.
     fn is_store_answering(&self, now: Micros) -> bool {
         self.answered
-            .values()
-            .any(|answered| now - *answered <= WATCHER_TIMEOUT)
+            .keys()
+            .any(|name| self.is_answering(name, now))
     }
 }
 
@@ -167,6 +173,21 @@
         now - watcher.updated > timeout + takeover_delay
     }
 
+    /// Returns whether this entry confirms the watches: it is the first in the rendezvous order that the
+    /// store answers, as far as the heartbeats of the others say. Changes that it finds reach the others
+    /// with its next heartbeat.
+    pub(crate) fn is_confirming_watcher(&self) -> bool {
+        let now = self.clock.now();
+        let members = self.lock_members();
+        let watchers = self.latest_watcher.lock().expect("no panic under lock");
+        let names = members.iter().map(|(name, _)| name);
+        let ranked = rendezvous_rank("watch", names, usize::MAX);
+        let first = ranked
+            .into_iter()
+            .find(|name| *name == members.get_own_name() || watchers.is_answering(name, now));
+        first == Some(members.get_own_name())
+    }
+
     /// Returns whether the last call to the store failed. Unlike [`Self::is_store_reachable`], it does
     /// not consider how old the last reply is.
     pub(crate) fn has_last_store_call_failed(&self) -> bool {
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -103,7 +103,8 @@
     pub watch_timeout: Micros,
     /// Time between two confirmations of a waiting watch of the routes, by a call that does not wait: the
     /// reply to the watch may have been lost, which its connection does not show. The watches of servers
-    /// and entries are confirmed whenever that shows a newer revision of the store.
+    /// and entries are confirmed whenever that shows a newer revision of the store. One of the watching
+    /// entries does it for all.
     #[serde_as(as = "DurationText")]
     #[serde(rename = "confirm", default = "default_confirm_interval")]
     pub confirm_interval: Micros,
@@ -126,7 +127,7 @@
 }
 
 const fn default_confirm_interval() -> Micros {
-    Micros::from_millis(1500)
+    Micros::from_millis(1000)
 }
 
 const fn default_lease_ttl() -> Micros {
