fix(gateway): cut streamed bodies at their deadline

Cause: STREAM_GRACE let the streaming of a body over 64 KB go on for 2 s after the deadline.

Change: it ends at the deadline, like the wait for a head and for the first 64 KB; the caller sees that the body is cut.

--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -1,6 +1,5 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
@@ -19,9 +18,6 @@
 
 /// Largest response body that is streamed, in bytes.
 const MAX_STREAMED_BYTES: usize = 1024 * 1024 * 1024;
-/// Time after the deadline of a request at which the streaming of a response body is cut: the caller may
-/// still read what it got in time, but a body that never ends must not go on.
-const STREAM_GRACE: Duration = Duration::from_secs(2);
 
 /// The classification of a server's response by its status and headers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -101,8 +97,8 @@
     )
 }
 
-/// Reads a response body up to [`MAX_BUFFERED_BYTES`]; the rest of a longer body is streamed until
-/// [`STREAM_GRACE`] after the `deadline`, and up to [`MAX_STREAMED_BYTES`]. Trailers of a body that is
+/// Reads a response body up to [`MAX_BUFFERED_BYTES`]; the rest of a longer body is streamed until the
+/// `deadline`, and up to [`MAX_STREAMED_BYTES`]. Trailers of a body that is
 /// read completely are dropped.
 ///
 /// # Errors
@@ -125,7 +121,7 @@
         }
         if read.len() > MAX_BUFFERED_BYTES {
             let prefix = Some(read.freeze());
-            let end = Box::pin(sleep_until(deadline + STREAM_GRACE));
+            let end = Box::pin(sleep_until(deadline));
             let rest = PrefixedBody {
                 prefix,
                 rest: Limited::new(body, MAX_STREAMED_BYTES),
