fix(route): exclude every instance at the address of a server that was tried

Cause: a request that was turned away was sent once more to the same process. The servers that a request must not get again were resolved from addresses to indices, and get_server_index returns the first one listed at an address; a server that has restarted is listed under its old and its new identifier until the old one lapses. A late copy of the refusal, or of the 421, of the first attempt then names the request and passes for the answer to the second.

Change: PendingRequest::excluded holds addresses, which are compared when a server is chosen, also for requests that wait; entries of change tickets likewise. An entry does not use the permit of an owner of an earlier version for such an address. Nothing on the wire changed.

--- a/lentilcart_bench/src/model/simulation.rs
+++ b/lentilcart_bench/src/model/simulation.rs
@@ -340,7 +340,7 @@
             Admission::Started(end) => self.schedule(end, Event::Completion(request_id, server)),
             Admission::Queued => {}
             Admission::Full => {
-                request.pending.excluded.push(server);
+                request.pending.excluded.push(get_address(server));
                 let retry = request.pending.clone();
                 self.tallies[request.phase].turned_away += 1;
                 let load = Some(self.servers[server].report_load(now));
--- a/lentilcart_route/src/pool/pending_request.rs
+++ b/lentilcart_route/src/pool/pending_request.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use lentilcart_util::{Micros, Name, common};
 
 use super::ServerNotice;
@@ -31,9 +33,10 @@
     /// Address of the entry that sends it to the server, which may be another entry than that of the
     /// pool. Among servers that are as good, requests of one entry prefer the same ones, so that its
     /// connections are used again; `None` spreads them at random.
-    pub sender: Option<std::net::SocketAddr>,
-    /// Indices of the servers that must not get it, such as those that it was sent to before.
-    pub excluded: Vec<usize>,
+    pub sender: Option<SocketAddr>,
+    /// Addresses of the servers that must not get it, such as those that it was sent to before. An address
+    /// excludes every instance that is listed there, also one that is added while the request waits.
+    pub excluded: Vec<SocketAddr>,
 }
 
 impl PendingRequest {
--- a/lentilcart_route/src/pool/server_pool.rs
+++ b/lentilcart_route/src/pool/server_pool.rs
@@ -100,9 +100,8 @@
     /// Replaces the list of servers.
     ///
     /// A server that is no longer listed gets no new requests. Once its last attempt has ended, a
-    /// new server may take its index; until then its state is kept. Outstanding probes and the
-    /// `excluded` indices of queued requests do not keep an index: they then count for the new
-    /// server.
+    /// new server may take its index; until then its state is kept. Outstanding probes do not keep an
+    /// index: they then count for the new server.
     ///
     /// The servers of the first list are `Serving` at once; those added later begin with a slow
     /// start. If any setting of a listed server changes, the estimate of its slots starts again at
@@ -216,11 +215,10 @@
     /// requests from its sender now. It may have no room.
     #[must_use]
     pub fn has_wanting_server(&self, now: Micros, request: &PendingRequest) -> bool {
-        let mut states = self.states.iter().enumerate();
-        states.any(|(index, state)| {
+        self.states.iter().any(|state| {
             state.listed
                 && state.phase != ServerPhase::Leaving
-                && !request.excluded.contains(&index)
+                && !request.excluded.contains(&state.config.address)
                 && state.get_hold_off_end(request.sender) <= now
         })
     }
@@ -314,9 +312,9 @@
     /// must run at most once.
     #[must_use]
     pub fn has_usable_server(&self, now: Micros, request: &PendingRequest) -> bool {
-        let mut states = self.states.iter().enumerate();
-        states.any(|(index, state)| {
-            self.get_effective_limit(now, state) > 0 && !request.excluded.contains(&index)
+        self.states.iter().any(|state| {
+            self.get_effective_limit(now, state) > 0
+                && !request.excluded.contains(&state.config.address)
         })
     }
 
@@ -702,8 +700,10 @@
         let mut next_start = Micros(u64::MAX);
         let mut total_rate = 0.0;
         let mut has_server = false;
-        for (index, state) in self.states.iter().enumerate() {
-            if state.get_limit(now, &self.config) == 0 || request.excluded.contains(&index) {
+        for state in &self.states {
+            if state.get_limit(now, &self.config) == 0
+                || request.excluded.contains(&state.config.address)
+            {
                 continue;
             }
             let Some(rate) = state.pacer.get_rate(self.rate_share) else {
@@ -859,8 +859,8 @@
         max_factor: f64,
     ) -> bool {
         let state = &self.states[index];
-        let is_allowed =
-            !request.excluded.contains(&index) && state.get_hold_off_end(request.sender) <= now;
+        let is_allowed = !request.excluded.contains(&state.config.address)
+            && state.get_hold_off_end(request.sender) <= now;
         let is_trusted = !request.at_most_once || state.phase != ServerPhase::Probation;
         let origin = request.origin.as_ref().unwrap_or(&self.config.data_center);
         let reserved = if state.config.data_center == *origin {
--- a/lentilcart_route/tests/testsuite/hold_offs.rs
+++ b/lentilcart_route/tests/testsuite/hold_offs.rs
@@ -158,7 +158,7 @@
 fn offer_rejects_where_all_servers_are_excluded() {
     let mut pool = pool(2);
     let request = PendingRequest {
-        excluded: vec![0, 1],
+        excluded: vec![server(0), server(1)],
         ..request(ms(0), 1, 1)
     };
     assert_eq!(
@@ -228,9 +228,8 @@
                 Event::Ask => {
                     id += 1;
                     let held_off = own.get_held_off_servers(now, Some(sender(1)));
-                    let indices = held_off.iter().filter_map(|at| owner.get_server_index(*at));
                     let request = PendingRequest {
-                        excluded: indices.collect(),
+                        excluded: held_off,
                         ..request(now, id, 1)
                     };
                     let decisions = owner.offer(now, request);
--- a/lentilcart_route/tests/testsuite/late_paced.rs
+++ b/lentilcart_route/tests/testsuite/late_paced.rs
@@ -198,7 +198,7 @@
             ms(0),
             PendingRequest {
                 at_most_once: true,
-                excluded: vec![0],
+                excluded: vec![SocketAddr::from(([10, 0, 0, 0], 80))],
                 ..request(1, ms(0))
             }
         )
--- a/lentilcart_route/tests/testsuite/property.rs
+++ b/lentilcart_route/tests/testsuite/property.rs
@@ -1,6 +1,7 @@
 //! Properties of the pool that hold for every policy and any order of the events of [`Event`].
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use lentilcart_route::{
     AttemptOutcome, Decision, LoadReport, POLICIES, PendingRequest, PoolConfig, ServerConfig,
@@ -131,7 +132,21 @@
         }
     }
 
-    fn arrive(&mut self, priority: u8, at_most_once: bool, deadline_ms: u64, excluded: Vec<usize>) {
+    fn get_address(&self, server: usize) -> SocketAddr {
+        let state = self.pool.get_server_state(server);
+        state
+            .expect("a server with an attempt")
+            .get_config()
+            .address
+    }
+
+    fn arrive(
+        &mut self,
+        priority: u8,
+        at_most_once: bool,
+        deadline_ms: u64,
+        excluded: Vec<SocketAddr>,
+    ) {
         self.last_id += 1;
         let deadline = self.now + Micros::from_millis(deadline_ms);
         let request = PendingRequest {
@@ -171,7 +186,8 @@
                 let (_, server) =
                     self.outstanding_attempts[which % self.outstanding_attempts.len()];
                 if self.pool.take_retry_token() {
-                    self.arrive(5, false, 100, vec![server]);
+                    let excluded = vec![self.get_address(server)];
+                    self.arrive(5, false, 100, excluded);
                 }
             }
             Event::Hedge { which } if !self.outstanding_attempts.is_empty() => {
@@ -180,7 +196,7 @@
                 self.last_id += 1;
                 let deadline = self.now + Micros::from_millis(100);
                 let request = PendingRequest {
-                    excluded: vec![server],
+                    excluded: vec![self.get_address(server)],
                     ..PendingRequest::new(self.last_id, self.now, deadline)
                 };
                 if let Some(other) = self.pool.start_hedge(self.now, &request) {
--- a/lentilcart_route/tests/testsuite/server_pool.rs
+++ b/lentilcart_route/tests/testsuite/server_pool.rs
@@ -316,3 +316,39 @@
     };
     assert_eq!(offer(&mut pool, Micros::ZERO, 7), [rejection]);
 }
+
+/// Guards against a request that goes once more to the process which has turned it away, where that is
+/// listed under two identifiers, as after a restart, or is listed again while the request waits.
+#[test]
+fn offer_excluded_address_excludes_every_instance() {
+    let instance = |id: &str| ServerConfig {
+        id: id.into(),
+        ..ServerConfig::new(address(0), 3)
+    };
+    let other = ServerConfig::new(address(1), 1);
+    let now = Micros::ZERO;
+    let config = PoolConfig {
+        overcommit: 0,
+        ..PoolConfig::default()
+    };
+    let mut pool = ServerPool::new(config, 1);
+    pool.set_servers(now, &[instance("old"), instance("new"), other.clone()]);
+    let request = |id| PendingRequest {
+        excluded: vec![address(0)],
+        ..PendingRequest::new(id, now, Micros::from_millis(1000))
+    };
+    let started = |decisions: Vec<Decision>| -> Vec<usize> {
+        let servers = decisions.into_iter().filter_map(|decision| match decision {
+            Decision::Start { server, .. } => Some(server),
+            Decision::Reject { .. } => None,
+        });
+        servers.collect()
+    };
+    assert_eq!(started(pool.offer(now, request(1))), [2]);
+    // Waits, since the only server that it may get is full.
+    assert_eq!(started(pool.offer(now, request(2))), []);
+    pool.set_servers(now, &[instance("old"), instance("newest"), other]);
+    assert_eq!(started(pool.tick(now)), []);
+    let ended = pool.finish_attempt(now, 1, 2, AttemptOutcome::answered(None));
+    assert_eq!(started(ended), [2]);
+}
--- a/src/entry/grant.rs
+++ b/src/entry/grant.rs
@@ -40,13 +40,6 @@
         .dispatchers
         .get(&request.service)
         .ok_or(PermitRejection::NoServer)?;
-    let excluded = dispatcher.read_pool(|pool| {
-        request
-            .excluded
-            .iter()
-            .filter_map(|a| pool.get_server_index(*a))
-            .collect()
-    });
     let pending = PendingRequest {
         id: entry.next_serial(),
         priority: request.priority,
@@ -58,7 +51,7 @@
         latency_objective: None,
         origin: origin_data_center,
         sender: None,
-        excluded,
+        excluded: request.excluded.clone(),
     };
     match request.kind {
         AttemptKind::Hedge => dispatcher.hedge(&pending).ok_or(PermitRejection::NoBudget),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -328,7 +328,7 @@
     let permit_request = inbound.get_permit_request(gateway, dispatcher, excluded);
     let own_address = gateway.settings.load().listen.peer;
     let now = gateway.clock.now();
-    let pool_request = to_pool_request(dispatcher, own_address, &permit_request, now);
+    let pool_request = to_pool_request(own_address, &permit_request, now);
     if !dispatcher.update_pool(|pool, _| pool.take_retry_token()) {
         return first.await;
     }
--- a/src/gateway/on_demand_probe.rs
+++ b/src/gateway/on_demand_probe.rs
@@ -37,7 +37,7 @@
             return Ok(permit);
         }
         // The server was removed, or said that it is leaving, while it was probed.
-        request.excluded.extend(permit.get_server_index());
+        request.excluded.push(permit.address);
         permit.release(AttemptOutcome::Cancelled);
     }
 }
@@ -82,7 +82,7 @@
         let after = dispatcher
             .read_pool(|pool| pool.get_current_latency_factor(dispatcher.get_now(), server));
         if timed_out {
-            request.excluded.push(server);
+            request.excluded.push(permit.address);
             // If no server answers probes, requests may still succeed, so this permit is kept.
             if !dispatcher.read_pool(|pool| pool.has_usable_server(dispatcher.get_now(), request)) {
                 break;
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -110,7 +110,7 @@
     request: PermitRequest,
 ) -> Result<Permit, Rejection> {
     let own_address = gateway.settings.load().listen.peer;
-    let pool_request = to_pool_request(dispatcher, own_address, &request, gateway.clock.now());
+    let pool_request = to_pool_request(own_address, &request, gateway.clock.now());
     // Where this entry may use none of the servers that it knows, no owner can help.
     let may_ask = request.excluded.is_empty()
         || dispatcher
@@ -122,10 +122,12 @@
         let permit =
             reply.map(|reply| permit_from_reply(gateway, dispatcher, owner, &request, reply))?;
         let is_held_off = dispatcher.is_held_off(permit.address, own_address);
-        if is_serving(gateway, &permit.server_id) && !is_held_off {
+        // Owners of an earlier version do not exclude another instance at the same address.
+        let is_excluded = request.excluded.contains(&permit.address);
+        if is_serving(gateway, &permit.server_id) && !is_held_off && !is_excluded {
             return Ok(permit);
         }
-        log::info!(owner:% = owner, server:% = permit.server_id; "server of the granted permit is not serving");
+        log::info!(owner:% = owner, server:% = permit.server_id, is_held_off, is_excluded; "server of the granted permit is not serving");
         permit.release(AttemptOutcome::Cancelled);
     }
     acquire_local_permit(gateway, dispatcher, pool_request).await
@@ -233,18 +235,10 @@
 /// Converts a permit request, whose times are relative, into a request of a dispatcher's pool.
 /// `sender` is the peer address of the entry that sends it to the server.
 pub(crate) fn to_pool_request(
-    dispatcher: &Dispatcher,
     sender: SocketAddr,
     request: &PermitRequest,
     now: Micros,
 ) -> PendingRequest {
-    let excluded = dispatcher.read_pool(|pool| {
-        request
-            .excluded
-            .iter()
-            .filter_map(|address| pool.get_server_index(*address))
-            .collect()
-    });
     PendingRequest {
         id: request.id,
         priority: request.priority,
@@ -255,7 +249,7 @@
         latency_objective: get_latency_objective(request),
         origin: None,
         sender: Some(sender),
-        excluded,
+        excluded: request.excluded.clone(),
     }
 }
 
@@ -317,7 +311,7 @@
         // Identifiers are unique within an entry only, so the requester's may equal one of this entry.
         let pool_request = PendingRequest {
             id: gateway.next_attempt_id(),
-            ..to_pool_request(&dispatcher, requester, &request, now)
+            ..to_pool_request(requester, &request, now)
         };
         let mut acquired = Box::pin(acquire_local_permit(&gateway, &dispatcher, pool_request));
         let early = timeout(QUEUED_NOTICE_DELAY, &mut acquired).await;
