fix(entry): reject requests without a permit before a stop ends

Change: in the last fifth of the drain time, requests without a permit get 503 with the outcome not-run, and no further attempt begins.

--- a/lentilcart_bench/tests/testsuite/whole_path.rs
+++ b/lentilcart_bench/tests/testsuite/whole_path.rs
@@ -9,6 +9,7 @@
 };
 use lentilcart_bench::servers::expected_body;
 use lentilcart_util::{Map, Micros};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use crate::cluster::{small_layout, start_cluster};
 
@@ -110,3 +111,41 @@
     }
     cluster.stop().await;
 }
+
+/// Guards against requests that still wait for a permit when a stopping entry ends, and get no answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_rejects_waiting_requests() {
+    let mut layout = small_layout();
+    layout.flags.extend(["--drain".to_owned(), "2s".to_owned()]);
+    let cluster = start_cluster(layout, "near1-over2").await;
+    let address = cluster.layout.get_caller_address(0);
+    // 4 servers with 3 slots, each of which may be sent 2 requests more.
+    let most_running = 4 * (3 + 2);
+    let mut streams = Vec::new();
+    for number in 0..2 * most_running {
+        let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+        let request = format!(
+            "POST /reservations/1 HTTP/1.1\r\nhost: a\r\nx-id: s{number}\r\nx-work-us: 60000000\r\ncontent-length: 0\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).await.unwrap();
+        streams.push(stream);
+    }
+    cluster.signal(0, "TERM");
+    let (mut rejected, mut cut) = (0, 0);
+    for mut stream in streams {
+        let mut response = String::new();
+        // A connection that the end of the process resets fails here.
+        stream.read_to_string(&mut response).await.ok();
+        match response.as_str() {
+            "" => cut += 1,
+            text if text.starts_with("HTTP/1.1 503") && text.contains("about to stop") => {
+                assert!(text.contains("lentilcart-outcome: not-run"), "{text}");
+                rejected += 1;
+            }
+            text => panic!("{text}"),
+        }
+    }
+    assert!(cut <= most_running, "{cut} cut, {rejected} rejected");
+    assert_eq!(cut + rejected, 2 * most_running);
+    cluster.stop().await;
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -135,8 +135,15 @@
         };
         let mut permit_request = request.build_permit_request(entry.clock.now(), kind, &excluded);
         permit_request.claim = claim.filter(|_| attempt == 0).cloned();
-        let Ok(acquired) = timeout_at(deadline, owners.acquire(entry, &permit_request)).await
-        else {
+        let acquired = tokio::select! {
+            // Polled first: a permit that is granted now comes too late.
+            biased;
+            () = entry.attempts_end.cancelled() => {
+                return deciding.into_result(RequestError::Stopping);
+            }
+            acquired = timeout_at(deadline, owners.acquire(entry, &permit_request)) => acquired,
+        };
+        let Ok(acquired) = acquired else {
             return deciding.into_result(RequestError::DeadlineExceeded(
                 /* may_have_run */ false,
             ));
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -60,6 +60,9 @@
     pub(crate) stats: Stats,
     /// Background tasks, for which a stopping entry waits for at most `platform_timeout`.
     pub(crate) tasks: TaskTracker,
+    /// Cancelled when this entry, which is leaving, begins no more attempts: requests without a permit are
+    /// rejected.
+    pub(crate) attempts_end: CancellationToken,
     /// Cancelled when no request is left, or the time to drain is over; ends the background tasks.
     pub(crate) stop: CancellationToken,
     /// Counter whose changes make every dialled link send a heartbeat at once.
@@ -120,6 +123,7 @@
             links: PeerLinks::default(),
             stats: Stats::default(),
             tasks,
+            attempts_end: CancellationToken::new(),
             stop: CancellationToken::new(),
             heartbeat_due: watch::Sender::new(0),
             is_ticket_confirmed: watch::Sender::new(true),
--- a/src/entry/handle.rs
+++ b/src/entry/handle.rs
@@ -14,6 +14,10 @@
 use crate::platform::PlatformClient;
 use crate::settings::EntrySettings;
 
+/// The drain time divided by this number is reserved, at its end, for the requests that servers are running.
+/// In it, requests without a permit are rejected, since an attempt that began would not end in time.
+const ATTEMPT_RESERVE_DIVISOR: u32 = 5;
+
 /// Handle of a running entry, by which it is stopped.
 #[derive(Debug)]
 pub struct EntryHandle {
@@ -104,6 +108,9 @@
     /// of the lame-duck time; lets requests in flight finish within the drain time; and waits for
     /// the listeners and loops, and for at most `platform_timeout` for the background tasks.
     ///
+    /// Requests that still have no permit some time before the end of the drain time are rejected, so
+    /// that their callers get an answer and can send them elsewhere.
+    ///
     /// Returns true if every request finished within the drain time, and false if some were
     /// cut off.
     pub async fn stop(self) -> bool {
@@ -123,9 +130,17 @@
                 tokio::time::sleep(std::time::Duration::from_millis(5)).await;
             }
         };
-        let complete = tokio::time::timeout(settings.drain_timeout, drained)
+        tokio::pin!(drained);
+        let reserve = settings.drain_timeout / ATTEMPT_RESERVE_DIVISOR;
+        let waiting_time = settings.drain_timeout.saturating_sub(reserve);
+        let mut complete = tokio::time::timeout(waiting_time, drained.as_mut())
             .await
             .is_ok();
+        if !complete {
+            log::info!(in_flight = self.entry.stats.get_in_flight(); "rejecting requests without a permit");
+            self.entry.attempts_end.cancel();
+            complete = tokio::time::timeout(reserve, drained).await.is_ok();
+        }
         self.entry.stop.cancel();
         self.entry.http_client.close_idle();
         for task in self.tasks {
--- a/src/entry/request_error.rs
+++ b/src/entry/request_error.rs
@@ -18,6 +18,8 @@
     NoRoute,
     /// The entry has no ticket in force yet.
     NoTicket,
+    /// This entry is about to stop, and the request had no permit yet.
+    Stopping,
     /// No permit was granted.
     PermitRejected(PermitRejection),
     /// No attempt of the retry loop is known to have run the request; holds the last reason. It is
@@ -54,7 +56,7 @@
             Self::AnswerLost(_) => StatusCode::BAD_GATEWAY,
             Self::DeadlineExceeded(_) => StatusCode::GATEWAY_TIMEOUT,
             Self::PermitRejected(PermitRejection::Claimed(_)) => StatusCode::CONFLICT,
-            Self::NoTicket | Self::PermitRejected(_) | Self::NotRun(_) => {
+            Self::NoTicket | Self::Stopping | Self::PermitRejected(_) | Self::NotRun(_) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
         }
@@ -67,6 +69,7 @@
             Self::TooLarge(limit) => format!("the body is larger than {limit} bytes"),
             Self::NoRoute => "no service of the ticket in force matches host and path".to_owned(),
             Self::NoTicket => "this entry has no ticket in force yet".to_owned(),
+            Self::Stopping => "this entry is about to stop".to_owned(),
             Self::NotRun(reason) => format!("no server ran the request: {reason}"),
             Self::AnswerLost(reason) => format!("the answer was lost: {reason}"),
             Self::DeadlineExceeded(_) => "the deadline has passed".to_owned(),
