--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -309,7 +309,7 @@
             permit.release(AttemptOutcome::Failed);
             return EntryAttempt::NotRun(reason, Some(http_request.into_body()));
         }
-        Err(SendError::NoResponse(reason)) => {
+        Err(SendError::NoResponse(reason, _)) => {
             permit.release(AttemptOutcome::Failed);
             return EntryAttempt::AnswerLost(reason);
         }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -55,8 +55,8 @@
             Err(_) => return Err(RequestError::DeadlineExceeded(/* may_have_run */ true)),
             Ok(Ok(reply)) => return Ok(Some(reply.into_streamed(|_| ()))),
             Ok(Err(SendError::NotSent(_, unsent))) => request.payload.restore(unsent.into_body()),
-            Ok(Err(SendError::NoResponse(_))) if may_resend => request.may_have_run = true,
-            Ok(Err(SendError::NoResponse(reason))) => {
+            Ok(Err(SendError::NoResponse(..))) if may_resend => request.may_have_run = true,
+            Ok(Err(SendError::NoResponse(reason, _))) => {
                 return Err(RequestError::AnswerLost(format!("entry {owner}: {reason}")));
             }
         }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -11,6 +11,7 @@
 use lentilcart_util::{Micros, Name};
 use tokio::time::{Instant, timeout_at};
 
+use super::attempt_log::AttemptLog;
 use super::datagram::PermitRequest;
 use super::error_reply::{ErrorReason, ErrorReply};
 use super::gateway::Gateway;
@@ -75,6 +76,8 @@
 struct AttemptContext {
     dispatcher: Arc<Dispatcher>,
     request_id: Name,
+    /// Number of the attempt, counted like [`GatewayRequest::attempts`].
+    attempt: u32,
     class: RequestClass,
     deadline: Instant,
     /// Path of the health endpoint, by which connections are checked; `None` if the service is unknown.
@@ -311,6 +314,7 @@
     let context = AttemptContext {
         dispatcher: dispatcher.clone(),
         request_id: inbound.id.clone(),
+        attempt: inbound.attempts,
         class: inbound.route.class,
         deadline: Instant::from_std(gateway.clock.to_instant(inbound.deadline)),
         health_path: gateway.get_health_path(&dispatcher.service),
@@ -339,6 +343,10 @@
     excluded.push(permit.address);
     inbound.attempts += 1;
     let request = inbound.build_request(&permit.server_id, gateway.clock.now());
+    let context = AttemptContext {
+        attempt: inbound.attempts,
+        ..context
+    };
     let second = Box::pin(send_attempt(gateway, context, permit, request));
     let (result, has_won) = match select(first, second).await {
         Either::Left((first @ AttemptResult::Response(_), _)) => (first, false),
@@ -367,6 +375,7 @@
     let AttemptContext {
         dispatcher,
         request_id,
+        attempt,
         class,
         deadline,
         health_path,
@@ -386,6 +395,7 @@
         (max_idle_time.into(), check)
     };
     let (address, server) = (permit.address, permit.server_id.clone());
+    let attempt_log = AttemptLog::new(&request_id, attempt, &permit);
     // What the pool knew of the server when it selected it; default values if an owner selected it.
     let (selection, started) = (permit.selection, gateway.clock.now());
     let received = match gateway
@@ -395,12 +405,12 @@
     {
         Ok(received) => received,
         Err(SendError::NotSent(reason, _)) => {
-            log::info!(request:% = request_id, server:% = server, reason; "server unreachable");
+            attempt_log.write_not_sent(&reason);
             permit.release(AttemptOutcome::Unreachable);
             return AttemptResult::NotSent(reason);
         }
-        Err(SendError::NoResponse(reason)) => {
-            log::info!(request:% = request_id, server:% = server, reason; "no response received");
+        Err(SendError::NoResponse(reason, connection)) => {
+            attempt_log.write_no_response(&reason, connection);
             permit.release(AttemptOutcome::Failed);
             return AttemptResult::NoUsableResponse(reason);
         }
@@ -413,13 +423,14 @@
     match verdict {
         ResponseVerdict::Valid | ResponseVerdict::ErrorResponse => {}
         ResponseVerdict::Unusable(reason) | ResponseVerdict::Foreign(reason) => {
-            log::info!(request:% = request_id, server:% = server, status, reason; "response discarded");
+            attempt_log.write_not_passed_on("response discarded", reason, &received);
             // Dropping the response closes its connection.
             permit.release(AttemptOutcome::Failed);
             return AttemptResult::NoUsableResponse(format!("the answer cannot be used: {reason}"));
         }
         ResponseVerdict::NotRun | ResponseVerdict::Misdirected => {
-            log::info!(request:% = request_id, server:% = server, status; "server did not run the request");
+            let event = "server did not run the request";
+            attempt_log.write_not_passed_on(event, verdict.as_str(), &received);
             permit.release(match verdict {
                 ResponseVerdict::NotRun => AttemptOutcome::Full { load, notice },
                 // The server that the pool knows at this address is gone: another has taken its place.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 //! `handle` starts and stops a gateway, and `ops` serves its health and metrics.
 
 mod attempt;
+mod attempt_log;
 mod changes;
 mod datagram;
 mod error_reply;
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -162,7 +162,7 @@
     let client = &gateway.server_client;
     let received = match client.send(server.address, new_request()?).await {
         // The server may have forgotten an idle connection, which says nothing about its state.
-        Err(SendError::NoResponse(_)) => {
+        Err(SendError::NoResponse(..)) => {
             let max_idle_time = Duration::ZERO;
             client
                 .send_with_max_idle_time(server.address, new_request()?, max_idle_time)
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -39,6 +39,19 @@
     Foreign(&'static str),
 }
 
+impl ResponseVerdict {
+    /// Returns the fixed name in logs; for a response that is discarded, the reason.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Valid => "valid",
+            Self::ErrorResponse => "error-response",
+            Self::NotRun => "refused",
+            Self::Misdirected => "misdirected",
+            Self::Unusable(reason) | Self::Foreign(reason) => reason,
+        }
+    }
+}
+
 /// Classifies a response by its status and headers, for a request of a class.
 ///
 /// A response to be passed on must have a signature. Only its presence is checked: the balancer does
--- a/src/http/http_client.rs
+++ b/src/http/http_client.rs
@@ -32,13 +32,23 @@
         NotSent(reason: String, request: Box<Request<HttpBody>>) {
             display("not sent: {reason}")
         }
-        /// The request was sent, at least in part, and no response came: it may have been run.
-        NoResponse(reason: String) {
+        /// The request was sent, at least in part, over the connection given, and no response came: it may
+        /// have been run.
+        NoResponse(reason: String, connection: ConnectionUse) {
             display("sent, but not answered: {reason}")
         }
     }
 }
 
+/// Which connection a request was sent over, for logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionUse {
+    /// Number of the connection among those that the client has opened.
+    pub number: u64,
+    /// Responses read completely over it before, without those to connection checks.
+    pub responses: u64,
+}
+
 /// How a connection that has been idle for long is checked before it carries a request: by a request
 /// that may be repeated.
 #[derive(Debug, Clone)]
@@ -57,10 +67,17 @@
 /// A connection without a request in flight, and the time since which it has none.
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<HttpBody>,
+    connection: Connection,
     since: Instant,
 }
 
+/// An open connection and what it has been used for.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<HttpBody>,
+    usage: ConnectionUse,
+}
+
 /// An HTTP/1.1 client with a pool of idle connections to each address.
 ///
 /// A connection returns to the pool only after its response was read to the end. If the body of a
@@ -79,7 +96,7 @@
     /// The response, whose body has not been read yet.
     pub response: Response<Incoming>,
     address: SocketAddr,
-    sender: SendRequest<HttpBody>,
+    connection: Connection,
     idle: Arc<IdlePool>,
     max_idle_connections: usize,
 }
@@ -154,27 +171,30 @@
         check: Option<&ConnectionCheck>,
     ) -> Result<ServerResponse, SendError> {
         for _ in 0..MAX_CONNECTION_TRIES {
-            let mut sender = match self.take_idle(address, max_idle_time, check).await {
-                Some(sender) => sender,
+            let mut connection = match self.take_idle(address, max_idle_time, check).await {
+                Some(connection) => connection,
                 None => match self.connect(address).await {
-                    Ok(sender) => sender,
+                    Ok(connection) => connection,
                     Err(reason) => return Err(SendError::NotSent(reason, Box::new(request))),
                 },
             };
-            match sender.try_send_request(request).await {
+            match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     return Ok(ServerResponse {
                         response,
                         address,
-                        sender,
+                        connection,
                         idle: self.idle.clone(),
                         max_idle_connections: DEFAULT_MAX_IDLE_CONNECTIONS,
                     });
                 }
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => return Err(SendError::NoResponse(error.error().to_string())),
-                },
+                Err(mut error) => {
+                    let Some(unsent) = error.take_message() else {
+                        let reason = error.error().to_string();
+                        return Err(SendError::NoResponse(reason, connection.usage));
+                    };
+                    request = unsent;
+                }
             }
         }
         Err(SendError::NotSent(
@@ -200,7 +220,8 @@
     pub fn close_expired(&self, max_idle_time: Duration) {
         let mut idle = self.idle.lock().expect("no panic under lock");
         idle.retain(|_, connections| {
-            connections.retain(|c| !c.sender.is_closed() && c.since.elapsed() < max_idle_time);
+            connections
+                .retain(|c| !c.connection.sender.is_closed() && c.since.elapsed() < max_idle_time);
             !connections.is_empty()
         });
     }
@@ -212,9 +233,9 @@
         address: SocketAddr,
         max_idle_time: Duration,
         check: Option<&ConnectionCheck>,
-    ) -> Option<SendRequest<HttpBody>> {
+    ) -> Option<Connection> {
         loop {
-            let (mut sender, is_recent) = {
+            let (mut connection, is_recent) = {
                 let mut idle = self.idle.lock().expect("no panic under lock");
                 let connections = idle.get_mut(&address)?;
                 // The last one is the most recently used.
@@ -222,20 +243,21 @@
                 if !is_recent && check.is_none() {
                     return None;
                 }
-                (connections.pop()?.sender, is_recent)
+                (connections.pop()?.connection, is_recent)
             };
+            let sender = &mut connection.sender;
             match check {
                 _ if sender.is_closed() || sender.ready().await.is_err() => {}
-                _ if is_recent => return Some(sender),
-                Some(check) if check.passes(address, &mut sender).await => return Some(sender),
+                _ if is_recent => return Some(connection),
+                Some(check) if check.passes(address, sender).await => return Some(connection),
                 // The others have been idle for longer, so they are no better.
                 _ => return None,
             }
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<HttpBody>, String> {
-        self.connect_attempts.fetch_add(1, Ordering::Relaxed);
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, String> {
+        let number = self.connect_attempts.fetch_add(1, Ordering::Relaxed);
         let stream = connect(self.source, address, self.timeouts)
             .await
             .map_err(|e| e.to_string())?;
@@ -249,7 +271,11 @@
                 log::debug!(address:% = address; "connection to a server failed: {error}");
             }
         });
-        Ok(sender)
+        let usage = ConnectionUse {
+            number,
+            responses: 0,
+        };
+        Ok(Connection { sender, usage })
     }
 }
 
@@ -276,6 +302,12 @@
 }
 
 impl ServerResponse {
+    /// Returns which connection the request was sent over.
+    #[must_use]
+    pub fn get_connection_use(&self) -> ConnectionUse {
+        self.connection.usage
+    }
+
     /// Returns this connection to the pool after the response only if fewer than
     /// `max_idle_connections` to the address of the server are idle.
     #[must_use]
@@ -294,19 +326,20 @@
         let Self {
             response,
             address,
-            sender,
+            connection,
             idle,
             max_idle_connections,
         } = self;
-        let mut sender = Some(sender);
+        let mut connection = Some(connection);
         response.map(|body| {
             let recycle = move |end: BodyEnd| {
-                if let (BodyEnd::Complete, Some(sender)) = (end, sender.take()) {
+                if let (BodyEnd::Complete, Some(mut connection)) = (end, connection.take()) {
+                    connection.usage.responses += 1;
                     let mut idle = idle.lock().expect("no panic under lock");
                     let connections = idle.entry(address).or_default();
                     if connections.len() < max_idle_connections {
                         let since = Instant::now();
-                        connections.push(IdleConnection { sender, since });
+                        connections.push(IdleConnection { connection, since });
                     }
                 }
                 on_end(end);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -17,6 +17,6 @@
     get_header_number, get_header_text, set_header, strip_hop_by_hop,
 };
 pub use self::http_client::{
-    ConnectionCheck, HttpClient, MAX_HEALTH_BYTES, SendError, ServerResponse,
+    ConnectionCheck, ConnectionUse, HttpClient, MAX_HEALTH_BYTES, SendError, ServerResponse,
 };
 pub use self::listener::{ListenerLimits, ShutdownTokens, bind_listener, serve_listener};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,6 @@
 pub use lentilcart_state as state;
 
 pub use self::error::{DaemonError, SettingsError};
-pub use self::http::{BoxError, HttpBody, HttpClient, SendError, full_body};
+pub use self::http::{BoxError, ConnectionUse, HttpBody, HttpClient, SendError, full_body};
 pub use self::settings::{EntrySettings, GatewaySettings, options_help};
 pub use self::util::{Clock, LogSink, LogWriter, init_logs, init_logs_to};
