fix(gateway): cut a streamed body at its deadline when the caller does not read

What callers saw: a caller who sent a request and did not read the answer kept the connection to the server, the server's slot for it and the request in flight for as long as it kept its own connection, long after the request's deadline.

Cause: the deadline of a streamed body was a timer that is looked at only when the body is polled. hyper does not poll a body while the write buffer of the caller's connection is full, so with a caller who does not read it never fired.

The bytes were bounded before: back-pressure blocks the server once the socket buffers are full.

Change: a task drops the rest of the body at the deadline, which closes the connection to the server; the task ends with the body. The body itself fails at the deadline as before, so that the caller sees from the framing that it is not complete.

Test: endless_bytes::endless_body_is_cut_without_reader. It counts what the server could send (less than 32 MB, of which Linux' socket buffers take up to 20 MB), and sends another request meanwhile.

The caller's own connection stays open until it reads or closes; it has no bound yet.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -437,14 +437,16 @@
                 _ => AttemptOutcome::Leaving,
             });
             // The rest is read so that the connection can be used again.
-            let rest = read_response(received.into_streamed(|_: BodyEnd| ()), deadline).await;
+            let response = received.into_streamed(|_: BodyEnd| ());
+            let rest = read_response(response, deadline, &gateway.tasks).await;
             if let Err(reason) = rest {
                 log::debug!(server:% = server; "connection closed: {reason}");
             }
             return AttemptResult::NotRun(format!("server {server} answered {status}"));
         }
     }
-    match read_response(received.into_streamed(|_: BodyEnd| ()), deadline).await {
+    let response = received.into_streamed(|_: BodyEnd| ());
+    match read_response(response, deadline, &gateway.tasks).await {
         Ok(response) if verdict == ResponseVerdict::Valid => {
             log::debug!(
                 request:% = request_id, server:% = server, address:% = address,
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -1,4 +1,5 @@
 use std::pin::Pin;
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 
 use bytes::{Bytes, BytesMut};
@@ -9,6 +10,7 @@
 use lentilcart_platform::HEADER_NAMES;
 use lentilcart_state::RequestClass;
 use tokio::time::{Instant, Sleep, sleep_until};
+use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 
 use crate::http::{BoxError, HttpBody, full_body, stream_body};
 
@@ -112,7 +114,8 @@
 
 /// Reads a response body up to [`MAX_BUFFERED_BYTES`]; the rest of a longer body is streamed until the
 /// `deadline`, and up to [`MAX_STREAMED_BYTES`]. Trailers of a body that is
-/// read completely are dropped.
+/// read completely are dropped. A task on `tasks` drops a streamed body at the deadline, which closes its
+/// connection.
 ///
 /// # Errors
 ///
@@ -120,6 +123,7 @@
 pub(crate) async fn read_response(
     response: Response<HttpBody>,
     deadline: Instant,
+    tasks: &TaskTracker,
 ) -> Result<Response<HttpBody>, BoxError> {
     let (parts, mut body) = response.into_parts();
     let mut read = BytesMut::new();
@@ -133,14 +137,19 @@
             }
         }
         if read.len() > MAX_BUFFERED_BYTES {
-            let prefix = Some(read.freeze());
-            let end = Box::pin(sleep_until(deadline));
-            let rest = PrefixedBody {
-                prefix,
-                rest: Limited::new(body, MAX_STREAMED_BYTES),
-                end,
+            let rest = Arc::new(Mutex::new(Some(Limited::new(body, MAX_STREAMED_BYTES))));
+            let shared = rest.clone();
+            let cut = tasks.spawn(async move {
+                sleep_until(deadline).await;
+                drop(shared.lock().expect("no panic under lock").take());
+            });
+            let body = PrefixedBody {
+                prefix: Some(read.freeze()),
+                rest,
+                end: Box::pin(sleep_until(deadline)),
+                _cut: AbortOnDropHandle::new(cut),
             };
-            return Ok(Response::from_parts(parts, stream_body(rest)));
+            return Ok(Response::from_parts(parts, stream_body(body)));
         }
     }
 }
@@ -149,8 +158,11 @@
 /// after too many bytes.
 struct PrefixedBody {
     prefix: Option<Bytes>,
-    rest: Limited<HttpBody>,
+    /// Empty after the `end`.
+    rest: Arc<Mutex<Option<Limited<HttpBody>>>>,
     end: Pin<Box<Sleep>>,
+    /// Drops the rest at the `end`: the body of a caller who does not read is not polled.
+    _cut: AbortOnDropHandle<()>,
 }
 
 impl Body for PrefixedBody {
@@ -161,12 +173,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        match self.prefix.take() {
-            Some(prefix) => Poll::Ready(Some(Ok(Frame::data(prefix)))),
-            None if self.end.as_mut().poll(cx).is_ready() => {
-                Poll::Ready(Some(Err("the body did not end in time".into())))
-            }
-            None => Pin::new(&mut self.rest).poll_frame(cx),
+        if let Some(prefix) = self.prefix.take() {
+            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+        }
+        let is_over = self.end.as_mut().poll(cx).is_ready();
+        match self.rest.lock().expect("no panic under lock").as_mut() {
+            Some(rest) if !is_over => Pin::new(rest).poll_frame(cx),
+            _ => Poll::Ready(Some(Err("the body did not end in time".into()))),
         }
     }
 }
