fix(gateway): do not hold up a retry by the body of a refusal

What callers saw: status 504 after the whole deadline for a request that a server had refused with its promise that it did not run, although another server was free. The body of the refusal did not end.

Cause: the rest of a refusal, status 421 or one with the promise header, was read before the attempt ended, so that its connection can be used again; only the deadline of the request bounded that. When it passed, the attempt counted as one that may have run, though the server had said the contrary.

Change: a task reads the rest, up to 64 KB and for up to 250 ms (MAX_REST_BYTES, REST_TIMEOUT), and the attempt ends at once. What does not end within these is closed with its connection.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
 use lentilcart_route::{AttemptOutcome, Rejection, Restriction, ServerPool};
 use lentilcart_state::{PathRoute, RequestClass};
 use lentilcart_util::{Micros, Name};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::attempt_log::AttemptLog;
 use super::datagram::PermitRequest;
@@ -19,11 +19,17 @@
 use super::response::{ResponseVerdict, classify_response, read_response};
 use crate::entry::{Dispatcher, Permit};
 use crate::http::{
-    BodyEnd, ConnectionCheck, HttpBody, SendError, full_body, get_header_text, set_header,
+    BodyEnd, ConnectionCheck, HttpBody, SendError, ServerResponse, collect_body, full_body,
+    get_header_text, set_header,
 };
 
 /// Maximum number of unreachable servers per request: one more fails the request.
 const MAX_UNREACHABLE: u32 = 3;
+/// Largest body of a response that is not passed on which is read so that its connection can be used
+/// again, in bytes.
+const MAX_REST_BYTES: usize = 64 * 1024;
+/// Time within which such a body must be complete.
+const REST_TIMEOUT: Duration = Duration::from_millis(250);
 /// Highest priority in a pool's queue, which dispatches higher numbers first.
 const MAX_PRIORITY: u8 = 9;
 
@@ -436,13 +442,9 @@
                 // The server that the pool knows at this address is gone: another has taken its place.
                 _ => AttemptOutcome::Leaving,
             });
-            // The rest is read so that the connection can be used again.
-            let response = received.into_streamed(|_: BodyEnd| ());
-            let rest = read_response(response, deadline, &gateway.tasks).await;
-            if let Err(reason) = rest {
-                log::debug!(server:% = server; "connection closed: {reason}");
-            }
-            return AttemptResult::NotRun(format!("server {server} answered {status}"));
+            let detail = format!("server {server} answered {status}");
+            gateway.tasks.spawn(read_rest(received, server));
+            return AttemptResult::NotRun(detail);
         }
     }
     let response = received.into_streamed(|_: BodyEnd| ());
@@ -475,3 +477,16 @@
         }
     }
 }
+
+/// Reads the rest of a response that is not passed on, so that its connection can be used again. The
+/// connection is closed if the rest is longer than [`MAX_REST_BYTES`] or takes longer than
+/// [`REST_TIMEOUT`].
+async fn read_rest(received: ServerResponse, server: Name) {
+    let body = received.into_streamed(|_: BodyEnd| ()).into_body();
+    let reason = match timeout(REST_TIMEOUT, collect_body(body, MAX_REST_BYTES)).await {
+        Ok(Ok(_)) => return,
+        Ok(Err(reason)) => reason,
+        Err(_) => format!("the body did not end within {REST_TIMEOUT:?}"),
+    };
+    log::debug!(server:% = server; "connection closed: {reason}");
+}
