fix(gateway): reject requests that come too late in a stop to end in time

What callers saw: a request that came late in the grace period of a stop was passed on to a server, and its connection was cut without an answer when the process ended, also for requests that must run at most once.

Cause: a stop passed on every request until 4/6 of the grace period, without regard to whether it could end by 5/6, when the process ends with whatever is left. It waited for the whole notice period before it rejected anything, and did not end connection checks.

Change: DrainSchedule holds the times of a stop. An attempt begins only if it can end in time: by the base service time for a request of the first half of the grace period, by its deadline for a later one. Others get a true 503 at once. At 5/6, requests that servers still run get 504 instead of a cut connection. The listener closes at 4/6 at the latest, and a connection that is still checked or opened then is given up.

Why it works: whatever is sent after the first half ends by its deadline, which is before the end, and everything else has an answer before the process ends.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,7 +4,7 @@
 
 use futures::future::{Either, select};
 use hyper::header::{HOST, HeaderMap, HeaderValue};
-use hyper::{Method, Request, Response, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use lentilcart_platform::{HEADER_NAMES, decode_load_report};
 use lentilcart_route::{AttemptOutcome, Rejection, Restriction, ServerPool};
 use lentilcart_state::{PathRoute, RequestClass};
@@ -44,6 +44,8 @@
     pub(crate) route: Arc<PathRoute>,
     /// Arrival time by the gateway's clock.
     pub(crate) arrived: Micros,
+    /// Time by the gateway's clock at which the request, its body included, had been read.
+    pub(crate) received: Micros,
     /// Deadline by the gateway's clock.
     pub(crate) deadline: Micros,
     /// Attempts counted against the route's maximum, hedges included. An attempt is counted before it
@@ -123,6 +125,20 @@
         first.combine(second)
     }
 
+    /// Returns whether an attempt may begin: always, unless this entry is stopping and the attempt may
+    /// not end in time.
+    fn may_begin_attempt(&self, gateway: &Gateway, dispatcher: &Dispatcher) -> bool {
+        gateway.drain.get().is_none_or(|schedule| {
+            let to_instant = |time| Instant::from_std(gateway.clock.to_instant(time));
+            let expected = dispatcher.read_pool(ServerPool::get_base_service_time);
+            schedule.may_begin_attempt(
+                to_instant(self.received),
+                to_instant(self.deadline),
+                expected.unwrap_or_default(),
+            )
+        })
+    }
+
     /// Returns the request for a permit to send the next attempt to a server that is not `excluded` and
     /// wants requests from this entry.
     fn get_permit_request(
@@ -202,10 +218,12 @@
                 reason: ErrorReason::TimeoutMayHaveRun,
                 ..reply
             },
-            reason if self.may_have_run && reason != ErrorReason::TimeoutMayHaveRun => ErrorReply {
-                reason: ErrorReason::NoUsableResponse,
-                ..reply
-            },
+            reason if self.may_have_run && reason.get_status() != StatusCode::GATEWAY_TIMEOUT => {
+                ErrorReply {
+                    reason: ErrorReason::NoUsableResponse,
+                    ..reply
+                }
+            }
             _ => reply,
         })
     }
@@ -230,6 +248,9 @@
         if inbound.attempts >= inbound.route.max_attempts {
             return inbound.finish(last, ErrorReason::NotRun);
         }
+        if !inbound.may_begin_attempt(gateway, dispatcher) {
+            return inbound.finish(last, ErrorReason::Stopping);
+        }
         if inbound.attempts > 0 && !dispatcher.update_pool(|pool, _| pool.take_retry_token()) {
             return inbound.finish(last, ErrorReason::NoBudget);
         }
@@ -260,16 +281,26 @@
         if gateway.clock.now() >= inbound.deadline {
             return inbound.finish(last, ErrorReason::TimeoutNotRun);
         }
+        if !inbound.may_begin_attempt(gateway, dispatcher) {
+            return inbound.finish(last, ErrorReason::Stopping);
+        }
         excluded.push(permit.address);
         inbound.attempts += 1;
-        let result = timeout_at(
-            deadline,
-            send_with_hedge(gateway, dispatcher, inbound, permit, &mut excluded),
-        )
-        .await;
-        let Ok(result) = result else {
-            inbound.may_have_run = true;
-            return inbound.finish(last, ErrorReason::TimeoutMayHaveRun);
+        let sending = send_with_hedge(gateway, dispatcher, inbound, permit, &mut excluded);
+        let result = tokio::select! {
+            // Polled first: a response that has come is passed on.
+            biased;
+            result = timeout_at(deadline, sending) => {
+                result.map_err(|_| ErrorReason::TimeoutMayHaveRun)
+            }
+            () = gateway.requests_end.cancelled() => Err(ErrorReason::StoppingMayHaveRun),
+        };
+        let result = match result {
+            Ok(result) => result,
+            Err(reason) => {
+                inbound.may_have_run = true;
+                return inbound.finish(last, reason);
+            }
         };
         let may_retry = match &result {
             AttemptResult::Response(_) => false,
@@ -370,6 +401,27 @@
     result
 }
 
+/// Returns for how long a connection may have been idle before it carries a request of a class, and how
+/// one that has been idle for longer is checked.
+fn get_connection_limits(
+    gateway: &Gateway,
+    class: RequestClass,
+    health_path: Option<Name>,
+) -> (Duration, Option<ConnectionCheck>) {
+    let servers = &gateway.settings.load().servers;
+    let max_idle_time = match class {
+        RequestClass::Idempotent => servers.max_idle_time,
+        RequestClass::Once => servers.max_idle_time_once,
+    };
+    let timeout = servers.preflight_timeout.into();
+    let check = health_path.map(|path| ConnectionCheck {
+        path,
+        timeout,
+        foreign_header: HEADER_NAMES.request_id,
+    });
+    (max_idle_time.into(), check)
+}
+
 /// Sends a request to the server of a permit, reads the response and releases the permit with the
 /// outcome.
 async fn send_attempt(
@@ -386,33 +438,31 @@
         deadline,
         health_path,
     } = context;
-    let (max_idle_time, check): (Duration, _) = {
-        let servers = &gateway.settings.load().servers;
-        let max_idle_time = match class {
-            RequestClass::Idempotent => servers.max_idle_time,
-            RequestClass::Once => servers.max_idle_time_once,
-        };
-        let timeout = servers.preflight_timeout.into();
-        let check = health_path.map(|path| ConnectionCheck {
-            path,
-            timeout,
-            foreign_header: HEADER_NAMES.request_id,
-        });
-        (max_idle_time.into(), check)
-    };
+    let (max_idle_time, check) = get_connection_limits(gateway, class, health_path);
     let (address, server) = (permit.address, permit.server_id.clone());
     let attempt_log = AttemptLog::new(&request_id, attempt, &permit);
     // What the pool knew of the server when it selected it; default values if an owner selected it.
     let (selection, started) = (permit.selection, gateway.clock.now());
     let received = match gateway
         .server_client
-        .send_checked(address, request, max_idle_time, check.as_ref())
+        .send_checked(
+            address,
+            request,
+            max_idle_time,
+            check.as_ref(),
+            gateway.attempts_end.cancelled(),
+        )
         .await
     {
         Ok(received) => received,
         Err(SendError::NotSent(reason, _)) => {
             attempt_log.write_not_sent(&reason);
-            permit.release(AttemptOutcome::Unreachable);
+            permit.release(if gateway.attempts_end.is_cancelled() {
+                // The connection may have been given up, which says nothing about the server.
+                AttemptOutcome::Cancelled
+            } else {
+                AttemptOutcome::Unreachable
+            });
             return AttemptResult::NotSent(reason);
         }
         Err(SendError::NoResponse(reason, connection)) => {
--- a/src/gateway/error_reply.rs
+++ b/src/gateway/error_reply.rs
@@ -24,8 +24,11 @@
         NoServer,
         /// No server would be free in time.
         Overload,
-        /// This entry is about to stop, and the request had no server yet.
+        /// This entry is about to stop, and no server runs the request: it had none yet, or cannot be
+        /// expected to end in time.
         Stopping,
+        /// This entry is about to stop, and a server may have run the request, which has not ended.
+        StoppingMayHaveRun,
         /// The retry budget is exhausted.
         NoBudget,
         /// Connections to the servers tried last failed before anything was sent; no server can have
@@ -67,6 +70,7 @@
             Self::NoServer => "no-server",
             Self::Overload => "overload",
             Self::Stopping => "stopping",
+            Self::StoppingMayHaveRun => "stopping-sent",
             Self::NoBudget => "no-budget",
             Self::Unreachable => "unreachable",
             Self::NotRun => "not-run",
@@ -85,7 +89,7 @@
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::NoUsableResponse => StatusCode::BAD_GATEWAY,
-            Self::TimeoutMayHaveRun => StatusCode::GATEWAY_TIMEOUT,
+            Self::StoppingMayHaveRun | Self::TimeoutMayHaveRun => StatusCode::GATEWAY_TIMEOUT,
             Self::NoRoutes
             | Self::RoutesBehind
             | Self::NoServer
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 
 use arc_swap::ArcSwap;
 use lentilcart_state::{Member, MemberTable, Mirror, RouteTable, ServerDirectory};
@@ -12,6 +12,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::datagram::{Datagram, GatewayHeartbeat, LoadUpdate};
+use super::drain::DrainSchedule;
 use super::permit_table::PermitTable;
 use super::store_contact::{LatestWatcher, StoreContact};
 use crate::entry::Dispatcher;
@@ -66,9 +67,14 @@
     pub(crate) peer_client: HttpClient,
     /// Internal connections and short-lived tasks, which are not waited for when the gateway stops.
     pub(crate) tasks: TaskTracker,
+    /// The times of the stop, once it has begun.
+    pub(crate) drain: OnceLock<DrainSchedule>,
     /// Cancelled when this entry, which is leaving, begins no more attempts: requests without a server are
     /// rejected.
     pub(crate) attempts_end: CancellationToken,
+    /// Cancelled when this entry, which is leaving, waits no longer for the servers that are running
+    /// requests.
+    pub(crate) requests_end: CancellationToken,
     /// Cancelled when the background tasks must end.
     pub(crate) stop: CancellationToken,
     /// Callers' requests whose responses have not been written completely.
@@ -130,7 +136,9 @@
             store,
             server_client: new_client(),
             peer_client: new_client(),
+            drain: OnceLock::new(),
             attempts_end: CancellationToken::new(),
+            requests_end: CancellationToken::new(),
             stop: CancellationToken::new(),
             in_flight: AtomicU64::new(0),
             heartbeat_due: watch::Sender::new(0),
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -5,8 +5,10 @@
 
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
+use tokio::time::timeout_at;
 use tokio_util::task::TaskTracker;
 
+use super::drain::DrainSchedule;
 use super::gateway::{Gateway, MirrorKind};
 use super::mirror::keep_mirror;
 use super::ops::{serve_ops, serve_ready};
@@ -26,14 +28,6 @@
     header_timeout: Duration::from_secs(30),
     max_connections: 256,
 };
-/// The grace period divided by this number is reserved at its end for the exit of the process: in this
-/// last sixth the platform no longer counts on responses. The listeners and background tasks get the
-/// first half of the reserved time to end.
-const EXIT_RESERVE_DIVISOR: u32 = 6;
-/// The grace period divided by this number is reserved for the requests that servers are running, before
-/// the time reserved for the exit. In it, requests that wait for a server are rejected, since an attempt
-/// that began would not end in time.
-const ATTEMPT_RESERVE_DIVISOR: u32 = 6;
 /// Interval at which a stopping gateway checks for requests in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -174,22 +168,19 @@
     /// for the listeners and background tasks to end. Tasks that these have started, such as probes,
     /// are not waited for.
     ///
-    /// Requests that still have no server some time before the end of the drain are rejected, so that
-    /// their callers get an answer and can send them elsewhere.
+    /// Requests that cannot be expected to end in time are rejected, as are those that still have no
+    /// server some time before the end of the drain, so that their callers get an answer and can send
+    /// them elsewhere. Those that servers are still running at its end get status 504.
     ///
     /// Returns whether all callers' requests finished and all their connections closed within the grace
     /// period, less the time reserved for the exit of the process.
     pub async fn stop(self) -> bool {
-        let stop = self.gateway.settings.load().shutdown.clone();
-        let (grace, notice) = (
-            Duration::from(stop.grace_period),
-            Duration::from(stop.lame_duck),
-        );
-        let drain_deadline =
-            tokio::time::Instant::now() + grace.saturating_sub(grace / EXIT_RESERVE_DIVISOR);
+        let times = self.gateway.settings.load().shutdown.clone();
+        let schedule = DrainSchedule::new(times.grace_period.into(), times.lame_duck.into());
         log::info!("leaving");
+        self.gateway.drain.set(schedule).ok();
         self.gateway.leave();
-        tokio::time::sleep(notice).await;
+        tokio::time::sleep_until(schedule.listener_end).await;
         self.caller_shutdown.stop_accepting.cancel();
         self.caller_shutdown.close_connections.cancel();
         self.caller_connections.close();
@@ -200,17 +191,21 @@
             }
         };
         tokio::pin!(drained);
-        let attempt_deadline = drain_deadline - grace / ATTEMPT_RESERVE_DIVISOR;
-        let mut complete = tokio::time::timeout_at(attempt_deadline, drained.as_mut())
+        let mut complete = timeout_at(schedule.attempts_end, drained.as_mut())
             .await
             .is_ok();
         if !complete {
             log::info!(in_flight = self.gateway.in_flight.load(Ordering::Relaxed); "rejecting requests without a server");
             self.gateway.attempts_end.cancel();
-            complete = tokio::time::timeout_at(drain_deadline, drained)
+            complete = timeout_at(schedule.requests_end, drained.as_mut())
                 .await
                 .is_ok();
         }
+        if !complete {
+            log::info!(in_flight = self.gateway.in_flight.load(Ordering::Relaxed); "ending requests that servers are running");
+            self.gateway.requests_end.cancel();
+            timeout_at(schedule.answers_end, drained).await.ok();
+        }
         self.ready_shutdown.stop_accepting.cancel();
         self.ready_shutdown.close_connections.cancel();
         self.gateway.stop.cancel();
@@ -224,9 +219,7 @@
                 }
             }
         };
-        let joined =
-            tokio::time::timeout_at(drain_deadline + grace / EXIT_RESERVE_DIVISOR / 2, joined)
-                .await;
+        let joined = timeout_at(schedule.tasks_end, joined).await;
         log::info!(complete, joined = joined.is_ok(); "stopped");
         complete
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,12 +15,13 @@
 //! other entries, `probe` keeps the load of servers current, `register` keeps this entry listed in the
 //! store, and `tick` runs periodic work.
 //!
-//! `handle` starts and stops a gateway, and `ops` serves its health and metrics.
+//! `handle` starts and stops a gateway, `drain` has the times of a stop, and `ops` serves its health and metrics.
 
 mod attempt;
 mod attempt_log;
 mod changes;
 mod datagram;
+mod drain;
 mod error_reply;
 #[allow(clippy::module_inception)]
 mod gateway;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -227,6 +227,7 @@
         body,
         route,
         arrived,
+        received: gateway.clock.now(),
         deadline,
         attempts: 0,
         queue_len: 0,
--- a/src/http/http_client.rs
+++ b/src/http/http_client.rs
@@ -1,3 +1,4 @@
+use std::future::Future;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -153,12 +154,14 @@
         request: Request<HttpBody>,
         max_idle_time: Duration,
     ) -> Result<ServerResponse, SendError> {
-        self.send_checked(address, request, max_idle_time, None)
+        let give_up = std::future::pending();
+        self.send_checked(address, request, max_idle_time, None, give_up)
             .await
     }
 
     /// Sends a request over an idle connection or a new one. A connection that has been idle for longer
-    /// than `max_idle_time` is used only if it passes the `check`, and not at all without one.
+    /// than `max_idle_time` is used only if it passes the `check`, and not at all without one. If `give_up`
+    /// ends before there is a connection, the request is not sent.
     ///
     /// # Errors
     ///
@@ -169,14 +172,19 @@
         mut request: Request<HttpBody>,
         max_idle_time: Duration,
         check: Option<&ConnectionCheck>,
+        give_up: impl Future<Output = ()>,
     ) -> Result<ServerResponse, SendError> {
+        tokio::pin!(give_up);
         for _ in 0..MAX_CONNECTION_TRIES {
-            let mut connection = match self.take_idle(address, max_idle_time, check).await {
-                Some(connection) => connection,
-                None => match self.connect(address).await {
-                    Ok(connection) => connection,
-                    Err(reason) => return Err(SendError::NotSent(reason, Box::new(request))),
-                },
+            let connection = tokio::select! {
+                // Polled first: a connection that is open now comes too late.
+                biased;
+                () = &mut give_up => Err("the request was given up".to_owned()),
+                connection = self.take_or_connect(address, max_idle_time, check) => connection,
+            };
+            let mut connection = match connection {
+                Ok(connection) => connection,
+                Err(reason) => return Err(SendError::NotSent(reason, Box::new(request))),
             };
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
@@ -256,6 +264,19 @@
         }
     }
 
+    /// Takes an idle connection as [`take_idle`](Self::take_idle) does, or opens one.
+    async fn take_or_connect(
+        &self,
+        address: SocketAddr,
+        max_idle_time: Duration,
+        check: Option<&ConnectionCheck>,
+    ) -> Result<Connection, String> {
+        match self.take_idle(address, max_idle_time, check).await {
+            Some(connection) => Ok(connection),
+            None => self.connect(address).await,
+        }
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Connection, String> {
         let number = self.connect_attempts.fetch_add(1, Ordering::Relaxed);
         let stream = connect(self.source, address, self.timeouts)
