fix(state): announce removals that only a listing shows

Requests could be sent to a server that is gone by entries that do not watch the store themselves.

Cause: other entries fetch changes when an entry's latest change is newer than their mirror. A removal that a complete listing shows (after a compaction, or after the process stood still) did not count as a change, so that nobody fetched it until the next write.

Evidence: `mirror::removal_found_by_listing_is_announced` on the code before: `left: 4, right: 9`.

Change: such a removal counts with the revision of its listing. A listing without removals or newer items counts as before, so that a restart does not make the others fetch.

--- a/lentilcart_state/src/mirror/mirror.rs
+++ b/lentilcart_state/src/mirror/mirror.rs
@@ -46,8 +46,8 @@
     items: Map<Name, StoreItem>,
     /// Revision of the store up to which the mirror is complete; 0 before the first listing.
     revision: u64,
-    /// Highest revision of a write that was applied or of a removal event that was received;
-    /// removals found by a listing don't count.
+    /// Highest revision of a write that was applied or of a removal event that was received. A removal
+    /// that a listing shows counts with the revision of the listing.
     latest_change_revision: u64,
     /// Last removals, each with its revision, in the order in which they were applied.
     removals: VecDeque<(Name, u64)>,
@@ -91,10 +91,8 @@
     }
 
     /// Returns the highest revision of a write that was applied or of a removal event that was
-    /// received. Another mirror whose [`Mirror::get_revision`] is at least
-    /// this has every change that this mirror has counted.
-    ///
-    /// **NOTE:** Removals that a complete listing shows, here or in a merged snapshot, don't count.
+    /// received, where a removal that a listing shows has the revision of the listing. Another mirror
+    /// whose [`Mirror::get_revision`] is at least this has every change that this mirror has counted.
     #[must_use]
     pub fn get_latest_change_revision(&self) -> u64 {
         self.latest_change_revision
@@ -246,6 +244,9 @@
         if self.revision == 0 {
             self.forgotten_revision = revision;
         }
+        if !removed_keys.is_empty() {
+            self.latest_change_revision = self.latest_change_revision.max(revision);
+        }
         for key in removed_keys {
             self.remove_item(&key, revision);
             changes.push(MirrorChange::Removed(key));
--- a/lentilcart_state/tests/testsuite/mirror.rs
+++ b/lentilcart_state/tests/testsuite/mirror.rs
@@ -135,6 +135,20 @@
     assert!(mirror.get_snapshot(5).removals.is_some());
 }
 
+/// Guards against a removal that only a listing shows, and that other entries do not hear of: they fetch
+/// changes from this one when its latest change is newer than their mirror.
+#[test]
+fn removal_found_by_listing_is_announced() {
+    let mut mirror = create_listed(&[("s/a", 3), ("s/b", 4)], 5);
+    mirror.record_reply(StoreReply::Compacted);
+    mirror.record_reply(page(&[("s/b", 4)], false, 9));
+    assert_eq!(mirror.get_latest_change_revision(), 9);
+    // A listing without changes is none.
+    mirror.restart_listing();
+    mirror.record_reply(page(&[("s/b", 4)], false, 12));
+    assert_eq!(mirror.get_latest_change_revision(), 9);
+}
+
 proptest! {
     /// A mirror updated by a watch and one that merges snapshots of the first after any subset of
     /// the changes end with the same items, and no item of the second returns to an older revision.
