fix(state): no late write puts a removed key back

A server that is gone could be used again, until the next event of its key.

Cause: a mirror compared items by their revision, and knew none of a removed key. The reply to a watch that came after another entry's mirror had brought the removal added the key again, and the watch went on behind the removal. A removal of an unknown key was not passed on, and neither was that of a key which came and went while the mirror was listed anew.

Change: an event for an unknown key that is not newer than the mirror's revision is a late one. Among the events of one reply the remembered removals are compared, one for each key and 512 at most.

Why it works: a mirror is complete up to its revision, so that an item which it lacks has been removed. Tombstones kept only by number were tried first, and failed the model test where a listing had skipped a removal.

Wire and settings are unchanged.

--- a/lentilcart_state/src/mirror/mirror.rs
+++ b/lentilcart_state/src/mirror/mirror.rs
@@ -35,11 +35,8 @@
 /// Mirror of the store's items under a prefix.
 ///
 /// The mirror returns the next call to the store and processes the reply; snapshots of other
-/// entries' mirrors can be merged at any time. A written item never replaces one that was written
-/// later: items are compared by their own revision, snapshots by the revision of the store.
-///
-/// **NOTE:** The revision of a removal is not compared with later events: an event that reports a
-/// write from before the removal adds the item again.
+/// entries' mirrors can be merged at any time. An event never undoes a later one, be it a write or a
+/// removal: events are compared by their own revision, snapshots by the revision of the store.
 #[derive(Debug)]
 pub struct Mirror {
     prefix: Name,
@@ -49,9 +46,10 @@
     /// Highest revision of a write that was applied or of a removal event that was received. A removal
     /// that a listing shows counts with the revision of the listing.
     latest_change_revision: u64,
-    /// Last removals, each with its revision, in the order in which they were applied.
+    /// Last removals, one for each key, with its revision, in the order in which they were applied; those
+    /// of keys that this mirror did not know included.
     removals: VecDeque<(Name, u64)>,
-    /// Revision up to which removals are not known: they are older than the first listing, or no
+    /// Revision up to which removals are not known: they are older than the last listing, or no
     /// longer remembered.
     forgotten_revision: u64,
     /// The listing in progress; `None` while the mirror watches.
@@ -212,15 +210,13 @@
         let mut changes = Vec::new();
         for event in events {
             match event {
+                // The mirror was complete, so that the item has been removed since.
+                StoreEvent::Written(item)
+                    if item.revision <= self.revision && !self.items.contains_key(&item.key) => {}
                 StoreEvent::Written(item) => changes.extend(self.put_item(item)),
                 StoreEvent::Removed(key, removal_revision) => {
-                    let is_older = self
-                        .items
-                        .get(&key)
-                        .is_some_and(|item| item.revision < removal_revision);
                     self.latest_change_revision = self.latest_change_revision.max(removal_revision);
-                    if is_older {
-                        self.remove_item(&key, removal_revision);
+                    if self.remove_item(&key, removal_revision) {
                         changes.push(MirrorChange::Removed(key));
                     }
                 }
@@ -241,8 +237,9 @@
             .map(|item| item.key.clone());
         let removed_keys: Vec<Name> = removed_keys.collect();
         let mut changes = Vec::new();
-        if self.revision == 0 {
-            self.forgotten_revision = revision;
+        // An item that came and went since the last reply is not among the removals.
+        if revision > self.revision {
+            self.forgotten_revision = self.forgotten_revision.max(revision);
         }
         if !removed_keys.is_empty() {
             self.latest_change_revision = self.latest_change_revision.max(revision);
@@ -258,21 +255,38 @@
         changes
     }
 
-    /// Removes an item and remembers the removal at its revision.
-    fn remove_item(&mut self, key: &Name, revision: u64) {
-        self.items.remove(key);
+    /// Removes an item unless it was written later, and remembers the removal at its revision, also if the
+    /// key is not known: another mirror may have the item. Returns whether there was an item to remove.
+    fn remove_item(&mut self, key: &Name, revision: u64) -> bool {
+        let known_revision = self.items.get(key).map(|known| known.revision);
+        let is_late = known_revision.is_some_and(|known| known >= revision)
+            || self.find_removal(key).is_some_and(|last| last >= revision);
+        if is_late || revision <= self.forgotten_revision {
+            return !is_late && self.items.remove(key).is_some();
+        }
+        self.removals.retain(|(removed, _)| removed != key);
         self.removals.push_back((key.clone(), revision));
         if self.removals.len() > MAX_REMOVALS
             && let Some((_, oldest_revision)) = self.removals.pop_front()
         {
             self.forgotten_revision = self.forgotten_revision.max(oldest_revision);
         }
+        self.items.remove(key).is_some()
     }
 
-    /// Adds or replaces an item; returns the change, `None` where the known item is as new
-    /// or newer.
+    /// Returns the revision of the last removal of a key, if it is remembered.
+    fn find_removal(&self, key: &Name) -> Option<u64> {
+        let removal = self.removals.iter().find(|(removed, _)| removed == key);
+        removal.map(|(_, revision)| *revision)
+    }
+
+    /// Adds or replaces an item; returns the change, `None` where the known item is as new or newer, or
+    /// its key was removed later.
     fn put_item(&mut self, item: StoreItem) -> Option<MirrorChange> {
-        let known_revision = self.items.get(&item.key).map(|known| known.revision);
+        let known_revision = match self.items.get(&item.key) {
+            Some(known) => Some(known.revision),
+            None => self.find_removal(&item.key),
+        };
         if known_revision.is_some_and(|known| known >= item.revision) {
             return None;
         }
--- a/lentilcart_state/tests/testsuite/mirror.rs
+++ b/lentilcart_state/tests/testsuite/mirror.rs
@@ -1,7 +1,7 @@
 use lentilcart_state::{
     Mirror, MirrorChange, MirrorSnapshot, StoreCall, StoreEvent, StoreItem, StoreReply,
 };
-use lentilcart_util::{Map, Micros, Name};
+use lentilcart_util::{Map, Micros, Name, Set};
 use proptest::prelude::*;
 
 fn item(key: &str, revision: u64) -> StoreItem {
@@ -135,6 +135,72 @@
     assert!(mirror.get_snapshot(5).removals.is_some());
 }
 
+/// Guards against a key that comes back for good after its removal: another entry's mirror brings the removal
+/// while the reply to a watch, which has an older write, is on its way.
+#[test]
+fn late_write_does_not_undo_removal() {
+    let mut mirror = create_listed(&[("s/a", 3)], 5);
+    mirror.merge(MirrorSnapshot {
+        revision: 9,
+        items: Vec::new(),
+        removals: Some(vec![("s/a".into(), 8)]),
+    });
+    let late = StoreReply::Events {
+        events: vec![StoreEvent::Written(item("s/a", 6))],
+        revision: 7,
+    };
+    assert!(mirror.record_reply(late).is_empty());
+    assert!(keys(&mirror).is_empty());
+    // A write after the removal adds the key again.
+    let changes = mirror.record_reply(StoreReply::Events {
+        events: vec![StoreEvent::Written(item("s/a", 10))],
+        revision: 10,
+    });
+    assert_eq!(changes.len(), 1);
+}
+
+/// Guards against the same after more removals than a mirror remembers, and against memory that grows with
+/// each removal.
+#[test]
+fn late_write_does_not_undo_forgotten_removal() {
+    let mut mirror = create_listed(&[("s/a", 3)], 5);
+    let removals = (6..2006).map(|revision| {
+        let key = if revision == 6 {
+            "s/a".into()
+        } else {
+            format!("s/{revision}").into()
+        };
+        StoreEvent::Removed(key, revision)
+    });
+    mirror.record_reply(StoreReply::Events {
+        events: removals.collect(),
+        revision: 2005,
+    });
+    assert_eq!(mirror.get_snapshot(5).removals, None);
+    let remembered = mirror.get_snapshot(1700).removals.unwrap();
+    assert_eq!(remembered.len(), 305);
+    let late = StoreReply::Events {
+        events: vec![StoreEvent::Written(item("s/a", 5))],
+        revision: 5,
+    };
+    assert!(mirror.record_reply(late).is_empty());
+    assert!(keys(&mirror).is_empty());
+}
+
+/// Guards against a removal that other entries do not hear of, since this one had not known the key: it had
+/// listed the keys in several pages, of which the later ones were read after the removal.
+#[test]
+fn removal_of_unknown_key_reaches_other_mirror() {
+    let mut behind = create_listed(&[("s/a", 3)], 5);
+    let mut ahead = create_listed(&[], 5);
+    ahead.record_reply(StoreReply::Events {
+        events: vec![StoreEvent::Removed("s/a".into(), 6)],
+        revision: 6,
+    });
+    let changes = behind.merge(ahead.get_snapshot(behind.get_revision()));
+    assert_eq!(changes, [MirrorChange::Removed("s/a".into())]);
+}
+
 /// Guards against a removal that only a listing shows, and that other entries do not hear of: they fetch
 /// changes from this one when its latest change is newer than their mirror.
 #[test]
@@ -149,6 +215,125 @@
     assert_eq!(mirror.get_latest_change_revision(), 9);
 }
 
+/// Number of keys in the model of the store.
+const KEYS: u8 = 5;
+/// Number of keys on a page of the model of the store.
+const PAGE_KEYS: usize = 2;
+
+/// A store with its whole history, which is replayed to find its content at any revision.
+#[derive(Default)]
+struct ModelStore {
+    /// The event of each revision from 1.
+    events: Vec<StoreEvent>,
+}
+
+impl ModelStore {
+    fn get_revision(&self) -> u64 {
+        self.events.len() as u64
+    }
+
+    fn change(&mut self, number: u8, is_put: bool) {
+        let revision = self.get_revision() + 1;
+        let key = Name::from(format!("s/{}", number % KEYS));
+        self.events.push(if is_put {
+            StoreEvent::Written(item(&key, revision))
+        } else {
+            StoreEvent::Removed(key, revision)
+        });
+    }
+
+    /// Returns the last event of a key up to a revision, with its revision.
+    fn find_last(&self, key: &str, revision: u64) -> Option<(u64, &StoreEvent)> {
+        let events = self.events.iter().zip(1..=revision);
+        let of_key = events.filter(|(event, _)| match event {
+            StoreEvent::Written(item) => *item.key == *key,
+            StoreEvent::Removed(removed, _) => **removed == *key,
+        });
+        of_key.last().map(|(event, at)| (at, event))
+    }
+
+    /// Returns the items at the current revision, by key.
+    fn get_items(&self) -> Vec<StoreItem> {
+        let names = (0..KEYS).map(|number| format!("s/{number}"));
+        let last = names.filter_map(|key| self.find_last(&key, self.get_revision()));
+        last.filter_map(|(_, event)| match event {
+            StoreEvent::Written(item) => Some(item.clone()),
+            StoreEvent::Removed(..) => None,
+        })
+        .collect()
+    }
+
+    /// Returns the reply to a call of now.
+    fn reply(&self, call: &StoreCall) -> StoreReply {
+        let revision = self.get_revision();
+        match call {
+            StoreCall::List { after, .. } => {
+                let mut items = self.get_items();
+                items.retain(|item| after.as_ref().is_none_or(|after| item.key > *after));
+                let more = items.len() > PAGE_KEYS;
+                items.truncate(PAGE_KEYS);
+                StoreReply::Page {
+                    items,
+                    more,
+                    revision,
+                }
+            }
+            StoreCall::Watch { after, .. } => StoreReply::Events {
+                events: self.events[*after as usize..].to_vec(),
+                revision,
+            },
+            _ => panic!("a mirror makes no other calls"),
+        }
+    }
+}
+
+/// Checks a mirror against the replay: nothing in it has been replaced or removed up to its revision, and
+/// nothing is missing that has not been removed later.
+fn check_replay(store: &ModelStore, mirror: &Mirror) -> Result<(), TestCaseError> {
+    let revision = mirror.get_revision();
+    let held = keys(mirror);
+    for (key, at) in &held {
+        let last = store.find_last(key, revision.max(*at));
+        let is_current = matches!(last, Some((last, StoreEvent::Written(_))) if last == *at);
+        prop_assert!(is_current, "{key} of {at} is held at {revision}");
+    }
+    for number in 0..KEYS {
+        let key = format!("s/{number}");
+        let is_held = held.iter().any(|(held, _)| *held == key);
+        let last = store.find_last(&key, revision);
+        let now = store.find_last(&key, store.get_revision());
+        let is_removed_later = now.map(|(at, _)| at) > last.map(|(at, _)| at);
+        let is_missing = matches!(last, Some((_, StoreEvent::Written(_)))) && !is_held;
+        prop_assert!(
+            !is_missing || is_removed_later,
+            "{key} is missing at {revision}"
+        );
+    }
+    Ok(())
+}
+
+/// What is on its way to a mirror.
+#[derive(Clone)]
+enum Delivery {
+    Reply(StoreReply),
+    Snapshot(MirrorSnapshot),
+}
+
+fn deliver(mirror: &mut Mirror, delivery: Delivery) {
+    match delivery {
+        Delivery::Reply(reply) => drop(mirror.record_reply(reply)),
+        Delivery::Snapshot(snapshot) => drop(mirror.merge(snapshot)),
+    }
+}
+
+/// Fetches a snapshot, as an entry does whose peer announces a later change.
+fn fetch_if_announced(mirrors: &mut [Mirror], to: usize, from: usize) {
+    if mirrors[from].get_latest_change_revision() > mirrors[to].get_revision() {
+        let snapshot = mirrors[from].get_snapshot(mirrors[to].get_revision());
+        mirrors[to].merge(snapshot);
+    }
+}
+
 proptest! {
     /// A mirror updated by a watch and one that merges snapshots of the first after any subset of
     /// the changes end with the same items, and no item of the second returns to an older revision.
@@ -185,4 +370,72 @@
         prop_assert_eq!(keys(&behind), expected.clone());
         prop_assert_eq!(keys(&ahead), expected);
     }
+
+    /// Mirrors agree with a replay of the store's history whatever the order in which changes reach them,
+    /// from the store and from each other, and whichever are lost or come twice. Once one of them has read
+    /// all changes, those that it announces bring the others to the same content. Only an item that this
+    /// one has never held may stay after its removal.
+    #[test]
+    fn mirrors_agree_with_replay(
+        steps in proptest::collection::vec((0_u8..12, any::<u8>(), any::<u8>()), 1..120),
+    ) {
+        let mut store = ModelStore::default();
+        store.change(0, true);
+        let mut mirrors: Vec<Mirror> = (0..3).map(|_| Mirror::new("s/".into())).collect();
+        let mut pending: Vec<(usize, Delivery)> = Vec::new();
+        let mut held: Set<(String, u64)> = Set::default();
+        for (kind, a, b) in steps {
+            let (to, from) = (usize::from(a) % 3, usize::from(b) % 3);
+            let index = usize::from(b) % pending.len().max(1);
+            match kind {
+                0..4 => store.change(a, b % 2 == 0),
+                // A call to the store whose reply comes at once, later, or not at all.
+                4..6 => {
+                    let call = mirrors[to].next_call(Micros::ZERO);
+                    let reply = store.reply(&call);
+                    // Only the replies to watches can come after those to later calls.
+                    if b % 2 == 0 && matches!(call, StoreCall::Watch { .. }) {
+                        pending.push((to, Delivery::Reply(reply)));
+                    } else {
+                        mirrors[to].record_reply(reply);
+                    }
+                }
+                6 => drop(mirrors[to].record_reply(StoreReply::Compacted)),
+                7..9 => {
+                    let snapshot = mirrors[from].get_snapshot(mirrors[to].get_revision());
+                    pending.push((to, Delivery::Snapshot(snapshot)));
+                }
+                // What is on its way arrives, and may arrive again, or is lost.
+                9..11 if !pending.is_empty() => {
+                    let (to, delivery) = pending[index].clone();
+                    deliver(&mut mirrors[to], delivery);
+                    if a % 4 > 0 {
+                        pending.swap_remove(index);
+                    }
+                }
+                11 if !pending.is_empty() => drop(pending.swap_remove(index)),
+                _ => {}
+            }
+            for mirror in &mirrors {
+                check_replay(&store, mirror)?;
+            }
+            held.extend(keys(&mirrors[0]));
+        }
+        // A listing or two, and a watch.
+        while !mirrors[0].is_watching() || mirrors[0].get_revision() < store.get_revision() {
+            let call = mirrors[0].next_call(Micros::ZERO);
+            mirrors[0].record_reply(store.reply(&call));
+        }
+        for to in 1..3 {
+            fetch_if_announced(&mut mirrors, to, 0);
+        }
+        let items = store.get_items();
+        let expected: Vec<_> = items.iter().map(|i| key(&i.key, i.revision)).collect();
+        prop_assert_eq!(keys(&mirrors[0]), expected.clone());
+        for mirror in mirrors.iter().filter(|mirror| mirror.get_revision() > 0) {
+            let mut keys = keys(mirror);
+            keys.retain(|item| expected.contains(item) || held.contains(item));
+            prop_assert_eq!(keys, expected.clone());
+        }
+    }
 }
