fix(http): close a connection whose last request was not read

What callers saw: a request was sent nowhere and got 504 at its deadline, as one that may have run, because it waited for a connection whose server had answered the request before without reading its body. If the server never read it, the connection and the body, up to the largest that the routes allow, stayed in memory for as long as the server kept the connection, also after the pool had dropped it.

Cause: a connection returns to the pool when the response is complete, while hyper still sends the request. take_idle then waited without a bound for the connection to become ready. And a connection that is dropped ends only when its task in hyper does, which is blocked on the write.

Change: an idle connection must be ready within READY_TIMEOUT (50 ms; it is ready as soon as its task has run once after the response); otherwise it is closed and another one used. A Connection ends its task, and with it the socket, when it is dropped.

Test: http_client::unread_request_body_does_not_hold_next_request: a second request is answered over another connection, and the server then finds less than the body of the first on the old one.

Why it works: whatever state hyper is in, dropping a Connection closes the socket. This holds for every user of HttpClient: attempts, hedges, probes, connection checks, calls to the store and fetches from other entries.

Related paths: an earlier answer that is still being read: its connection is owned by its body, and only BodyEnd::Complete returns it to the pool, so that it cannot be used.

--- a/src/http/http_client.rs
+++ b/src/http/http_client.rs
@@ -10,7 +10,8 @@
 use hyper_util::rt::TokioIo;
 use lentilcart_util::{Map, Name};
 use quick_error::quick_error;
-use tokio_util::task::TaskTracker;
+use tokio::time::timeout;
+use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 
 use super::body::{BodyEnd, HttpBody, NotifyOnEnd, build_get, collect_body, stream_body};
 use super::connect::{ConnectTimeouts, connect};
@@ -21,6 +22,9 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Largest body of a response of a health endpoint, to a probe or to a connection check, in bytes.
 pub const MAX_HEALTH_BYTES: usize = 16 * 1024;
+/// Time within which an idle connection must be able to carry a request. One that is not has not been able
+/// to send its last request completely, though the response to it has arrived.
+const READY_TIMEOUT: Duration = Duration::from_millis(50);
 /// Largest number of connections tried for a request if each is closed before anything is sent.
 const MAX_CONNECTION_TRIES: usize = 3;
 
@@ -72,11 +76,13 @@
     since: Instant,
 }
 
-/// An open connection and what it has been used for.
+/// An open connection and what it has been used for. It is closed when dropped, also if the server has not
+/// read all of the request.
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<HttpBody>,
     usage: ConnectionUse,
+    _driver: AbortOnDropHandle<()>,
 }
 
 /// An HTTP/1.1 client with a pool of idle connections to each address.
@@ -254,8 +260,10 @@
                 (connections.pop()?.connection, is_recent)
             };
             let sender = &mut connection.sender;
+            let ready = timeout(READY_TIMEOUT, sender.ready()).await;
+            let is_ready = matches!(ready, Ok(Ok(()))) && !sender.is_closed();
             match check {
-                _ if sender.is_closed() || sender.ready().await.is_err() => {}
+                _ if !is_ready => {}
                 _ if is_recent => return Some(connection),
                 Some(check) if check.passes(address, sender).await => return Some(connection),
                 // The others have been idle for longer, so they are no better.
@@ -287,7 +295,7 @@
             .to_owned();
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|e| e.to_string())?;
-        self.tasks.spawn(async move {
+        let driver = self.tasks.spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(address:% = address; "connection to a server failed: {error}");
             }
@@ -296,7 +304,11 @@
             number,
             responses: 0,
         };
-        Ok(Connection { sender, usage })
+        Ok(Connection {
+            sender,
+            usage,
+            _driver: AbortOnDropHandle::new(driver),
+        })
     }
 }
 
@@ -313,7 +325,7 @@
             sender.ready().await.ok()?;
             Some(!is_foreign)
         };
-        let passes = tokio::time::timeout(self.timeout, exchange).await;
+        let passes = timeout(self.timeout, exchange).await;
         let passes = matches!(passes, Ok(Some(true)));
         if !passes {
             log::debug!(address:% = address; "idle connection failed its check");
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
-//! Tests of the settings, of the log sink and of the command `explain`.
+//! Tests of the settings, of the log sink, of the client of servers and of the command `explain`.
 
 mod explain;
+mod http_client;
 mod logs;
 mod settings;
