fix(bench): hold a port of each layout, so that two runs share none

Cause: the ports of a layout followed from the process id modulo 64, so that one in 64 pairs of runs shared all of them, and with them processes and folders. Two runs whose ids are equal modulo 64 failed in 5 of 5 tries, though with another symptom (the first ticket was not accepted).

Change: a layout binds one of its ports while it lives, and one whose ports are held takes the next. The same two runs passed in 3 of 3 tries. The new test fails without the change (the ports of other processes are used).

--- a/lentilcart_bench/src/cluster/cluster.rs
+++ b/lentilcart_bench/src/cluster/cluster.rs
@@ -1,6 +1,7 @@
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::Output;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
@@ -36,10 +37,16 @@
 const SERVER_PORT: u16 = 3;
 /// Offset of the port of the platform.
 const PLATFORM_PORT: u16 = 4;
-/// Number of ports reserved for a layout; 5 of them are in use.
+/// Offset of the port that a layout holds on 127.0.0.1, so that no other process uses its ports.
+const LOCK_PORT: u16 = 5;
+/// Number of ports reserved for a layout; 6 of them are in use.
 const PORTS_PER_LAYOUT: u16 = 8;
 /// Lowest port of any layout.
 const FIRST_PORT: u16 = 10_000;
+/// Number of layouts that have ports of their own at the same time, in all processes of a machine.
+const MAX_LAYOUTS: u32 = 2560;
+/// Number of layouts between the first ones of two processes with successive ids.
+const LAYOUTS_PER_PROCESS: u32 = 40;
 /// Interval between two reads of the state of a host.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest wait for a host to reach an awaited state; the run fails after it.
@@ -55,7 +62,7 @@
     pub firm: Firm,
     /// Number of entries.
     pub entries: usize,
-    /// First of the layout's ports; 8 are reserved, 5 in use.
+    /// First of the layout's ports; 8 are reserved, 6 in use.
     pub first_port: u16,
     /// Whether links between data centres have the network latency of the firm; otherwise none.
     pub has_latency: bool,
@@ -64,6 +71,8 @@
     pub split_servers: bool,
     /// Further flags of every entry daemon, besides name and addresses.
     pub flags: Vec<String>,
+    /// Holds the [`LOCK_PORT`].
+    _lock: Arc<TcpListener>,
 }
 
 /// A running deployment. Dropping it ends every process that it has started.
@@ -88,16 +97,27 @@
     folder: PathBuf,
 }
 
+/// Takes the next ports of this process; `None` if another layout uses them.
+fn take_ports() -> Option<(u16, TcpListener)> {
+    let number = LAYOUT_COUNT.fetch_add(1, Ordering::Relaxed);
+    let first = std::process::id().wrapping_mul(LAYOUTS_PER_PROCESS);
+    let first_port =
+        FIRST_PORT + (first.wrapping_add(number) % MAX_LAYOUTS) as u16 * PORTS_PER_LAYOUT;
+    let lock = TcpListener::bind((Ipv4Addr::LOCALHOST, first_port + LOCK_PORT)).ok()?;
+    Some((first_port, lock))
+}
+
 impl Layout {
-    /// Creates the layout of a firm with 5 entries, on ports that none of the previous 39 layouts of
-    /// this process uses.
+    /// Creates the layout of a firm with 5 entries, on ports that no other layout on this machine uses.
+    ///
+    /// # Panics
     ///
-    /// Each process has 320 ports, for 40 layouts; processes whose ids are equal modulo 64 share them.
+    /// Panics if the ports of all layouts are in use.
     #[must_use]
     pub fn new(firm: Firm) -> Self {
-        let number = LAYOUT_COUNT.fetch_add(1, Ordering::Relaxed) as u16;
-        let first_port =
-            FIRST_PORT + (std::process::id() % 64) as u16 * 320 + number % 40 * PORTS_PER_LAYOUT;
+        let (first_port, lock) = (0..MAX_LAYOUTS)
+            .find_map(|_| take_ports())
+            .expect("some layout has free ports");
         Self {
             firm,
             entries: 5,
@@ -105,6 +125,7 @@
             has_latency: true,
             split_servers: false,
             flags: Vec::new(),
+            _lock: Arc::new(lock),
         }
     }
 
--- a/lentilcart_bench/tests/testsuite/main.rs
+++ b/lentilcart_bench/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod cluster;
 mod examples;
+mod layout;
 mod load;
 mod model;
 mod scenarios;
