fix(entry): answer requests whose body is not complete at a stop

What callers saw: an entry of change tickets that stopped closed the connection of a request whose body was still coming, without an answer.

Cause: only the wait for a permit ended with the drain. A body that the entry reads whole first, and one that is passed on as it comes, were waited for until the process ended.

Evidence: on the code before, stop_answers_requests_without_whole_body got "" in place of a response, and stop_rejects_waiting_requests, which now wants an answer for requests that servers run as well, got "" for one of these. Both pass with the change.

Change: a body that the entry holds back is given up in the last fifth of the drain: 503, outcome not-run, which is true, since nothing was sent. At the end of the drain, requests that servers or other entries have in part or are running get 502 with outcome unknown, and 200 ms to take it.

The check of stop_rejects_waiting_requests is stricter: an empty response counted as a request that a server was running; now it fails.

--- a/lentilcart_bench/tests/testsuite/whole_path.rs
+++ b/lentilcart_bench/tests/testsuite/whole_path.rs
@@ -131,21 +131,68 @@
         streams.push(stream);
     }
     cluster.signal(0, "TERM");
-    let (mut rejected, mut cut) = (0, 0);
+    let (mut rejected, mut ended) = (0, 0);
     for mut stream in streams {
-        let mut response = String::new();
-        // A connection that the end of the process resets fails here.
-        stream.read_to_string(&mut response).await.ok();
-        match response.as_str() {
-            "" => cut += 1,
-            text if text.starts_with("HTTP/1.1 503") && text.contains("about to stop") => {
-                assert!(text.contains("lentilcart-outcome: not-run"), "{text}");
-                rejected += 1;
-            }
-            text => panic!("{text}"),
+        let response = read_whole_response(&mut stream).await;
+        if is_stopping_response(&response, 503, "not-run") {
+            rejected += 1;
+        } else if is_stopping_response(&response, 502, "unknown") {
+            ended += 1;
+        } else {
+            panic!("{response}");
         }
     }
-    assert!(cut <= most_running, "{cut} cut, {rejected} rejected");
-    assert_eq!(cut + rejected, 2 * most_running);
+    assert!(ended <= most_running, "{ended} ended, {rejected} rejected");
+    assert_eq!(ended + rejected, 2 * most_running);
+    cluster.stop().await;
+}
+
+/// Returns all that comes on a connection until it is closed or reset.
+async fn read_whole_response(stream: &mut tokio::net::TcpStream) -> String {
+    let mut response = String::new();
+    // A connection that the end of the process resets fails here.
+    stream.read_to_string(&mut response).await.ok();
+    response
+}
+
+/// Returns whether a response has a status and an outcome, and says that the entry is about to stop.
+fn is_stopping_response(response: &str, status: u16, outcome: &str) -> bool {
+    response.starts_with(&format!("HTTP/1.1 {status}"))
+        && response.contains(&format!("lentilcart-outcome: {outcome}\r\n"))
+        && response.contains("about to stop")
+}
+
+/// Guards against requests whose body is not complete when a stopping entry ends, and that get no answer,
+/// whether the entry holds the body back or a server is getting it.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_answers_requests_without_whole_body() {
+    let mut layout = small_layout();
+    layout.flags.extend(["--drain".to_owned(), "2s".to_owned()]);
+    let cluster = start_cluster(layout, "near1-over2").await;
+    let address = cluster.layout.get_caller_address(0);
+    // The routes of the catalogue are idempotent, those of reservations are not.
+    let mut streams = Vec::new();
+    for (path, id) in [("/catalogue/1", "b1"), ("/reservations/1", "b2")] {
+        let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nhost: a\r\nx-id: {id}\r\ncontent-length: 10\r\n\r\nab"
+        );
+        stream.write_all(request.as_bytes()).await.unwrap();
+        streams.push(stream);
+    }
+    cluster.signal(0, "TERM");
+    let [catalogue, reservations] = &mut streams[..] else {
+        unreachable!("two streams");
+    };
+    let response = read_whole_response(catalogue).await;
+    assert!(
+        is_stopping_response(&response, 503, "not-run"),
+        "{response:?}"
+    );
+    let response = read_whole_response(reservations).await;
+    assert!(
+        is_stopping_response(&response, 502, "unknown"),
+        "{response:?}"
+    );
     cluster.stop().await;
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -166,11 +166,13 @@
                 "its body cannot be sent again".to_owned(),
             ));
         };
-        let result = timeout_at(
-            deadline,
-            send_with_hedge(entry, owners, request, permit, http_request, &excluded),
-        )
-        .await;
+        let sending = send_with_hedge(entry, owners, request, permit, http_request, &excluded);
+        let result = tokio::select! {
+            // Polled first: an answer that has come is passed on.
+            biased;
+            result = timeout_at(deadline, sending) => result,
+            () = entry.requests_end.cancelled() => return Err(RequestError::stopping_while_run()),
+        };
         let Ok(result) = result else {
             return Err(RequestError::DeadlineExceeded(/* may_have_run */ true));
         };
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -63,6 +63,8 @@
     /// Cancelled when this entry, which is leaving, begins no more attempts: requests without a permit are
     /// rejected.
     pub(crate) attempts_end: CancellationToken,
+    /// Cancelled when this entry, which is leaving, waits no longer for the answers of servers.
+    pub(crate) requests_end: CancellationToken,
     /// Cancelled when no request is left, or the time to drain is over; ends the background tasks.
     pub(crate) stop: CancellationToken,
     /// Counter whose changes make every dialled link send a heartbeat at once.
@@ -124,6 +126,7 @@
             stats: Stats::default(),
             tasks,
             attempts_end: CancellationToken::new(),
+            requests_end: CancellationToken::new(),
             stop: CancellationToken::new(),
             heartbeat_due: watch::Sender::new(0),
             is_ticket_confirmed: watch::Sender::new(true),
--- a/src/entry/handle.rs
+++ b/src/entry/handle.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::task::JoinHandle;
 use tokio_util::task::TaskTracker;
@@ -17,6 +18,9 @@
 /// The drain time divided by this number is reserved, at its end, for the requests that servers are running.
 /// In it, requests without a permit are rejected, since an attempt that began would not end in time.
 const ATTEMPT_RESERVE_DIVISOR: u32 = 5;
+/// Time after the drain within which the callers of requests that are still running get an answer of this
+/// entry.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Handle of a running entry, by which it is stopped.
 #[derive(Debug)]
@@ -108,8 +112,9 @@
     /// of the lame-duck time; lets requests in flight finish within the drain time; and waits for
     /// the listeners and loops, and for at most `platform_timeout` for the background tasks.
     ///
-    /// Requests that still have no permit some time before the end of the drain time are rejected, so
-    /// that their callers get an answer and can send them elsewhere.
+    /// Requests that still have no permit, or whose body is still being read, some time before the end
+    /// of the drain time are rejected, so that their callers get an answer and can send them elsewhere.
+    /// Those that servers are still running at its end get status 502.
     ///
     /// Returns true if every request finished within the drain time, and false if some were
     /// cut off.
@@ -127,7 +132,7 @@
         let drained = async {
             self.callers.wait().await;
             while self.entry.stats.get_in_flight() > 0 {
-                tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+                tokio::time::sleep(Duration::from_millis(5)).await;
             }
         };
         tokio::pin!(drained);
@@ -139,7 +144,14 @@
         if !complete {
             log::info!(in_flight = self.entry.stats.get_in_flight(); "rejecting requests without a permit");
             self.entry.attempts_end.cancel();
-            complete = tokio::time::timeout(reserve, drained).await.is_ok();
+            complete = tokio::time::timeout(reserve, drained.as_mut())
+                .await
+                .is_ok();
+        }
+        if !complete {
+            log::info!(in_flight = self.entry.stats.get_in_flight(); "ending requests that servers are running");
+            self.entry.requests_end.cancel();
+            tokio::time::timeout(ANSWER_TIMEOUT, drained).await.ok();
         }
         self.entry.stop.cancel();
         self.entry.http_client.close_idle();
--- a/src/entry/request_error.rs
+++ b/src/entry/request_error.rs
@@ -18,7 +18,7 @@
     NoRoute,
     /// The entry has no ticket in force yet.
     NoTicket,
-    /// This entry is about to stop, and the request had no permit yet.
+    /// This entry is about to stop, and the request had no permit yet, or its body was still being read.
     Stopping,
     /// No permit was granted.
     PermitRejected(PermitRejection),
@@ -34,6 +34,11 @@
 }
 
 impl RequestError {
+    /// Returns the error of a request that a server may be running while this entry stops.
+    pub(crate) fn stopping_while_run() -> Self {
+        Self::AnswerLost("this entry is about to stop".to_owned())
+    }
+
     /// Returns what the caller is told about whether the request was run.
     pub(crate) fn get_outcome(&self) -> CallerOutcome {
         match self {
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -176,7 +176,13 @@
         && !prepared.service.has_direct_dispatch()
         && !owner_names.is_empty()
     {
-        match forward(entry, &owner_names, &mut prepared).await? {
+        let forwarded = tokio::select! {
+            // Polled first: an answer that has come is passed on.
+            biased;
+            forwarded = forward(entry, &owner_names, &mut prepared) => forwarded?,
+            () = entry.requests_end.cancelled() => return Err(RequestError::stopping_while_run()),
+        };
+        match forwarded {
             Some(answer) => return Ok(answer),
             None => owner_names.clear(),
         }
@@ -215,7 +221,10 @@
     let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
     set_header(&mut parts.headers, HOST.as_str(), host);
     let is_idempotent = route.class == RequestClass::Idempotent;
-    let payload = Payload::read(body, is_idempotent, entry.settings.body_bytes).await?;
+    let payload = tokio::select! {
+        payload = Payload::read(body, is_idempotent, entry.settings.body_bytes) => payload?,
+        () = entry.attempts_end.cancelled() => return Err(RequestError::Stopping),
+    };
     // `send_with_retries` does not retry a request that carries an attempt number. A request that
     // is not idempotent loses the number, so that a retry by the caller may be retried here if no
     // server ran it.
