fix(entry): count a request as ended when its caller disconnects early

Cause: the count went down when the body of the response ended. hyper drops the future of the request when the caller disconnects, so that there is no response.

Evidence: disconnected_caller_leaves_no_request_in_flight, on the code before: "entry 1 did not reach the awaited status in time" after 30 s.

Change: a guard counts down when it is dropped, with the future or at the end of the response, as in the gateway.

Related paths: the gateway's count has had such a guard.

--- a/lentilcart_bench/tests/testsuite/whole_path.rs
+++ b/lentilcart_bench/tests/testsuite/whole_path.rs
@@ -162,6 +162,25 @@
         && response.contains("about to stop")
 }
 
+/// Guards against a request that counts as in flight for good after its caller has disconnected before
+/// there was a response, so that the entry does not drain until the end of `--drain`.
+#[tokio::test(flavor = "multi_thread")]
+async fn disconnected_caller_leaves_no_request_in_flight() {
+    let cluster = start_cluster(small_layout(), "near1-over2").await;
+    let address = cluster.layout.get_caller_address(0);
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let request = "POST /reservations/1 HTTP/1.1\r\nhost: a\r\nx-id: d1\r\nx-work-us: 60000000\r\ncontent-length: 0\r\n\r\n";
+    stream.write_all(request.as_bytes()).await.unwrap();
+    cluster
+        .wait_for_status(0, |status| status.in_flight == 1)
+        .await;
+    drop(stream);
+    cluster
+        .wait_for_status(0, |status| status.in_flight == 0)
+        .await;
+    cluster.stop().await;
+}
+
 /// Guards against requests whose body is not complete when a stopping entry ends, and that get no answer,
 /// whether the entry holds the body back or a server is getting it.
 #[tokio::test(flavor = "multi_thread")]
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -80,7 +80,7 @@
     if source == RequestSource::Caller {
         set_caller_headers(&mut request, remote);
     }
-    entry.stats.begin_request();
+    let guard = InFlightGuard::new(entry.clone());
     let mut metric_labels = None;
     let served = handle_request(&entry, request, source, &mut metric_labels).await;
     let mut outcome = "answered";
@@ -98,7 +98,7 @@
     }
     response.map(|body| {
         stream_body(NotifyOnEnd::new(body, move |end| {
-            entry.stats.end_request();
+            drop(guard);
             let outcome = if end == BodyEnd::Failed {
                 "cut"
             } else {
@@ -118,6 +118,22 @@
     })
 }
 
+/// Counts a request as in flight until its response has been written, or its caller has disconnected.
+struct InFlightGuard(Arc<Entry>);
+
+impl InFlightGuard {
+    fn new(entry: Arc<Entry>) -> Self {
+        entry.stats.begin_request();
+        Self(entry)
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.0.stats.end_request();
+    }
+}
+
 /// Removes the headers that a caller must not set, and adds its address to `X-Forwarded-For` and
 /// this entry to `Via`.
 fn set_caller_headers(request: &mut Request<Incoming>, remote: SocketAddr) {
