fix(http): copy the frames of a body that is read completely

What callers could see: a body in chunks of one byte took about 38 times its size, in the answers of the store (up to 32 MB), in fetches from other entries (up to 32 MB), in probes and connection checks (up to 16 KB) and in callers' request bodies (up to the routes' limit). 32 MB of them are more than a gigabyte.

Cause: http_body_util's collect keeps the frames in a list. Each has a place of 32 bytes in it, and keeps the read buffer that it came in, with the lines of the chunks.

Change: the frames are copied into one buffer, also for callers' request bodies. The limits are as before.

Test: memory::store_reply_of_small_chunks_stays_small (growth below 16 MiB).

Related paths: a response to a caller's request was copied into one buffer already (read_response).

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -2,7 +2,7 @@
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::Limited;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::uri::PathAndQuery;
@@ -19,7 +19,7 @@
 use super::response::is_refusal;
 use crate::http::{
     BodyEnd, HttpBody, NotifyOnEnd, find_request_error, get_header_duration, get_header_text,
-    set_header, stream_body, strip_hop_by_hop,
+    read_body, set_header, stream_body, strip_hop_by_hop,
 };
 
 /// Upper bound of the time until a rejected caller may retry, as a share of its remaining time.
@@ -200,7 +200,7 @@
     let limit = routes.table.limits.body_bytes;
     let (mut parts, body) = request.into_parts();
     let deadline_at = Instant::from_std(gateway.clock.to_instant(deadline));
-    let read = timeout_at(deadline_at, read_body(body, limit));
+    let read = timeout_at(deadline_at, read_request_body(body, limit));
     let body = tokio::select! {
         read = read => match read {
             Ok(body) => body?,
@@ -263,7 +263,7 @@
 /// # Errors
 ///
 /// Returns an error reply if the body exceeds `limit` bytes or cannot be read.
-async fn read_body(body: Incoming, limit: u64) -> Result<Bytes, ErrorReply> {
+async fn read_request_body(body: Incoming, limit: u64) -> Result<Bytes, ErrorReply> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
@@ -271,8 +271,8 @@
     if body.size_hint().lower() > limit {
         return Err(too_large());
     }
-    match Limited::new(body, limit as usize).collect().await {
-        Ok(read) => Ok(read.to_bytes()),
+    match read_body(Limited::new(body, limit as usize)).await {
+        Ok(read) => Ok(read),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
         Err(error) => Err(ErrorReply::new(ErrorReason::BadRequest, error.to_string())),
     }
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -1,8 +1,8 @@
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::Request;
@@ -49,6 +49,23 @@
         .map_err(|error| error.to_string())
 }
 
+/// Reads a body completely into one buffer. Frames are copied: each may be a single byte and keep the read
+/// buffer that it came in.
+///
+/// # Errors
+///
+/// Fails if the body cannot be read; the rest is not read.
+pub async fn read_body<B: Body<Data = Bytes>>(body: B) -> Result<Bytes, B::Error> {
+    let mut body = pin!(body);
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            read.extend_from_slice(&data);
+        }
+    }
+    Ok(read.freeze())
+}
+
 /// Reads a body that has to fit into memory completely.
 ///
 /// # Errors
@@ -62,11 +79,15 @@
 {
     // The error as a text, since futures that convert a boxed error are not accepted as `Send`.
     let body = body.map_err(|error| error.to_string());
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(format!("more than {max_bytes} bytes")),
-        Err(error) => Err(error.to_string()),
-    }
+    read_body(Limited::new(body, max_bytes))
+        .await
+        .map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                format!("more than {max_bytes} bytes")
+            } else {
+                error.to_string()
+            }
+        })
 }
 
 /// How a body ended.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,8 @@
-//! Tests of the settings, of the log sink, of the client of servers and of the command `explain`.
+//! Tests of the settings, of the log sink, of the client of servers, of the daemon's memory and
+//! of the command `explain`.
 
 mod explain;
 mod http_client;
 mod logs;
+mod memory;
 mod settings;
