fix(gateway): close the connection of a probe whose answer names a request

A request that must run at most once was answered 502 though its server had answered it, or was running it.

Cause: a late answer to a request came as the answer to a probe. The probe failed, as it should, but the response had been given the body that returns the connection to the pool, and one without content counts as read completely when it is dropped. The probe's own answer came next, on a connection that a request was using by then.

Change: the header is checked before the response gets that body, so that the connection is dropped with it.

Related paths: answers to attempts and hedges that do not fit are dropped as received (`Unusable`, `Foreign`), checks of connections own the connection until they pass, calls to the store and fetches of mirrors close it when they fail.

--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -170,10 +170,16 @@
         }
         received => received,
     };
-    let response = received.map_err(|e| e.to_string())?.into_streamed(|_| ());
-    if response.headers().contains_key(HEADER_NAMES.request_id) {
+    let received = received.map_err(|e| e.to_string())?;
+    if received
+        .response
+        .headers()
+        .contains_key(HEADER_NAMES.request_id)
+    {
+        // Dropping the response closes its connection, on which the probe's own may still come.
         return Err("the response belongs to another request".to_owned());
     }
+    let response = received.into_streamed(|_| ());
     gateway.handle_probe_notice(&server.dispatcher, server.address, &response);
     let load = get_header_text(response.headers(), HEADER_NAMES.load).and_then(decode_load_report);
     collect_body(response.into_body(), MAX_HEALTH_BYTES).await?;
