fix(http): close connections on which a health check was refused

A request that must run at most once was answered 502, without having been answered by its server, where a second copy of a refused probe or check of its connection came late.

Cause: a server without room refuses health checks as well. The answer names no request, and its connection was used again, so that a copy of it came in the place of the answer to the request behind it.

Evidence: `late_answers::refused_probe_closes_connection` and `refused_check_closes_connection` on the code before: 502, "the answer cannot be used: it names no request". 200 after it, and the server gets each request once.

Change: after a probe with a status other than 2xx the connection is closed; a check with such a status does not pass.

Related paths: a copy of a plain answer, which can not be told from the right one, is left; see ROUTING.

--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -179,6 +179,12 @@
         // Dropping the response closes its connection, on which the probe's own may still come.
         return Err("the response belongs to another request".to_owned());
     }
+    let received = if received.response.status().is_success() {
+        received
+    } else {
+        // A copy of a refusal that comes late names nothing either: the connection is closed.
+        received.with_max_idle_connections(0)
+    };
     let response = received.into_streamed(|_| ());
     gateway.handle_probe_notice(&server.dispatcher, server.address, &response);
     let load = get_header_text(response.headers(), HEADER_NAMES.load).and_then(decode_load_report);
--- a/src/http/http_client.rs
+++ b/src/http/http_client.rs
@@ -60,7 +60,9 @@
 pub struct ConnectionCheck {
     /// Path of the request, which is sent with GET.
     pub path: Name,
-    /// Time within which the response must be complete. Its status does not matter.
+    /// Time within which the response must be complete. With any status but 2xx the server works, but the
+    /// connection is not used: a second copy of a refusal names nothing, and might come in the place of the
+    /// response to the request.
     pub timeout: Duration,
     /// Header that a response to the check does not have: one that has it answers an earlier request.
     pub foreign_header: &'static str,
@@ -319,11 +321,12 @@
             let request = build_get(address, &self.path).ok()?;
             let response = sender.send_request(request).await.ok()?;
             let is_foreign = response.headers().contains_key(self.foreign_header);
+            let is_plain = response.status().is_success();
             collect_body(response.into_body(), MAX_HEALTH_BYTES)
                 .await
                 .ok()?;
             sender.ready().await.ok()?;
-            Some(!is_foreign)
+            Some(is_plain && !is_foreign)
         };
         let passes = timeout(self.timeout, exchange).await;
         let passes = matches!(passes, Ok(Some(true)));
