fix(http): use no connection whose next bytes have arrived already

A late answer that had come while a connection was idle was read as the answer to the next request, which got 502 if it must run at most once.

Cause: hyper closes a connection on which bytes come while it is idle, once its task has run after the runtime has looked at the socket. The daemon has one thread; a request that was ready at the same time took the connection before that.

Evidence: `idle_connections::connection_with_bytes_waiting_is_not_used`, in which the bytes come while the only thread is busy, on the code before: `left: "late", right: "2"`.

Change: the request's task yields once before an idle connection is used.

Why it works: tokio wakes a task that has yielded after it has polled the sockets, so that the task of the connection runs first and closes it. That holds for the single-threaded runtime, which the daemon uses.

Cost: one more turn of a task for each use of a connection.

Related paths: all users of the client take connections here, checks, probes and fetches of mirrors included. A socket that is peeked at would cost a second descriptor for each connection, and was not tried.

--- a/src/http/http_client.rs
+++ b/src/http/http_client.rs
@@ -261,6 +261,9 @@
                 }
                 (connections.pop()?.connection, is_recent)
             };
+            // Lets the runtime look at the connection: bytes that have come while it was idle answer no
+            // request, and close it.
+            tokio::task::yield_now().await;
             let sender = &mut connection.sender;
             let ready = timeout(READY_TIMEOUT, sender.ready()).await;
             let is_ready = matches!(ready, Ok(Ok(()))) && !sender.is_closed();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 
 mod explain;
 mod http_client;
+mod idle_connections;
 mod logs;
 mod memory;
 mod settings;
