fix(route): record notices and loads at the newest instance of an address

While a restarted server was listed under two identifiers, its load and notices were kept for the instance before it, so that the new one was chosen by no load, or got requests that it had said it did not want.

Cause: `get_server_index` took the first instance listed at an address.

Evidence: `server_pool::get_server_index_is_that_of_newest_instance` on the code before: `left: "old", right: "new"`.

Change: among the instances listed at an address, the one that started last counts; without a start in the registrations, the one added last, where no index was reused.

Why it works: one process answers at an address, and that is the one started last.

Related paths: probes, load updates, notices of other entries, and leaving servers of `src/entry` all take the index here.

--- a/lentilcart_route/src/pool/server_pool.rs
+++ b/lentilcart_route/src/pool/server_pool.rs
@@ -181,12 +181,15 @@
         self.states.get(server)
     }
 
-    /// Returns the index of the listed server with this address.
+    /// Returns the index of the listed server with this address. While a restarted server is listed as two
+    /// instances, this is the one that has started last, which answers there.
     #[must_use]
     pub fn get_server_index(&self, address: SocketAddr) -> Option<usize> {
-        self.states
-            .iter()
-            .position(|state| state.listed && state.config.address == address)
+        let states = self.states.iter().enumerate();
+        let at_address =
+            states.filter(|(_, state)| state.listed && state.config.address == address);
+        let newest = at_address.max_by_key(|(_, state)| state.config.started_ms);
+        newest.map(|(index, _)| index)
     }
 
     /// Returns a summary of every listed server, for operators.
--- a/lentilcart_route/tests/testsuite/server_pool.rs
+++ b/lentilcart_route/tests/testsuite/server_pool.rs
@@ -317,6 +317,31 @@
     assert_eq!(offer(&mut pool, Micros::ZERO, 7), [rejection]);
 }
 
+/// Guards against what a restarted server says of itself that is recorded for the instance before it, where
+/// that is still listed at the address.
+#[test]
+fn get_server_index_is_that_of_newest_instance() {
+    let instance = |id: &str, started_ms| ServerConfig {
+        id: id.into(),
+        started_ms,
+        ..ServerConfig::new(address(0), 3)
+    };
+    let now = Micros::ZERO;
+    for ids in [[("old", 1), ("new", 2)], [("new", 2), ("old", 1)]] {
+        let mut pool = ServerPool::new(PoolConfig::default(), 1);
+        let servers = ids.map(|(id, started_ms)| instance(id, started_ms));
+        pool.set_servers(now, &servers);
+        let index = pool.get_server_index(address(0)).unwrap();
+        let state = pool.get_server_state(index).unwrap();
+        assert_eq!(*state.get_config().id, *"new");
+        // The older one counts again once it is the only one.
+        pool.set_servers(now, &[instance("old", 1)]);
+        let index = pool.get_server_index(address(0)).unwrap();
+        let state = pool.get_server_state(index).unwrap();
+        assert_eq!(*state.get_config().id, *"old");
+    }
+}
+
 /// Guards against a request that goes once more to the process which has turned it away, where that is
 /// listed under two identifiers, as after a restart, or is listed again while the request waits.
 #[test]
