fix(state): ignore registrations written before the known one

A leaving or removed server could get requests again, by a write of its own that the store accepted late: until its next write, or until the registration lapsed.

Cause: registrations were compared by the revision of the store, which a late write has as well. Their own order, the start of the process and the number of the write, was not read.

Evidence, on the code before: `directory::late_write_does_not_undo_leaving` and `late_write_does_not_undo_removal` failed at `!directory.record_registration(write(4, false))`, and `late_write_ends_lapse_only` got 9 slots for 3.

Change: a write with the start of the known one and a lower number is ignored. Removed servers are remembered for 30 s, 512 at most, for that. A late write of a lapsed server ends the lapse, since it shows that it is registered again. A change of the number alone is no change.

Related paths: a lower start under the same identifier is taken as the next instance, since clocks of machines differ.

--- a/lentilcart_state/src/directory/directory.rs
+++ b/lentilcart_state/src/directory/directory.rs
@@ -1,3 +1,5 @@
+use std::collections::VecDeque;
+
 use lentilcart_util::{Map, Micros, Name};
 
 use super::ServerRegistration;
@@ -6,6 +8,12 @@
 /// lapsed register again within it.
 const OUTAGE_GRACE: Micros = Micros::from_millis(2100);
 
+/// Time for which the last registration of a removed server is remembered, to tell a write from before its
+/// removal.
+const REMOVED_MEMORY: Micros = Micros::from_millis(30_000);
+/// Largest number of removed servers that are remembered for that.
+const MAX_REMOVED: usize = 512;
+
 /// Registered servers, and servers whose registration lapsed because of an outage of the store.
 ///
 /// A registration lapses when the store is unreachable and the server can't renew it. Such a server
@@ -20,6 +28,8 @@
     /// Start, in Unix milliseconds, of each instance that has said itself that it is leaving, by server
     /// identifier.
     leaving_instances: Map<Name, u64>,
+    /// Last registrations of removed servers, with the time of the removal, the oldest first.
+    removed: VecDeque<(ServerRegistration, Micros)>,
     outage: Outage,
 }
 
@@ -37,7 +47,15 @@
 impl ServerDirectory {
     /// Records a registration; returns whether it changed anything. An instance that has said that it is
     /// leaving stays so, whatever its registration says.
+    ///
+    /// A registration that was written before the known one, or before that of a removed server, is ignored.
+    /// It only shows that a lapsed server is registered again.
     pub fn record_registration(&mut self, mut registration: ServerRegistration) -> bool {
+        if self.is_older_write(&registration) {
+            return self.removal_times.remove(&registration.id).is_some();
+        }
+        self.removed
+            .retain(|(removed, _)| removed.id != registration.id);
         match self.leaving_instances.get(&registration.id) {
             Some(started_ms) if *started_ms == registration.started_ms => {
                 registration.leaving = true;
@@ -50,7 +68,25 @@
         let previous = self
             .registrations
             .insert(registration.id.clone(), registration.clone());
-        lapsed || previous != Some(registration)
+        let is_changed = previous.is_none_or(|previous| {
+            let sequence = registration.sequence;
+            registration
+                != ServerRegistration {
+                    sequence,
+                    ..previous
+                }
+        });
+        lapsed || is_changed
+    }
+
+    /// Returns whether a registration was written before the one that is known of its server, or was known
+    /// when the server was removed.
+    #[must_use]
+    pub fn is_older_write(&self, registration: &ServerRegistration) -> bool {
+        let removed = self.removed.iter().map(|(removed, _)| removed);
+        let known = self.registrations.get(&registration.id);
+        let mut known = known.into_iter().chain(removed);
+        known.any(|known| registration.is_older_write(known))
     }
 
     /// Records that the registered instance of a server has said itself that it is leaving; returns
@@ -102,7 +138,7 @@
                 false
             }
             Some(_) => {
-                self.remove(id);
+                self.remove(id, now);
                 true
             }
         }
@@ -125,7 +161,8 @@
         }
     }
 
-    /// Removes the lapsed servers whose grace period is over; returns their identifiers.
+    /// Removes the lapsed servers whose grace period is over, and forgets those removed long ago; returns the
+    /// identifiers of the lapsed ones.
     pub fn remove_lapsed(&mut self, now: Micros) -> Vec<Name> {
         if let Outage::Ended(at) = self.outage
             && now >= at + OUTAGE_GRACE
@@ -139,15 +176,21 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &expired {
-            self.remove(id);
+            self.remove(id, now);
         }
+        self.removed.retain(|(_, at)| now < *at + REMOVED_MEMORY);
         expired
     }
 
-    fn remove(&mut self, id: &Name) {
+    fn remove(&mut self, id: &Name, now: Micros) {
         self.removal_times.remove(id);
-        self.registrations.remove(id);
         self.leaving_instances.remove(id);
+        let registration = self.registrations.remove(id);
+        self.removed
+            .extend(registration.map(|registration| (registration, now)));
+        if self.removed.len() > MAX_REMOVED {
+            self.removed.pop_front();
+        }
     }
 
     /// Returns the time at which a lapsed server is removed, or `None` if the server has not lapsed. It
--- a/lentilcart_state/src/directory/registration.rs
+++ b/lentilcart_state/src/directory/registration.rs
@@ -24,9 +24,20 @@
     /// Start of the incarnation, in milliseconds of Unix time; tells a restarted server from its
     /// predecessor with the same identifier.
     pub started_ms: u64,
+    /// Number of this write among those of the incarnation; `None` if the registration has none.
+    pub sequence: Option<u64>,
 }
 
 impl ServerRegistration {
+    /// Returns whether this was written before another registration of the same incarnation. That is not
+    /// known where one of them has no start or no sequence number.
+    #[must_use]
+    pub fn is_older_write(&self, other: &Self) -> bool {
+        let is_same_start = self.started_ms > 0 && self.started_ms == other.started_ms;
+        let numbers = self.sequence.zip(other.sequence);
+        self.id == other.id && is_same_start && numbers.is_some_and(|(own, other)| own < other)
+    }
+
     /// Returns whether another registration is of the same incarnation.
     #[must_use]
     pub fn is_same_incarnation(&self, other: &Self) -> bool {
--- a/lentilcart_state/tests/testsuite/directory.rs
+++ b/lentilcart_state/tests/testsuite/directory.rs
@@ -11,6 +11,15 @@
         leaving: false,
         warmup_remaining: Micros::ZERO,
         started_ms,
+        sequence: None,
+    }
+}
+
+fn write(sequence: u64, leaving: bool) -> ServerRegistration {
+    ServerRegistration {
+        leaving,
+        sequence: Some(sequence),
+        ..registration("i-1", 7)
     }
 }
 
@@ -117,3 +126,65 @@
     assert!(!is_leaving(&directory));
     assert!(!directory.record_leaving(&"i-2".into()));
 }
+
+/// Guards against a leaving server that gets requests again by a write from before, which the store has
+/// accepted late.
+#[test]
+fn late_write_does_not_undo_leaving() {
+    let mut directory = ServerDirectory::default();
+    directory.record_registration(write(5, true));
+    assert!(!directory.record_registration(write(4, false)));
+    assert!(directory.get("i-1").unwrap().leaving);
+    // A later write counts, and so does the next instance, whose numbers start anew.
+    assert!(directory.record_registration(write(6, false)));
+    let next = ServerRegistration {
+        started_ms: 8,
+        ..write(1, true)
+    };
+    assert!(directory.record_registration(next));
+}
+
+/// Guards against a server that is used again after it is gone, by a write from before its removal, and
+/// against memory that is kept for each server that was ever removed.
+#[test]
+fn late_write_does_not_undo_removal() {
+    let mut directory = ServerDirectory::default();
+    directory.record_registration(write(5, false));
+    assert!(directory.record_removal(&"i-1".into(), ms(0)));
+    assert!(!directory.record_registration(write(4, false)));
+    assert!(directory.is_empty());
+    // Without numbers nothing is known of the order.
+    assert!(directory.record_registration(registration("i-1", 7)));
+    assert!(directory.record_removal(&"i-1".into(), ms(10)));
+    assert!(directory.record_registration(write(5, false)));
+    assert!(directory.record_removal(&"i-1".into(), ms(20)));
+    directory.remove_lapsed(ms(29_000));
+    assert!(!directory.record_registration(write(4, false)));
+    directory.remove_lapsed(ms(31_000));
+    assert!(directory.record_registration(write(4, false)));
+    assert!(directory.record_removal(&"i-1".into(), ms(40_000)));
+    for number in 0..600 {
+        let id = format!("i-{}", number + 2);
+        directory.record_registration(registration(&id, 1));
+        directory.record_removal(&id.as_str().into(), ms(40_001));
+    }
+    assert!(directory.record_registration(write(3, false)));
+}
+
+/// Guards against a server that is taken out of use after an outage though its entry is back: a late write
+/// shows that it is, but not what it holds.
+#[test]
+fn late_write_ends_lapse_only() {
+    let mut directory = ServerDirectory::default();
+    directory.record_registration(write(5, false));
+    directory.record_outage_start();
+    assert!(!directory.record_removal(&"i-1".into(), ms(0)));
+    let older = ServerRegistration {
+        slots: 9,
+        ..write(4, false)
+    };
+    assert!(directory.record_registration(older));
+    directory.record_outage_end(ms(100));
+    assert!(directory.remove_lapsed(ms(9000)).is_empty());
+    assert_eq!(directory.get("i-1").unwrap().slots, 3);
+}
--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -149,6 +149,9 @@
                     .map(|registration| registration.service.clone());
                 let is_changed = match registration {
                     Some(registration) => {
+                        if directory.is_older_write(&registration) {
+                            log::info!(server:% = id, number = registration.sequence; "registration ignored: not newer");
+                        }
                         changed_services.insert(registration.service.clone());
                         directory.record_registration(registration)
                     }
