test(gateway): property of what is made of answers on kept connections

A model without I/O: three kept connections, and any order of right, late, doubled, foreign, cut and unidentified answers. A request that must run at most once runs once at most, and its caller is told that it has not run only if it has not.

`classify_response` and its verdict are public for that.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,3 +40,4 @@
 mod tick;
 
 pub use self::handle::{GatewayHandle, start_gateway};
+pub use self::response::{ResponseVerdict, classify_response};
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -23,7 +23,7 @@
 
 /// The classification of a server's response by its status and headers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum ResponseVerdict {
+pub enum ResponseVerdict {
     /// A response to be passed on, other than 5xx.
     Valid,
     /// A 5xx response that may be passed on, though another server might not give it.
@@ -58,7 +58,7 @@
 ///
 /// A response to be passed on must have a signature. Only its presence is checked: the balancer does
 /// not verify signatures.
-pub(crate) fn classify_response<B>(
+pub fn classify_response<B>(
     response: &Response<B>,
     request_id: &str,
     class: RequestClass,
