fix(gateway): bound the memory of bodies by the process, not by a request

Cause: read_body collected every body whole, whatever the others held, and copied its pieces into a second buffer while the first still existed. Only the number of connections bounded that.

Change: ByteBudget (lentilcart_route, no I/O) decides who gets bytes: a reserve for bodies of up to 64 KiB and for answers, the rest by service, the one that holds the least first, none may take it all. BodyMemory hands them out before a body is read; they return with the last reference to the bytes. A body is read into one buffer of its length. One without a length takes the largest size once it is not small, so that no two bodies wait for each other. What finds no room is not read for half of the request's time, and is then refused with 503 (no-memory); the rest of a refused body is read and dropped, one at a time, so that its caller gets the answer. An answer without room is streamed instead of buffered. Settings memory.limit and memory.bodies; by default 0.4 of the memory that the system shows, at most 256 MiB.

--- a/lentilcart_route/src/lib.rs
+++ b/lentilcart_route/src/lib.rs
@@ -32,7 +32,9 @@
 mod pool;
 mod queue;
 
-pub use self::limits::{EjectLimits, Hedger, ProbeBudget, RetryLimits, TokenBucket};
+pub use self::limits::{
+    ByteBudget, ByteClaim, EjectLimits, Hedger, ProbeBudget, RetryLimits, TokenBucket,
+};
 pub use self::policy::{LoadSource, POLICIES, PickContext, Policy, get_policy, get_policy_names};
 pub use self::pool::{
     AttemptOutcome, Decision, LoadReport, MAX_PREFLIGHT_PROBES, NoticeSource, PendingRequest,
--- a/lentilcart_route/src/limits/mod.rs
+++ b/lentilcart_route/src/limits/mod.rs
@@ -1,10 +1,12 @@
-//! Limits of retries, hedges, probes and ejections, and the token buckets that enforce them.
+//! Limits of retries, hedges, probes, ejections and memory, and the token buckets that enforce rates.
 
+mod byte_budget;
 mod hedger;
 mod rate_pacer;
 mod settings;
 mod token_bucket;
 
+pub use self::byte_budget::{ByteBudget, ByteClaim};
 pub use self::hedger::Hedger;
 pub(crate) use self::rate_pacer::RatePacer;
 pub use self::settings::{EjectLimits, ProbeBudget, RetryLimits};
--- a/lentilcart_route/tests/testsuite/main.rs
+++ b/lentilcart_route/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the routing decisions.
 
+mod byte_budget;
 mod hold_offs;
 mod late_paced;
 mod limits;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -19,8 +19,8 @@
 use super::response::{ResponseVerdict, classify_response, read_response};
 use crate::entry::{Dispatcher, Permit};
 use crate::http::{
-    BodyEnd, ConnectionCheck, HttpBody, SendError, ServerResponse, collect_body, full_body,
-    get_header_text, set_header,
+    BodyEnd, BoxError, ConnectionCheck, HttpBody, SendError, ServerResponse, collect_body,
+    full_body, get_header_text, set_header,
 };
 
 /// Maximum number of unreachable servers per request: one more fails the request.
@@ -422,6 +422,18 @@
     (max_idle_time.into(), check)
 }
 
+/// Reads a response of a server of the dispatcher's service, as [`read_response`] does.
+async fn read_answer(
+    gateway: &Gateway,
+    dispatcher: &Dispatcher,
+    received: ServerResponse,
+    deadline: Instant,
+) -> Result<Response<HttpBody>, BoxError> {
+    let response = received.into_streamed(|_: BodyEnd| ());
+    let (bodies, tasks) = (&gateway.bodies, &gateway.tasks);
+    read_response(response, deadline, tasks, bodies, &dispatcher.service).await
+}
+
 /// Sends a request to the server of a permit, reads the response and releases the permit with the
 /// outcome.
 async fn send_attempt(
@@ -497,8 +509,7 @@
             return AttemptResult::NotRun(detail);
         }
     }
-    let response = received.into_streamed(|_: BodyEnd| ());
-    match read_response(response, deadline, &gateway.tasks).await {
+    match read_answer(gateway, &dispatcher, received, deadline).await {
         Ok(response) if verdict == ResponseVerdict::Valid => {
             log::debug!(
                 request:% = request_id, server:% = server, address:% = address,
--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -63,6 +63,7 @@
             }
             Ok(table) => {
                 let version = table.version;
+                self.fit_bodies(table.limits.body_bytes);
                 self.replace_routes(table);
                 log::info!(number = version, revision; "routes in force");
                 metrics::gauge!("lentilcart_routes_number").set(version as f64);
@@ -70,6 +71,18 @@
         }
     }
 
+    /// Makes the largest body that routes allow fit into the memory for bodies, as far as the process has
+    /// memory at all.
+    fn fit_bodies(&self, largest: u64) {
+        let max_body = self.max_body;
+        if largest > max_body {
+            log::warn!(largest, max_body; "larger bodies are rejected: the process has too little memory");
+        }
+        if let Some(bytes) = self.bodies.fit_largest(largest.min(max_body)) {
+            log::warn!(largest, bytes; "memory for bodies enlarged to hold the largest body");
+        }
+    }
+
     /// Replaces the routes in force. Services that stay keep their dispatcher and thereby their
     /// pending requests, what is known of their servers, and the configuration of their pool, which
     /// is replaced only when the number of known entries changes.
--- a/src/gateway/error_reply.rs
+++ b/src/gateway/error_reply.rs
@@ -14,6 +14,8 @@
         TooLarge,
         /// The request body did not arrive before the deadline.
         SlowBody,
+        /// This entry has no memory for the request body.
+        NoMemory,
         /// This entry has no routes yet.
         NoRoutes,
         /// No route in force matches.
@@ -64,6 +66,7 @@
             Self::BadRequest => "bad-request",
             Self::TooLarge => "too-large",
             Self::SlowBody => "slow-body",
+            Self::NoMemory => "no-memory",
             Self::NoRoutes => "no-routes",
             Self::UnknownRoute => "unknown-route",
             Self::RoutesBehind => "routes-behind",
@@ -90,7 +93,8 @@
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::NoUsableResponse => StatusCode::BAD_GATEWAY,
             Self::StoppingMayHaveRun | Self::TimeoutMayHaveRun => StatusCode::GATEWAY_TIMEOUT,
-            Self::NoRoutes
+            Self::NoMemory
+            | Self::NoRoutes
             | Self::RoutesBehind
             | Self::NoServer
             | Self::Overload
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -7,10 +7,11 @@
 use lentilcart_state::{Member, MemberTable, Mirror, RouteTable, ServerDirectory};
 use lentilcart_util::{Map, Name};
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::body_memory::BodyMemory;
 use super::datagram::{Datagram, GatewayHeartbeat, LoadUpdate};
 use super::drain::DrainSchedule;
 use super::permit_table::PermitTable;
@@ -77,6 +78,12 @@
     pub(crate) requests_end: CancellationToken,
     /// Cancelled when the background tasks must end.
     pub(crate) stop: CancellationToken,
+    /// Memory for request bodies and buffered answers.
+    pub(crate) bodies: BodyMemory,
+    /// Largest request body that this process takes, whatever the routes allow, in bytes.
+    pub(crate) max_body: u64,
+    /// Allows one refused body at a time to be read and dropped.
+    pub(crate) discards: Arc<Semaphore>,
     /// Callers' requests whose responses have not been written completely.
     pub(crate) in_flight: AtomicU64,
     /// Changes whenever a heartbeat is due at once; the value has no meaning.
@@ -140,6 +147,9 @@
             attempts_end: CancellationToken::new(),
             requests_end: CancellationToken::new(),
             stop: CancellationToken::new(),
+            bodies: BodyMemory::new(settings.memory.get_body_bytes()),
+            max_body: settings.memory.get_max_body(),
+            discards: Arc::new(Semaphore::new(1)),
             in_flight: AtomicU64::new(0),
             heartbeat_due: watch::Sender::new(0),
             relist: Notify::new(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,7 +5,8 @@
 //! service is the entry of a data centre that grants its permits there. Members are all known entries,
 //! this one included; peers are the others.
 //!
-//! Requests: `serve` reads a caller's request and matches a route, `attempt` sends it and retries,
+//! Requests: `serve` reads a caller's request and matches a route, `body_memory` bounds the memory of all
+//! bodies, `attempt` sends it and retries,
 //! `permit_table` gets the permit for each attempt, `on_demand_probe` probes the chosen server, if its
 //! load report is old, before the request is sent, `response` classifies what the server sends back,
 //! `notice` reads what the server says of itself there, and `error_reply` is the reply if no server's response can be passed on.
@@ -19,6 +20,7 @@
 
 mod attempt;
 mod attempt_log;
+mod body_memory;
 mod changes;
 mod datagram;
 mod drain;
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -2,16 +2,18 @@
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame};
 use hyper::header::{CONTENT_ENCODING, HeaderMap};
 use hyper::{Response, StatusCode};
 use lentilcart_platform::HEADER_NAMES;
 use lentilcart_state::RequestClass;
+use lentilcart_util::Name;
 use tokio::time::{Instant, Sleep, sleep_until};
 use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 
+use super::body_memory::BodyMemory;
 use crate::http::{BoxError, HttpBody, full_body, stream_body};
 
 /// Maximum size of a response body that is buffered completely before the caller gets any of it, in
@@ -112,10 +114,11 @@
     )
 }
 
-/// Reads a response body up to [`MAX_BUFFERED_BYTES`]; the rest of a longer body is streamed until the
-/// `deadline`, and up to [`MAX_STREAMED_BYTES`]. Trailers of a body that is
-/// read completely are dropped. A task on `tasks` drops a streamed body at the deadline, which closes its
-/// connection.
+/// Reads a response body of a service up to [`MAX_BUFFERED_BYTES`]; the rest of a longer body is streamed
+/// until the `deadline`, and up to [`MAX_STREAMED_BYTES`]. Trailers of a body that is
+/// read completely are dropped. If the memory for bodies has no room, all of the body is streamed: the
+/// request holds room itself, so that it must not wait for more. A task on `tasks` drops a streamed body at
+/// the deadline, which closes its connection.
 ///
 /// # Errors
 ///
@@ -124,40 +127,52 @@
     response: Response<HttpBody>,
     deadline: Instant,
     tasks: &TaskTracker,
+    bodies: &BodyMemory,
+    service: &Name,
 ) -> Result<Response<HttpBody>, BoxError> {
     let (parts, mut body) = response.into_parts();
-    let mut read = BytesMut::new();
+    let expected = body.size_hint().exact();
+    let expected = expected.map_or(MAX_BUFFERED_BYTES, |length| {
+        MAX_BUFFERED_BYTES.min(length as usize)
+    });
+    let stream = |prefix: [Option<Bytes>; 2], body| {
+        let rest = Arc::new(Mutex::new(Some(Limited::new(body, MAX_STREAMED_BYTES))));
+        let shared = rest.clone();
+        let cut = tasks.spawn(async move {
+            sleep_until(deadline).await;
+            drop(shared.lock().expect("no panic under lock").take());
+        });
+        stream_body(PrefixedBody {
+            prefix,
+            rest,
+            end: Box::pin(sleep_until(deadline)),
+            _cut: AbortOnDropHandle::new(cut),
+        })
+    };
+    let Some(room) = bodies.take_now(service, expected as u64) else {
+        metrics::counter!("lentilcart_answers_unbuffered_total").increment(1);
+        return Ok(Response::from_parts(parts, stream([None, None], body)));
+    };
+    let mut read = Vec::with_capacity(expected);
     loop {
-        match body.frame().await {
-            None => return Ok(Response::from_parts(parts, full_body(read.freeze()))),
-            Some(frame) => {
-                if let Ok(data) = frame?.into_data() {
-                    read.extend_from_slice(&data);
-                }
-            }
-        }
-        if read.len() > MAX_BUFFERED_BYTES {
-            let rest = Arc::new(Mutex::new(Some(Limited::new(body, MAX_STREAMED_BYTES))));
-            let shared = rest.clone();
-            let cut = tasks.spawn(async move {
-                sleep_until(deadline).await;
-                drop(shared.lock().expect("no panic under lock").take());
-            });
-            let body = PrefixedBody {
-                prefix: Some(read.freeze()),
-                rest,
-                end: Box::pin(sleep_until(deadline)),
-                _cut: AbortOnDropHandle::new(cut),
-            };
-            return Ok(Response::from_parts(parts, stream_body(body)));
+        let Some(frame) = body.frame().await else {
+            return Ok(Response::from_parts(parts, full_body(room.hold(read))));
+        };
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        if read.len() + data.len() > expected {
+            let prefix = [Some(room.hold(read)), Some(data)];
+            return Ok(Response::from_parts(parts, stream(prefix, body)));
         }
+        read.extend_from_slice(&data);
     }
 }
 
 /// A body of which a prefix has been read: yields the prefix, then the rest, and fails at the `end` or
 /// after too many bytes.
 struct PrefixedBody {
-    prefix: Option<Bytes>,
+    prefix: [Option<Bytes>; 2],
     /// Empty after the `end`.
     rest: Arc<Mutex<Option<Limited<HttpBody>>>>,
     end: Pin<Box<Sleep>>,
@@ -173,7 +188,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        if let Some(prefix) = self.prefix.take() {
+        if let Some(prefix) = self.prefix.iter_mut().find_map(Option::take) {
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
         let is_over = self.end.as_mut().poll(cx).is_ready();
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -1,8 +1,9 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Limited;
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::uri::PathAndQuery;
@@ -14,12 +15,13 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{GatewayRequest, dispatch};
+use super::body_memory::{NoRoom, SMALL_BYTES};
 use super::error_reply::{ErrorReason, ErrorReply};
 use super::gateway::{ActiveRoutes, Gateway};
 use super::response::is_refusal;
 use crate::http::{
     BodyEnd, HttpBody, NotifyOnEnd, find_request_error, get_header_duration, get_header_text,
-    read_body, set_header, stream_body, strip_hop_by_hop,
+    set_header, stream_body, strip_hop_by_hop,
 };
 
 /// Upper bound of the time until a rejected caller may retry, as a share of its remaining time.
@@ -35,6 +37,12 @@
 const MIN_QUICK_RETRY_AFTER: Micros = Micros::from_millis(2);
 /// Maximum time until a retry in that case.
 const MAX_QUICK_RETRY_AFTER: Micros = Micros::from_millis(10);
+/// Longest wait of a request body for memory, as a share of the request's remaining time: its caller needs
+/// the rest to send it elsewhere.
+const MEMORY_WAIT_SHARE: f64 = 0.5;
+/// Time for which the bodies of rejected requests are still read and dropped once this entry, which is
+/// leaving, begins no more attempts.
+const DISCARD_GRACE: Duration = Duration::from_millis(500);
 /// Remaining time assumed when computing `Retry-After` if no route has been matched and the caller sets
 /// no deadline.
 const DEFAULT_REMAINING: Micros = Micros::from_millis(1000);
@@ -197,21 +205,34 @@
     summary.route = route.name.clone();
     summary.remaining = requested.map_or(route.timeout, |requested| requested.min(route.timeout));
     let deadline = arrived + summary.remaining;
-    let limit = routes.table.limits.body_bytes;
-    let (mut parts, body) = request.into_parts();
-    let deadline_at = Instant::from_std(gateway.clock.to_instant(deadline));
-    let read = timeout_at(deadline_at, read_request_body(body, limit));
-    let body = tokio::select! {
-        read = read => match read {
-            Ok(body) => body?,
-            Err(_) => return Err(ErrorReply::new(ErrorReason::SlowBody, "")),
-        },
+    let service = route.pick_service().clone();
+    summary.service = service.clone();
+    let to_instant = |time| Instant::from_std(gateway.clock.to_instant(time));
+    let limits = BodyLimits {
+        bytes: routes.table.limits.body_bytes.min(gateway.max_body),
+        deadline: to_instant(deadline),
+        memory_wait_end: to_instant(arrived + summary.remaining.scaled(MEMORY_WAIT_SHARE)),
+    };
+    let (mut parts, mut body) = request.into_parts();
+    let read = timeout_at(
+        limits.deadline,
+        read_request_body(gateway, &service, &mut body, limits),
+    );
+    let read = tokio::select! {
+        read = read => read.unwrap_or_else(|_| Err(ErrorReply::new(ErrorReason::SlowBody, ""))),
         () = gateway.attempts_end.cancelled() => {
-            return Err(ErrorReply::new(ErrorReason::Stopping, "the body is not complete"));
+            Err(ErrorReply::new(ErrorReason::Stopping, "the body is not complete"))
+        }
+    };
+    let body = match read {
+        Ok(read) => read,
+        Err(reply) => {
+            if matches!(reply.reason, ErrorReason::NoMemory | ErrorReason::Stopping) {
+                discard_body(gateway, body, limits.deadline);
+            }
+            return Err(reply);
         }
     };
-    let service = route.pick_service().clone();
-    summary.service = service.clone();
     let Some(dispatcher) = routes.dispatchers.get(&service) else {
         return Err(ErrorReply::new(ErrorReason::NoServer, ""));
     };
@@ -257,23 +278,90 @@
     }
 }
 
+/// Limits of a request body.
+#[derive(Debug, Clone, Copy)]
+struct BodyLimits {
+    /// Largest size, in bytes.
+    bytes: u64,
+    /// Time by which it must have arrived.
+    deadline: Instant,
+    /// Time until which it may wait for memory.
+    memory_wait_end: Instant,
+}
+
 /// Reads a request body completely, since a request is sent to a server only when all of it has
-/// arrived.
+/// arrived. Memory is taken before it is read, so that a caller whose body has to wait is slowed down by
+/// its connection.
+///
+/// A body of unknown length takes room for a small one first, and for the largest one when it is not
+/// small. It never waits with more than that, so that no two bodies wait for each other.
 ///
 /// # Errors
 ///
-/// Returns an error reply if the body exceeds `limit` bytes or cannot be read.
-async fn read_request_body(body: Incoming, limit: u64) -> Result<Bytes, ErrorReply> {
+/// Returns an error reply if the body exceeds the limit, cannot be read or gets no memory in time.
+async fn read_request_body(
+    gateway: &Arc<Gateway>,
+    service: &Name,
+    body: &mut Incoming,
+    limits: BodyLimits,
+) -> Result<Bytes, ErrorReply> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
+    let limit = limits.bytes;
     let too_large = || ErrorReply::new(ErrorReason::TooLarge, format!("more than {limit} bytes"));
     if body.size_hint().lower() > limit {
         return Err(too_large());
     }
-    match read_body(Limited::new(body, limit as usize)).await {
-        Ok(read) => Ok(read),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
-        Err(error) => Err(ErrorReply::new(ErrorReason::BadRequest, error.to_string())),
+    let expected = body.size_hint().exact();
+    let expected = expected.unwrap_or_else(|| SMALL_BYTES.min(limit));
+    let wait_end = limits.memory_wait_end;
+    let room = gateway.bodies.take(service, expected, wait_end).await;
+    let mut room = room.map_err(refuse_body)?;
+    let mut read = Vec::with_capacity(expected as usize);
+    while let Some(frame) = body.frame().await {
+        let frame =
+            frame.map_err(|error| ErrorReply::new(ErrorReason::BadRequest, error.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let length = (read.len() + data.len()) as u64;
+        if length > limit {
+            return Err(too_large());
+        }
+        if length > room.get_bytes() {
+            let larger = gateway.bodies.take(service, limit, wait_end).await;
+            room = larger.map_err(refuse_body)?;
+            read.reserve_exact(limit as usize - read.len());
+        }
+        read.extend_from_slice(&data);
     }
+    Ok(room.hold(read))
+}
+
+/// Returns the reply to a request whose body gets no memory, and counts it.
+fn refuse_body(reason: NoRoom) -> ErrorReply {
+    metrics::counter!("lentilcart_bodies_refused_total", "reason" => reason.as_str()).increment(1);
+    ErrorReply::new(ErrorReason::NoMemory, reason.as_str())
+}
+
+/// Reads and drops the rest of the body of a rejected request, one body at a time: many callers read the
+/// reply only when they have written the whole request, and a connection that is closed with unread bytes
+/// is reset. It ends at the request's deadline, or soon after the last attempts of a stopping entry.
+fn discard_body(gateway: &Arc<Gateway>, mut body: Incoming, deadline: Instant) {
+    let shared = gateway.clone();
+    gateway.tasks.spawn(async move {
+        let discard = async {
+            let _permit = shared.discards.acquire().await;
+            while let Some(Ok(_)) = body.frame().await {}
+        };
+        let stopped = async {
+            shared.attempts_end.cancelled().await;
+            tokio::time::sleep(DISCARD_GRACE).await;
+        };
+        tokio::select! {
+            _ = timeout_at(deadline, discard) => {}
+            () = stopped => {}
+        }
+    });
 }
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -85,7 +85,7 @@
 }
 
 /// Records the gauges for the age of the store's last reply, for lapsed servers, for servers that restrict
-/// requests by their own word, and for opened connections.
+/// requests by their own word, for the memory of bodies, and for opened connections.
 fn record_gauges(gateway: &Gateway) {
     let age = gateway
         .get_store_reply_age()
@@ -108,6 +108,7 @@
             .set(held_off as f64);
         metrics::gauge!("lentilcart_servers_leaving", "service" => service).set(leaving as f64);
     }
+    gateway.bodies.record_gauges();
     metrics::gauge!("lentilcart_server_connections_opened")
         .set(gateway.server_client.get_opened_count() as f64);
 }
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -55,7 +55,7 @@
 /// # Errors
 ///
 /// Fails if the body cannot be read; the rest is not read.
-pub async fn read_body<B: Body<Data = Bytes>>(body: B) -> Result<Bytes, B::Error> {
+async fn read_body<B: Body<Data = Bytes>>(body: B) -> Result<Bytes, B::Error> {
     let mut body = pin!(body);
     let mut read = BytesMut::new();
     while let Some(frame) = body.frame().await {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -8,7 +8,7 @@
 
 pub use self::body::{
     BodyEnd, BoxError, HttpBody, NotifyOnEnd, build_get, collect_body, empty_body, full_body,
-    read_body, stream_body,
+    stream_body,
 };
 pub use self::connect::{ConnectTimeouts, connect};
 pub use self::headers::{
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,5 +22,5 @@
 
 pub use self::error::{DaemonError, SettingsError};
 pub use self::http::{BoxError, ConnectionUse, HttpBody, HttpClient, SendError, full_body};
-pub use self::settings::{EntrySettings, GatewaySettings, options_help};
+pub use self::settings::{EntrySettings, GatewaySettings, MemorySettings, options_help};
 pub use self::util::{Clock, LogSink, LogWriter, init_logs, init_logs_to};
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -1,11 +1,23 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 
-use lentilcart_util::{DurationText, Micros, Name};
+use lentilcart_util::{ByteText, DurationText, Micros, Name};
 use serde::Deserialize;
 use serde_with::serde_as;
 
 use crate::error::SettingsError;
+use crate::util::get_visible_memory;
+
+/// Memory for bodies as a share of the memory that the process may use, if none is set.
+const BODY_SHARE: f64 = 0.4;
+/// Largest share of that memory that may be set for bodies.
+const MAX_BODY_SHARE: f64 = 0.8;
+/// Largest memory for bodies if none is set, in bytes.
+const MAX_DEFAULT_BODIES: u64 = 256 << 20;
+/// Smallest memory for bodies that may be set, in bytes.
+const MIN_BODIES: u64 = 1 << 20;
+/// Memory that the process may use if neither the settings nor the system name any, in bytes.
+const DEFAULT_MEMORY: u64 = 512 << 20;
 
 /// Settings of a gateway: an entry that takes its hosts, routes and servers from the store of the
 /// users' platform, instead of change tickets.
@@ -30,6 +42,9 @@
     pub servers: ServerSettings,
     /// Retry budget of each service, shared by all entries.
     pub retries: RetrySettings,
+    /// Memory of the process, and the part of it for bodies. It is read at the start only.
+    #[serde(default)]
+    pub memory: MemorySettings,
     /// Durations of a shutdown: until the platform kills the process, and until the listener closes.
     #[serde(rename = "stop")]
     pub shutdown: ShutdownSettings,
@@ -246,6 +261,42 @@
     pub burst: f64,
 }
 
+/// Memory of the process, and the part of it for bodies; texts with a unit, such as `"256MiB"`.
+#[serde_as]
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct MemorySettings {
+    /// Memory that the process may use, in bytes; by default what the system shows of it.
+    #[serde_as(as = "Option<ByteText>")]
+    pub limit: Option<u64>,
+    /// Memory for the request bodies and buffered answers that are held at once, in bytes. By default
+    /// two fifths of the limit, and at most 256 MiB.
+    #[serde_as(as = "Option<ByteText>")]
+    pub bodies: Option<u64>,
+}
+
+impl MemorySettings {
+    /// Returns the memory for the request bodies and buffered answers that are held at once, in bytes.
+    #[must_use]
+    pub fn get_body_bytes(&self) -> u64 {
+        let default = (self.get_limit() as f64 * BODY_SHARE) as u64;
+        self.bodies
+            .unwrap_or_else(|| default.clamp(MIN_BODIES, MAX_DEFAULT_BODIES))
+    }
+
+    /// Returns the largest request body that this process takes, whatever the routes allow, in bytes.
+    #[must_use]
+    pub fn get_max_body(&self) -> u64 {
+        (self.get_limit() as f64 * MAX_BODY_SHARE) as u64
+    }
+
+    /// Returns the memory that the process may use, in bytes.
+    fn get_limit(&self) -> u64 {
+        let limit = self.limit.or_else(get_visible_memory);
+        limit.unwrap_or(DEFAULT_MEMORY)
+    }
+}
+
 /// Durations of a shutdown: until the platform kills the process, and until the listener closes.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -314,6 +365,8 @@
         let policies = lentilcart_route::get_policy_names().join(", ");
         let (lease, renew) = (self.store.lease_ttl, self.store.renew_interval);
         let (grace, lame_duck) = (self.shutdown.grace_period, self.shutdown.lame_duck);
+        let bodies = self.memory.bodies;
+        let bodies_text = ByteText::format(bodies.unwrap_or_default());
         // Whether each rule is broken, and its message.
         let rules = [
             (
@@ -348,6 +401,24 @@
                 self.retries.ratio < 0.0 || self.retries.burst < 0.0,
                 "retries: expected a ratio and a burst of at least 0".to_owned(),
             ),
+            (
+                bodies.is_some_and(|bodies| bodies < MIN_BODIES),
+                format!(
+                    "memory.bodies = {bodies_text:?}: expected at least {:?}",
+                    ByteText::format(MIN_BODIES)
+                ),
+            ),
+            (
+                bodies.is_some_and(|bodies| bodies > self.memory.get_max_body()),
+                format!(
+                    "memory.bodies = {bodies_text:?}: expected at most {MAX_BODY_SHARE} of the memory of the process ({:?})",
+                    bodies.map_or_else(String::new, |_| ByteText::format(self.memory.get_limit()))
+                ),
+            ),
+            (
+                self.memory.limit == Some(0),
+                "memory.limit = \"0B\": expected a size above 0".to_owned(),
+            ),
             (
                 lentilcart_route::get_policy(&self.servers.policy).is_none(),
                 format!(
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,5 +5,5 @@
 mod options;
 
 pub use self::entry_settings::EntrySettings;
-pub use self::gateway_settings::GatewaySettings;
+pub use self::gateway_settings::{GatewaySettings, MemorySettings};
 pub use self::options::options_help;
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -1,5 +1,5 @@
 use expect_test::{Expect, expect};
-use lentilcart::GatewaySettings;
+use lentilcart::{GatewaySettings, MemorySettings};
 
 /// Settings that are valid, with only the required fields.
 const VALID: &str = r#"
@@ -99,6 +99,68 @@
     );
 }
 
+/// Guards against a process that is given more memory for bodies than it may use.
+#[test]
+fn parse_body_memory_above_limit() {
+    check(
+        "[stop]",
+        "[memory]\nlimit = \"650MB\"\nbodies = \"600MB\"\n[stop]",
+        &expect![[
+            r#"memory.bodies = "600MB": expected at most 0.8 of the memory of the process ("650MB")"#
+        ]],
+    );
+}
+
+/// Guards against a memory that holds hardly any body.
+#[test]
+fn parse_body_memory_too_small() {
+    check(
+        "[stop]",
+        "[memory]\nlimit = \"650MB\"\nbodies = \"64KiB\"\n[stop]",
+        &expect![[r#"memory.bodies = "64KiB": expected at least "1MiB""#]],
+    );
+}
+
+/// Guards against a size whose unit is guessed.
+#[test]
+fn parse_size_without_unit() {
+    check(
+        "[stop]",
+        "[memory]\nbodies = \"64\"\n[stop]",
+        &expect![[r#"
+            TOML parse error at line 16, column 10
+               |
+            16 | bodies = "64"
+               |          ^^^^
+            "64": expected a whole number with a unit, such as "256MiB" or "650MB"
+        "#]],
+    );
+}
+
+#[test]
+fn parse_body_memory() {
+    check(
+        "[stop]",
+        "[memory]\nlimit = \"650MB\"\nbodies = \"256MiB\"\n[stop]",
+        &expect!["valid"],
+    );
+}
+
+/// Guards against a default that takes all of the memory of a small process, or too much of a large one.
+#[test]
+fn get_body_bytes_by_limit() {
+    let get = |limit| {
+        let memory = MemorySettings {
+            limit: Some(limit),
+            bodies: None,
+        };
+        memory.get_body_bytes()
+    };
+    assert_eq!(get(100_000_000), 40_000_000);
+    assert_eq!(get(650_000_000), 260_000_000);
+    assert_eq!(get(32_000_000_000), 256 << 20);
+}
+
 /// A setting that is renamed or removed must not break the template that is deployed.
 #[test]
 fn parse_deployed_template_is_valid() {
