feat(bench): uploads at once beside small requests, against one entry process

lentilcart-bench uploads starts one lentilcartd with stand-ins of the store and of servers, sends N uploads of 56 MiB at once beside 50 small requests a second, kills the process above its memory as the platform does, and prints peak memory, what was served and refused, and the latency of the small requests.

--- a/lentilcart_bench/src/bin/lentilcart-bench.rs
+++ b/lentilcart_bench/src/bin/lentilcart-bench.rs
@@ -2,10 +2,10 @@
 
 use std::error::Error;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use lentilcart_bench::cluster::{Variant, get_firm};
+use lentilcart_bench::cluster::{Variant, binary_path, get_firm};
 use lentilcart_bench::demo::run_demo;
 use lentilcart_bench::model::{LoadPhase, ModelConfig, simulate};
 use lentilcart_bench::platform::PlatformStub;
@@ -15,8 +15,9 @@
     measure_overhead, measure_scaling, run_experiment,
 };
 use lentilcart_bench::servers::ServerStub;
+use lentilcart_bench::uploads::{UploadOptions, measure_uploads};
 use lentilcart_route::PoolConfig;
-use lentilcart_util::Micros;
+use lentilcart_util::{ByteText, Micros};
 use pico_args::Arguments;
 
 /// Length of each phase of load in the model.
@@ -40,6 +41,11 @@
                                       shares of the capacity of the slots; a share S of the
                                       servers is in need, accepts N requests a second each,
                                       and names that limit unless --unnamed is given
+  uploads [--program PATH] [--counts A,B] [--waves N] [--memory SIZE] [--folder PATH]
+                                      send uploads of 56 MiB at once beside small requests to
+                                      one entry, a process of its own that is killed above SIZE
+                                      (650MB if absent), for each number of uploads (0,5,8,50,200
+                                      if absent); prints a JSON line for each
   servers --listen ADDRESSES [--one-way-us N]
                                       run stubs of servers
   platform --listen ADDRESS           run the stub of the platform
@@ -72,6 +78,7 @@
         }
         Some("bench") => bench(args).await,
         Some("model") => model(args),
+        Some("uploads") => uploads(args).await,
         Some("servers") => servers(args).await,
         Some("platform") => {
             let address: SocketAddr = args.value_from_str("--listen")?;
@@ -146,6 +153,37 @@
     Ok(())
 }
 
+/// Measures large uploads at once and prints a JSON line for each number of them.
+async fn uploads(mut args: Arguments) -> Result<(), Box<dyn Error>> {
+    let program = args.opt_value_from_os_str("--program", |path| {
+        Ok::<_, std::convert::Infallible>(PathBuf::from(path))
+    })?;
+    let counts: String = args
+        .opt_value_from_str("--counts")?
+        .unwrap_or_else(|| "0,5,8,50,200".to_owned());
+    let counts = counts.split(',').map(|count| {
+        count
+            .parse()
+            .map_err(|_| format!("--counts {count}: expected numbers"))
+    });
+    let memory: Option<String> = args.opt_value_from_str("--memory")?;
+    let folder: Option<String> = args.opt_value_from_str("--folder")?;
+    let options = UploadOptions {
+        program: program.unwrap_or_else(|| binary_path("lentilcartd")),
+        folder: folder.map_or_else(
+            || std::env::temp_dir().join("lentilcart-uploads"),
+            PathBuf::from,
+        ),
+        counts: counts.collect::<Result<_, _>>()?,
+        waves: args.opt_value_from_str("--waves")?.unwrap_or(3),
+        memory: ByteText::parse(memory.as_deref().unwrap_or("650MB"))?,
+    };
+    for row in measure_uploads(&options).await? {
+        println!("{}", serde_json::to_string(&row)?);
+    }
+    Ok(())
+}
+
 /// Runs stubs of servers with 3 slots each until one fails.
 async fn servers(mut args: Arguments) -> Result<(), Box<dyn Error>> {
     let listen: String = args.value_from_str("--listen")?;
--- a/lentilcart_bench/src/lib.rs
+++ b/lentilcart_bench/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod report;
 pub mod scenario;
 pub mod servers;
+pub mod uploads;
 pub mod util;
