fix(gateway): take the first room of a body of unknown length from the reserve

What callers could see: 503 (no-memory) for a body without a length though nobody else held the room that it waited for. Where the reserve was full, the first 64 KiB came from the shared part, and the body then waited for the largest size there: one that is as large as the shared part never fits beside them.

Change: such a body begins with the reserve, or takes the largest size at once. What is held of the shared part never waits for more of it. take_reserved_leaves_shared_part tests the new function; it has no counterpart before.

--- a/lentilcart_route/src/limits/byte_budget.rs
+++ b/lentilcart_route/src/limits/byte_budget.rs
@@ -118,6 +118,16 @@
         self.claim(service, bytes)
     }
 
+    /// Takes room for a small body from the reserve at once, or returns `None` if that has none now. A body
+    /// that may need more later begins with it: what is held of the shared part must not wait for more of it.
+    pub fn take_reserved(&mut self, service: &Name, bytes: u64) -> Option<ByteClaim> {
+        if self.fits_reserve(bytes) {
+            self.claim(service, bytes)
+        } else {
+            None
+        }
+    }
+
     /// Adds a body to those that wait and returns its ticket, or `None` if too many wait or it can never
     /// fit.
     pub fn enqueue(&mut self, service: &Name, bytes: u64) -> Option<u64> {
--- a/lentilcart_route/tests/testsuite/byte_budget.rs
+++ b/lentilcart_route/tests/testsuite/byte_budget.rs
@@ -85,6 +85,20 @@
     assert!(budget.take_now(&"a".into(), SMALL + 1).is_none());
 }
 
+/// Guards against bodies of unknown length that hold the shared part and wait for the rest of it: the largest
+/// body would never fit.
+#[test]
+fn take_reserved_leaves_shared_part() {
+    let mut budget = ByteBudget::new(TOTAL, SMALL);
+    assert!(budget.fit_largest(TOTAL));
+    let small: Vec<_> = (0..100)
+        .filter_map(|_| budget.take_reserved(&"a".into(), SMALL))
+        .collect();
+    assert_eq!(small.len(), 8);
+    assert!(budget.take_reserved(&"a".into(), SMALL + 1).is_none());
+    assert!(budget.take_now(&"a".into(), TOTAL).is_some());
+}
+
 /// An event of the bodies; `which` picks one, modulo their number.
 #[derive(Debug, Clone, Copy)]
 enum Event {
--- a/src/gateway/body_memory.rs
+++ b/src/gateway/body_memory.rs
@@ -8,7 +8,7 @@
 
 /// Largest small body, in bytes: small bodies have a reserve that large ones cannot take. Answers that are
 /// buffered are small.
-pub(crate) const SMALL_BYTES: u64 = 64 * 1024;
+const SMALL_BYTES: u64 = 64 * 1024;
 
 /// The memory for bodies of requests and buffered answers of this process. Clones share it.
 #[derive(Debug, Clone)]
@@ -94,6 +94,22 @@
         Some(self.new_room(claim))
     }
 
+    /// Takes room for the start of a body of unknown length: for a small one from the reserve, or else for
+    /// the `largest` one, for which it waits until `wait_end`.
+    pub(crate) async fn take_start(
+        &self,
+        service: &Name,
+        largest: u64,
+        wait_end: Instant,
+    ) -> Result<Room, NoRoom> {
+        let bytes = SMALL_BYTES.min(largest);
+        let claim = self.lock().budget.take_reserved(service, bytes);
+        match claim {
+            Some(claim) => Ok(self.new_room(claim)),
+            None => self.take(service, largest, wait_end).await,
+        }
+    }
+
     /// Waits for room until `wait_end`.
     pub(crate) async fn take(
         &self,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{GatewayRequest, dispatch};
-use super::body_memory::{NoRoom, SMALL_BYTES};
+use super::body_memory::NoRoom;
 use super::error_reply::{ErrorReason, ErrorReply};
 use super::gateway::{ActiveRoutes, Gateway};
 use super::response::is_refusal;
@@ -293,8 +293,8 @@
 /// arrived. Memory is taken before it is read, so that a caller whose body has to wait is slowed down by
 /// its connection.
 ///
-/// A body of unknown length takes room for a small one first, and for the largest one when it is not
-/// small. It never waits with more than that, so that no two bodies wait for each other.
+/// A body of unknown length takes room for a small one from the reserve first, and for the largest one when
+/// it is not small. It never waits with more than that, so that no two bodies wait for each other.
 ///
 /// # Errors
 ///
@@ -313,12 +313,13 @@
     if body.size_hint().lower() > limit {
         return Err(too_large());
     }
-    let expected = body.size_hint().exact();
-    let expected = expected.unwrap_or_else(|| SMALL_BYTES.min(limit));
     let wait_end = limits.memory_wait_end;
-    let room = gateway.bodies.take(service, expected, wait_end).await;
+    let room = match body.size_hint().exact() {
+        Some(length) => gateway.bodies.take(service, length, wait_end).await,
+        None => gateway.bodies.take_start(service, limit, wait_end).await,
+    };
     let mut room = room.map_err(refuse_body)?;
-    let mut read = Vec::with_capacity(expected as usize);
+    let mut read = Vec::with_capacity(room.get_bytes() as usize);
     while let Some(frame) = body.frame().await {
         let frame =
             frame.map_err(|error| ErrorReply::new(ErrorReason::BadRequest, error.to_string()))?;
