--- a/lentilcart_bench/src/uploads/upload_run.rs
+++ b/lentilcart_bench/src/uploads/upload_run.rs
@@ -201,6 +201,7 @@
         leaving: false,
         warmup_remaining: Micros::ZERO,
         started_ms: 1,
+        sequence: None,
     }
 }
 
