feat(bench): soak entries as separate processes before faulty servers

`lentilcart-bench soak` starts `lentilcartd` processes, also of other builds, before a stand-in of the store over HTTP and stand-ins of servers on raw TCP. Servers end, start again at their address under a new identifier or the same one, and send answers twice, cut, lost, or under another request's name; entries get TERM, KILL and STOP; the store loses replies, is down or slow. What clients and servers saw is compared at the end. Kinds of faults are switched on by name.

--- a/lentilcart_bench/src/bin/lentilcart-bench.rs
+++ b/lentilcart_bench/src/bin/lentilcart-bench.rs
@@ -15,10 +15,12 @@
     measure_overhead, measure_scaling, run_experiment,
 };
 use lentilcart_bench::servers::ServerStub;
+use lentilcart_bench::soak::{SoakOptions, SoakSize, parse_faults, run_soak};
 use lentilcart_bench::uploads::{UploadOptions, measure_uploads};
 use lentilcart_route::PoolConfig;
 use lentilcart_util::{ByteText, Micros};
 use pico_args::Arguments;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Length of each phase of load in the model.
 const MODEL_PHASE: Micros = Micros::from_millis(6000);
@@ -41,6 +43,14 @@
                                       shares of the capacity of the slots; a share S of the
                                       servers is in need, accepts N requests a second each,
                                       and names that limit unless --unnamed is given
+  soak --seed N --seconds S [--size small|grown] [--entries E] [--servers N] [--load SHARE]
+       [--pace FACTOR] [--program PATH] [--faults LIST] [--logs FOLDER]
+                                      run entries as separate processes before servers and a
+                                      store with faults, and check what clients and servers saw;
+                                      an unknown part of LIST prints all faults; --servers is
+                                      the number of servers of each service, SHARE that of the
+                                      site's load, FACTOR raises the number of ends of servers;
+                                      exit code 1 if a rule was broken
   uploads [--program PATH] [--counts A,B] [--waves N] [--memory SIZE] [--folder PATH]
                                       send uploads of 56 MiB at once beside small requests to
                                       one entry, a process of its own that is killed above SIZE
@@ -78,6 +88,7 @@
         }
         Some("bench") => bench(args).await,
         Some("model") => model(args),
+        Some("soak") => soak(args).await,
         Some("uploads") => uploads(args).await,
         Some("servers") => servers(args).await,
         Some("platform") => {
@@ -198,6 +209,54 @@
     Ok(())
 }
 
+/// Runs a soak and prints its report as a JSON line, and the stories of broken rules. A signal to stop ends
+/// it early.
+async fn soak(mut args: Arguments) -> Result<(), Box<dyn Error>> {
+    let size: Option<String> = args.opt_value_from_str("--size")?;
+    let size = match size.as_deref() {
+        None | Some("small") => SoakSize::Small,
+        Some("grown") => SoakSize::Grown,
+        Some(size) => return Err(format!("--size {size}: expected small or grown").into()),
+    };
+    let faults: Option<String> = args.opt_value_from_str("--faults")?;
+    let program: Option<PathBuf> = args.opt_value_from_str("--program")?;
+    let logs: Option<PathBuf> = args.opt_value_from_str("--logs")?;
+    let folder = format!("lentilcart-soak-{}", std::process::id());
+    let options = SoakOptions {
+        seed: args.value_from_str("--seed")?,
+        seconds: args.value_from_str("--seconds")?,
+        size,
+        entries: args.opt_value_from_str("--entries")?,
+        servers: args.opt_value_from_str("--servers")?,
+        load: args.opt_value_from_str("--load")?,
+        pace: args.opt_value_from_str("--pace")?.unwrap_or(1.0),
+        program: program.unwrap_or_else(|| binary_path("lentilcartd")),
+        faults: parse_faults(faults.as_deref().unwrap_or("all"))?,
+        logs: logs
+            .clone()
+            .unwrap_or_else(|| std::env::temp_dir().join(folder)),
+    };
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let stop = async {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    };
+    let report = run_soak(&options, stop).await;
+    if logs.is_none() {
+        std::fs::remove_dir_all(&options.logs)?;
+    }
+    let report = report?;
+    print!("{}", report.stories);
+    println!("{}", serde_json::to_string(&report)?);
+    if report.faults.is_empty() {
+        return Ok(());
+    }
+    Err(format!("seed {}: {} rules broken", report.seed, report.faults.len()).into())
+}
+
 /// Runs a scenario, prints its results as JSON lines and a table, and writes a plot if asked to.
 async fn bench(mut args: Arguments) -> Result<(), Box<dyn Error>> {
     let scenario: String = args.value_from_str("--scenario")?;
--- a/lentilcart_bench/src/cluster/process.rs
+++ b/lentilcart_bench/src/cluster/process.rs
@@ -1,4 +1,5 @@
-use std::path::PathBuf;
+use std::fs::File;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
 use lentilcart_util::Micros;
@@ -45,7 +46,7 @@
             .args(args)
             .envs(env.iter().copied())
             .stdin(Stdio::null());
-        let file = log.and_then(|log| std::fs::File::create(log).ok());
+        let file = log.and_then(|log| File::create(log).ok());
         command.stderr(file.map_or_else(Stdio::null, Stdio::from));
         command.stdout(Stdio::null());
         let child = command.spawn();
@@ -54,6 +55,30 @@
         Self { child }
     }
 
+    /// Starts any program, with its output and errors appended to the file `log`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the program cannot be started, or the file cannot be opened.
+    pub fn start_program(
+        path: &Path,
+        env: &[(&str, &str)],
+        log: &Path,
+    ) -> Result<Self, std::io::Error> {
+        let file = File::options().create(true).append(true).open(log)?;
+        let mut command = Command::new(path);
+        command
+            .envs(env.iter().copied())
+            .stdin(Stdio::null())
+            .stdout(file.try_clone()?)
+            .stderr(file);
+        let child = command.spawn().map_err(|e| {
+            let message = format!("{}: {e}", path.display());
+            std::io::Error::new(e.kind(), message)
+        })?;
+        Ok(Self { child })
+    }
+
     /// Returns the id of the process.
     #[must_use]
     pub fn get_id(&self) -> u32 {
--- a/lentilcart_bench/src/lib.rs
+++ b/lentilcart_bench/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod report;
 pub mod scenario;
 pub mod servers;
+pub mod soak;
 pub mod uploads;
 pub mod util;
--- /dev/null
+++ b/lentilcart_bench/src/soak/checks.rs
@@ -0,0 +1,151 @@
+use std::fmt::Write as _;
+
+use lentilcart_util::{Map, Name};
+
+use super::client::PROMISES;
+use super::entry::{Entry, EntryEvent};
+use super::record::{Outcome, Record, Run, SentRequest};
+use super::site::GRACE;
+
+/// Time before a stop of an entry within which a request counts as sent around it, in milliseconds.
+const AROUND_MS: u64 = 3000;
+
+/// Time after which an entry has read a request and must not end its connection without an answer, in
+/// milliseconds.
+const LOSS_SLACK_MS: u64 = 200;
+/// Time before a request from which copies of answers belong to its story, in milliseconds.
+const COPY_MS: u64 = 1000;
+
+/// A broken rule: its name and the request that shows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SoakFault {
+    /// Name: `TWICE`, `REFUSED`, `MIXED`, `LOST`, `UNASKED` for a request that was changed on its way, or
+    /// `ENDED` for an entry that ended by itself.
+    pub rule: &'static str,
+    /// Identifier of the request; the name of the entry that has ended.
+    pub request: Name,
+    /// What is wrong.
+    pub detail: String,
+}
+
+/// Compares what clients and servers saw, and returns the rules that were broken.
+///
+/// `is_planned_end` tells whether a connection of a request to an entry ended around a planned stop of the
+/// entry, with no other fault of it.
+#[must_use]
+pub fn find_faults(
+    requests: &[SentRequest],
+    runs: &[Run],
+    is_planned_end: impl Fn(&SentRequest) -> bool,
+) -> Vec<SoakFault> {
+    let mut runs_of: Map<&Name, Vec<&Run>> = Map::default();
+    for run in runs {
+        runs_of.entry(&run.request).or_default().push(run);
+    }
+    let mut faults = Vec::new();
+    for request in requests {
+        let runs = runs_of.get(&request.id).map_or(&[][..], Vec::as_slice);
+        let mut add = |rule, detail| {
+            faults.push(SoakFault {
+                rule,
+                request: request.id.clone(),
+                detail,
+            });
+        };
+        let servers: Vec<_> = runs.iter().map(|run| &*run.server).collect();
+        if request.is_once && runs.len() > 1 {
+            add("TWICE", format!("it ran at {servers:?}"));
+        }
+        match &request.outcome {
+            Outcome::Answered(status, _)
+                if request.is_once && PROMISES.contains(status) && !runs.is_empty() =>
+            {
+                add("REFUSED", format!("answered {status}, ran at {servers:?}"));
+            }
+            _ => {}
+        }
+        match &request.outcome {
+            Outcome::Answered(status, Some(mix_up)) => {
+                add("MIXED", format!("answered {status}: {mix_up}"));
+            }
+            Outcome::Answered(200, None) if !runs.iter().any(|run| run.answer == "whole") => {
+                add("MIXED", "answered 200, no server did".to_owned());
+            }
+            Outcome::Cut(reason) if is_planned_end(request) && is_lost(request, runs) => {
+                add(
+                    "LOST",
+                    format!("passed on to {servers:?}, and ended: {reason}"),
+                );
+            }
+            _ => {}
+        }
+    }
+    faults
+}
+
+/// Returns whether a request whose connection ended without an answer had been passed on to servers that did
+/// not break off, or had been read long before.
+fn is_lost(request: &SentRequest, runs: &[&Run]) -> bool {
+    if runs.is_empty() {
+        return request.ended - request.sent > LOSS_SLACK_MS;
+    }
+    let is_sound = |run: &&Run| ["whole", "none, the caller left"].contains(&run.answer);
+    runs.iter().all(is_sound)
+}
+
+/// Returns whether a request was sent around a stop by TERM of its entry, without any other fault of it.
+pub(super) fn is_around_stop(entry: &Entry, request: &SentRequest) -> bool {
+    let events = entry.events();
+    let grace = GRACE.as_millis() as u64;
+    let is_near = |at: u64| at + grace + 1000 >= request.sent && at <= request.ended;
+    let is_stop =
+        |(at, event): &(u64, EntryEvent)| *event == EntryEvent::Terminated && is_near(*at);
+    let is_other = |(at, event): &(u64, EntryEvent)| {
+        let is_harm = !matches!(event, EntryEvent::Terminated | EntryEvent::Started);
+        is_harm && at + AROUND_MS >= request.sent && *at <= request.ended
+    };
+    events.iter().any(is_stop) && !events.iter().any(is_other)
+}
+
+/// Tells the story of a fault: the client's view, the runs, and the log lines of all entries that name the
+/// request.
+pub(super) fn tell_story(
+    fault: &SoakFault,
+    requests: &[SentRequest],
+    record: &Record,
+    entries: &[Entry],
+) -> String {
+    let mut story = format!("{} {}: {}\n", fault.rule, fault.request, fault.detail);
+    let mut add = |line: String| writeln!(story, "{line}").expect("writing to a string succeeds");
+    for request in requests
+        .iter()
+        .filter(|request| request.id == fault.request)
+    {
+        add(format!("  client: {request:?}"));
+        let entry = &entries[request.entry];
+        add(format!("  entry: {} {:?}", entry.name, entry.events()));
+        for copy in record.copies() {
+            let is_near = copy.at + COPY_MS >= request.sent && copy.at <= request.ended;
+            if is_near && copy.caller.ip() == entry.address.ip() {
+                add(format!(
+                    "  copy: {} {} of {:?}, {}, from {} to {}",
+                    copy.at, copy.kind, copy.request, copy.when, copy.server, copy.caller
+                ));
+            }
+        }
+    }
+    for run in record
+        .runs()
+        .iter()
+        .filter(|run| run.request == fault.request)
+    {
+        add(format!("  run: {run:?}"));
+    }
+    for entry in entries {
+        let lines = entry.find_log_lines(&fault.request);
+        if !lines.is_empty() {
+            add(format!("  log of {}:\n{}", entry.name, lines.trim_end()));
+        }
+    }
+    story
+}
--- /dev/null
+++ b/lentilcart_bench/src/soak/schedule.rs
@@ -0,0 +1,242 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use lentilcart_util::{Rng, Set, seeded_rng};
+use rand::RngExt;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+use super::entry::Entry;
+use super::fault_kind::FaultKind;
+use super::record::Record;
+use super::server::SoakServer;
+use super::site::HEARTBEAT;
+use super::store::Store;
+
+/// Time for which a server that is leaving serves, at least.
+const DRAIN: Duration = Duration::from_secs(2);
+/// Longest time for which a server's start is tried, and time between two tries.
+const START_TIMEOUT: Duration = Duration::from_secs(5);
+const START_INTERVAL: Duration = Duration::from_millis(20);
+/// Mean time between two faults of one server, in milliseconds.
+const SERVER_FAULT_MS: f64 = 14_000.0;
+
+/// The faults of a soak: what is taken, changed and brought back, in an order that follows from the seed.
+#[derive(Clone)]
+pub(super) struct Schedule {
+    pub(super) seed: u64,
+    /// Factor on the number of faults of servers.
+    pub(super) pace: f64,
+    pub(super) faults: Arc<Set<FaultKind>>,
+    pub(super) servers: Arc<Vec<SoakServer>>,
+    pub(super) entries: Arc<Vec<Entry>>,
+    pub(super) store: Store,
+    pub(super) record: Record,
+}
+
+/// Marks something as taken by a fault for as long as it lives.
+struct Taken<'a>(&'a AtomicBool);
+
+impl<'a> Taken<'a> {
+    fn new(flag: &'a AtomicBool) -> Option<Self> {
+        (!flag.swap(true, Ordering::Relaxed)).then_some(Self(flag))
+    }
+}
+
+impl Drop for Taken<'_> {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
+}
+
+fn millis(rng: &mut Rng, start: u64, end: u64) -> Duration {
+    Duration::from_millis(rng.random_range(start..end))
+}
+
+impl Schedule {
+    /// Plays faults until it is told to stop, and ends those that are at work.
+    pub(super) async fn play(self, stop: CancellationToken) {
+        let mut players = JoinSet::new();
+        players.spawn(self.clone().play_servers(stop.clone()));
+        players.spawn(self.clone().play_entries(stop.clone()));
+        players.spawn(self.play_store(stop));
+        while let Some(ended) = players.join_next().await {
+            ended.expect("faults are played without a panic");
+        }
+    }
+
+    /// Returns those of some kinds that are switched on.
+    fn pick_kinds(&self, kinds: &[FaultKind]) -> Vec<FaultKind> {
+        let is_on = |kind: &&FaultKind| self.faults.contains(kind);
+        kinds.iter().filter(is_on).copied().collect()
+    }
+
+    fn note(&self, kind: FaultKind, what: &str) {
+        self.record.count(kind.as_str());
+        self.record.add_event(format!("{} {what}", kind.as_str()));
+    }
+
+    async fn play_servers(self, stop: CancellationToken) {
+        use FaultKind::{ServerEnd, ServerLeave, ServerSame, ServerSlow};
+        let kinds = self.pick_kinds(&[ServerEnd, ServerSame, ServerLeave, ServerSlow]);
+        let mut rng = seeded_rng(self.seed ^ 0x5e17);
+        let mut actions = JoinSet::new();
+        let pause_ms = (SERVER_FAULT_MS / self.servers.len() as f64 / self.pace) as u64;
+        while !kinds.is_empty() {
+            let pause = millis(&mut rng, pause_ms / 2, pause_ms * 3 / 2 + 1);
+            tokio::select! {
+                () = sleep(pause) => {}
+                () = stop.cancelled() => break,
+            }
+            while actions.try_join_next().is_some() {}
+            let server = rng.random_range(0..self.servers.len());
+            let kind = kinds[rng.random_range(0..kinds.len())];
+            let action_rng = seeded_rng(rng.random_range(0..u64::MAX));
+            let schedule = self.clone();
+            actions.spawn(async move { schedule.harm_server(server, kind, action_rng).await });
+        }
+        while let Some(ended) = actions.join_next().await {
+            ended.expect("faults are played without a panic");
+        }
+    }
+
+    async fn harm_server(&self, server: usize, kind: FaultKind, mut rng: Rng) {
+        let server = &self.servers[server];
+        let Some(_taken) = Taken::new(&server.is_taken) else {
+            return;
+        };
+        let Some(old) = server.registration(false) else {
+            return;
+        };
+        self.note(kind, &format!("{} at {}", old.id, old.address));
+        if kind == FaultKind::ServerSlow {
+            server.set_slowness(rng.random_range(200..1000));
+            sleep(millis(&mut rng, 500, 3000)).await;
+            server.set_slowness(100);
+            return;
+        }
+        if kind == FaultKind::ServerLeave {
+            self.store
+                .put_registration(&server.registration(true).expect("it has started"));
+            sleep(DRAIN + millis(&mut rng, 0, 1500)).await;
+            self.store.remove_registration(&old);
+        }
+        server.end().await;
+        let down = match rng.random_range(0..10) {
+            0..4 => millis(&mut rng, 5, 150),
+            4..9 => millis(&mut rng, 150, 2500),
+            _ => millis(&mut rng, 2500, 7000),
+        };
+        // The old registration lapses some time after the last heartbeat.
+        let lapse = HEARTBEAT * 2 + millis(&mut rng, 0, HEARTBEAT.as_millis() as u64);
+        let unknown = millis(&mut rng, 0, 800);
+        let id = (kind == FaultKind::ServerSame).then(|| old.id.clone());
+        let is_renamed = id.is_none();
+        let restart = async {
+            sleep(down).await;
+            // The address may be in use for a moment after the end.
+            let deadline = Instant::now() + START_TIMEOUT;
+            let started = loop {
+                match server.start(id.clone()) {
+                    Err(_) if Instant::now() < deadline => sleep(START_INTERVAL).await,
+                    started => break started,
+                }
+            };
+            match started {
+                Ok(new) => {
+                    sleep(unknown).await;
+                    self.store.put_registration(&new);
+                }
+                Err(error) => log::error!("{}: server not started: {error}", server.address),
+            }
+        };
+        let forget = async {
+            sleep(lapse).await;
+            if is_renamed || lapse < down {
+                self.store.remove_registration(&old);
+            }
+        };
+        tokio::join!(restart, forget);
+    }
+
+    async fn play_entries(self, stop: CancellationToken) {
+        use FaultKind::{CheckLost, EntryKill, EntryStop, EntryTerm};
+        let kinds = self.pick_kinds(&[EntryTerm, EntryKill, EntryStop, CheckLost]);
+        let mut rng = seeded_rng(self.seed ^ 0xe7);
+        let mut actions = JoinSet::new();
+        while !kinds.is_empty() {
+            tokio::select! {
+                () = sleep(millis(&mut rng, 2000, 8000)) => {}
+                () = stop.cancelled() => break,
+            }
+            while actions.try_join_next().is_some() {}
+            let length = rng.random_range(1..=3);
+            for _ in 0..length {
+                let entry = rng.random_range(0..self.entries.len());
+                let kind = kinds[rng.random_range(0..kinds.len())];
+                let action_rng = seeded_rng(rng.random_range(0..u64::MAX));
+                let schedule = self.clone();
+                actions.spawn(async move { schedule.harm_entry(entry, kind, action_rng).await });
+                sleep(millis(&mut rng, 0, 700)).await;
+            }
+        }
+        while let Some(ended) = actions.join_next().await {
+            ended.expect("faults are played without a panic");
+        }
+    }
+
+    async fn harm_entry(&self, entry: usize, kind: FaultKind, mut rng: Rng) {
+        let entry = &self.entries[entry];
+        let Some(_taken) = Taken::new(&entry.is_taken) else {
+            return;
+        };
+        self.note(kind, &entry.name);
+        match kind {
+            FaultKind::EntryStop => {
+                entry.pause(millis(&mut rng, 50, 2000)).await;
+                return;
+            }
+            FaultKind::EntryTerm => {
+                if !entry.terminate().await {
+                    self.record.count("entry killed after its grace");
+                }
+            }
+            FaultKind::CheckLost => entry.fail_stop(),
+            _ => entry.kill(),
+        }
+        sleep(millis(&mut rng, 50, 1500)).await;
+        if let Err(error) = entry.start() {
+            log::error!("{}: not started: {error}", entry.name);
+        }
+    }
+
+    async fn play_store(self, stop: CancellationToken) {
+        use FaultKind::{StoreDown, StorePart, StoreSlow, StoreWatch, StoreWrite};
+        let kinds = self.pick_kinds(&[StoreWatch, StoreWrite, StoreDown, StorePart, StoreSlow]);
+        let mut rng = seeded_rng(self.seed ^ 0x570);
+        while !kinds.is_empty() {
+            tokio::select! {
+                () = sleep(millis(&mut rng, 1500, 6000)) => {}
+                () = stop.cancelled() => break,
+            }
+            let kind = kinds[rng.random_range(0..kinds.len())];
+            self.note(kind, "");
+            let mut is_chosen = |_: &&Entry| rng.random_range(0..2) == 0;
+            let some = self.entries.iter().filter(|entry| is_chosen(entry));
+            let some: Set<_> = some.map(|entry| entry.address.ip()).collect();
+            let delay = millis(&mut rng, 50, 500);
+            self.store.change_faults(|faults| match kind {
+                StoreWatch => faults.loses_watches = true,
+                StoreWrite => faults.loses_writes = true,
+                StoreDown => faults.is_down = true,
+                StorePart => faults.refused = some,
+                _ => faults.delay = delay,
+            });
+            sleep(millis(&mut rng, 300, 4000)).await;
+            self.store
+                .change_faults(|faults| *faults = super::store::StoreFaults::default());
+        }
+    }
+}
