test(bench): short soak of separate processes, and soaks that must fail

That its checks notice something is shown by runs with servers that send the body of another request (MIXED) and with entries that are killed as if that were a planned stop (LOST), and, for each rule, by records of one request.

--- a/lentilcart_bench/tests/testsuite/main.rs
+++ b/lentilcart_bench/tests/testsuite/main.rs
@@ -8,4 +8,5 @@
 mod model;
 mod scenarios;
 mod script;
+mod soak;
 mod whole_path;
--- /dev/null
+++ b/lentilcart_bench/tests/testsuite/soak.rs
@@ -0,0 +1,175 @@
+//! Soaks of entries as separate processes, and their checks. `cargo build --workspace` builds the daemon.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use lentilcart_bench::cluster::binary_path;
+use lentilcart_bench::soak::{
+    Outcome, Run, SentRequest, SoakOptions, SoakReport, SoakSize, find_faults, parse_faults,
+    run_soak,
+};
+use tokio::sync::Mutex;
+
+fn build_request(outcome: Outcome) -> SentRequest {
+    SentRequest {
+        id: "r1".into(),
+        kind: "pay",
+        is_once: true,
+        entry: 0,
+        local: None,
+        is_kept: false,
+        sent: 1000,
+        ended: 1100,
+        outcome,
+    }
+}
+
+fn build_run(server: &str, answer: &'static str) -> Run {
+    Run {
+        request: "r1".into(),
+        server: server.into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        connection: 1,
+        caller: "127.0.0.1:2".parse().unwrap(),
+        start: 1010,
+        end: Some(1090),
+        answer,
+    }
+}
+
+/// Returns the rules that one request breaks, as a text.
+fn find_rules(request: &SentRequest, runs: &[Run], is_planned_end: bool) -> String {
+    let faults = find_faults(std::slice::from_ref(request), runs, |_| is_planned_end);
+    let rules: BTreeSet<_> = faults.iter().map(|fault| fault.rule).collect();
+    rules.into_iter().collect::<Vec<_>>().join(" ")
+}
+
+/// Guards against a soak that passes though a request ran twice, or ran and was refused.
+#[test]
+fn find_faults_run_twice_or_refused() {
+    let (once, twice) = (
+        vec![build_run("i-1", "whole")],
+        vec![build_run("i-1", "whole"), build_run("i-1", "lost")],
+    );
+    let cases = [
+        (200, &once, ""),
+        (200, &twice, "TWICE"),
+        (502, &once, ""),
+        (503, &once, "REFUSED"),
+        (408, &once, "REFUSED"),
+        (421, &once, "REFUSED"),
+        (429, &twice, "REFUSED TWICE"),
+        (503, &Vec::new(), ""),
+    ];
+    for (status, runs, expected) in cases {
+        let mut request = build_request(Outcome::Answered(status, None));
+        assert_eq!(find_rules(&request, runs, false), expected, "{status}");
+        request.is_once = false;
+        assert_eq!(find_rules(&request, runs, false), "", "{status}");
+    }
+}
+
+/// Guards against a soak that passes though a client got an answer that no server gave to its request.
+#[test]
+fn find_faults_mixed_up_answer() {
+    let mixed = build_request(Outcome::Answered(200, Some("it is not signed".to_owned())));
+    let whole = build_request(Outcome::Answered(200, None));
+    assert_eq!(
+        find_rules(&mixed, &[build_run("i-1", "whole")], false),
+        "MIXED"
+    );
+    assert_eq!(find_rules(&whole, &[build_run("i-1", "whole")], false), "");
+    assert_eq!(
+        find_rules(&whole, &[build_run("i-1", "cut")], false),
+        "MIXED"
+    );
+    assert_eq!(find_rules(&whole, &[], false), "MIXED");
+}
+
+/// Guards against a soak that passes though a planned stop of an entry cut a request off, and against one
+/// that blames an entry for a server that broke off.
+#[test]
+fn find_faults_lost_at_stop() {
+    let cut = build_request(Outcome::Cut("closed before an answer".to_owned()));
+    let late = SentRequest {
+        ended: 1300,
+        ..cut.clone()
+    };
+    let (whole, left) = (
+        [build_run("i-1", "whole")],
+        [build_run("i-1", "none, the caller left")],
+    );
+    assert_eq!(find_rules(&cut, &whole, true), "LOST");
+    assert_eq!(find_rules(&cut, &left, true), "LOST");
+    assert_eq!(find_rules(&cut, &whole, false), "");
+    assert_eq!(find_rules(&cut, &[build_run("i-1", "lost")], true), "");
+    assert_eq!(find_rules(&cut, &[], true), "");
+    assert_eq!(find_rules(&late, &[], true), "LOST");
+}
+
+/// Returns the number of the next soak of this process, for the name of its folder.
+fn take_number() -> usize {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+/// Plays a soak of three entries and small services.
+async fn play(faults: &str, seconds: u64, load: f64) -> SoakReport {
+    // Soaks of one process use the same addresses.
+    static TURN: Mutex<()> = Mutex::const_new(());
+    let _turn = TURN.lock().await;
+    let folder = format!("lentilcart-soak-{}-{}", std::process::id(), take_number());
+    let options = SoakOptions {
+        seed: 1,
+        seconds,
+        size: SoakSize::Small,
+        entries: Some(3),
+        servers: Some(if load < 1.0 { 4 } else { 12 }),
+        load: Some(load),
+        pace: 1.0,
+        program: binary_path("lentilcartd"),
+        faults: parse_faults(faults).unwrap(),
+        logs: std::env::temp_dir().join(folder),
+    };
+    let report = run_soak(&options, std::future::pending()).await.unwrap();
+    std::fs::remove_dir_all(&options.logs).unwrap();
+    report
+}
+
+/// Guards against a request that runs twice, a false promise, another request's answer or a lost request,
+/// with entries as processes of their own that are stopped and started, before servers that break the
+/// protocol and restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_faulty_servers_and_stops_keep_promises() {
+    let report = play("faulty-servers,entry-term", 12, 0.4).await;
+    assert!(report.faults.is_empty(), "{}", report.stories);
+    assert!(report.served > 0, "{report:?}");
+    for played in ["server-end", "entry-term", "copy-ok"] {
+        assert!(report.played.contains_key(played), "{played}: {report:?}");
+    }
+}
+
+/// Guards against a soak that does not notice answers of other requests, or planned stops that cut requests
+/// off: a run in which servers or the schedule are wrong on purpose must fail.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_broken_stand_in_is_noticed() {
+    for (faults, rule) in [("check-mixed", "MIXED"), ("check-lost", "LOST")] {
+        let report = play(faults, 12, 1.0).await;
+        let rules: Vec<_> = report.broken.keys().copied().collect();
+        assert_eq!(rules, [rule], "{report:?}");
+    }
+}
+
+/// Guards against an unknown fault that is ignored, so that a soak without faults passes.
+#[test]
+fn parse_faults_by_name_and_group() {
+    assert_eq!(parse_faults("none").unwrap().len(), 0);
+    assert_eq!(parse_faults("all").unwrap().len(), 27);
+    assert_eq!(parse_faults("faulty-servers,entry-term").unwrap().len(), 20);
+    assert_eq!(parse_faults("copy-ok,copy-refused").unwrap().len(), 2);
+    let error = parse_faults("server,serfer").unwrap_err();
+    assert!(
+        error.starts_with("--faults serfer: expected none"),
+        "{error}"
+    );
+}
