fix(http): bound what is read before a head, and in one turn of a connection

What callers could see: nothing of other requests was served on an entry while servers sent interim (1xx) responses, or the size of a chunk, without end. The memory stayed flat.

Cause: hyper reads interim responses without a bound in bytes, and skips zeros in the size of a chunk. A connection's task reads until tokio's budget of 128 reads is used up, which is up to 8 MB with reads of 64 KB, before other tasks get the thread; a gateway has one. With 200 such connections a round takes seconds.

Change: at most 128 KB are read before the head of a response is complete (MAX_BYTES_BEFORE_BODY), and each KB that is read takes a unit of the task's budget, so that a turn reads about 128 KB.

Tests: memory::endless_interim_responses_leave_time_for_others, memory::endless_chunk_size_leaves_time_for_ others, memory::many_endless_answers_stay_small (200 answers of five shapes, callers who read and who do not: peak of the process below 128 MiB; it passes before as well, it is the bound on memory).

Related paths: the stream is that of every HttpClient: servers, probes, checks, store, other entries. Connections of callers are read by hyper's server with tokio's budget as before.

--- a/src/http/http_client.rs
+++ b/src/http/http_client.rs
@@ -15,11 +15,15 @@
 
 use super::body::{BodyEnd, HttpBody, NotifyOnEnd, build_get, collect_body, stream_body};
 use super::connect::{ConnectTimeouts, connect};
+use super::limited_stream::{LimitedStream, ReadLimit};
 
 /// Largest number of idle connections kept to each address, unless the response sets another number.
 const DEFAULT_MAX_IDLE_CONNECTIONS: usize = 1000;
 /// Size of the read buffer of a connection, in bytes, which the head of a response must fit into.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Largest number of bytes that are read before the head of a response is complete, with all interim
+/// responses before it; part of the body may come with the head.
+const MAX_BYTES_BEFORE_BODY: usize = 2 * MAX_HEAD_BYTES;
 /// Largest body of a response of a health endpoint, to a probe or to a connection check, in bytes.
 pub const MAX_HEALTH_BYTES: usize = 16 * 1024;
 /// Time within which an idle connection must be able to carry a request. One that is not has not been able
@@ -84,6 +88,7 @@
 struct Connection {
     sender: SendRequest<HttpBody>,
     usage: ConnectionUse,
+    read_limit: ReadLimit,
     _driver: AbortOnDropHandle<()>,
 }
 
@@ -194,8 +199,10 @@
                 Ok(connection) => connection,
                 Err(reason) => return Err(SendError::NotSent(reason, Box::new(request))),
             };
+            connection.read_limit.set(MAX_BYTES_BEFORE_BODY);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
+                    connection.read_limit.remove();
                     return Ok(ServerResponse {
                         response,
                         address,
@@ -261,6 +268,8 @@
                 }
                 (connections.pop()?.connection, is_recent)
             };
+            // Holds for the whole response to a check, whose body is small.
+            connection.read_limit.set(MAX_BYTES_BEFORE_BODY);
             // Lets the runtime look at the connection: bytes that have come while it was idle answer no
             // request, and close it.
             tokio::task::yield_now().await;
@@ -298,7 +307,10 @@
         let builder = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .to_owned();
-        let handshake = builder.handshake(TokioIo::new(stream)).await;
+        let read_limit = ReadLimit::unlimited();
+        let limit = read_limit.clone();
+        let stream = TokioIo::new(LimitedStream { stream, limit });
+        let handshake = builder.handshake(stream).await;
         let (sender, connection) = handshake.map_err(|e| e.to_string())?;
         let driver = self.tasks.spawn(async move {
             if let Err(error) = connection.await {
@@ -312,6 +324,7 @@
         Ok(Connection {
             sender,
             usage,
+            read_limit,
             _driver: AbortOnDropHandle::new(driver),
         })
     }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod connect;
 mod headers;
 mod http_client;
+mod limited_stream;
 mod listener;
 
 pub use self::body::{
--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -7,17 +7,35 @@
 use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use serde::Serialize;
+use serde_with::base64::Base64;
+use serde_with::serde_as;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 
 /// Longest wait for a condition; only a broken daemon needs that long.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(180);
+/// Longest wait until a request is served while servers send bytes without end: ten times the timeout of its
+/// route.
+const SERVED_TIMEOUT: Duration = Duration::from_secs(30);
 /// Last byte of the loopback address of the next daemon.
 static NEXT_ADDRESS_BYTE: AtomicU8 = AtomicU8::new(1);
 
+/// Item of the store, as in a page of a listing.
+#[serde_as]
+#[derive(Clone, Serialize)]
+struct Item {
+    key: String,
+    #[serde_as(as = "Base64")]
+    value: Vec<u8>,
+    revision: u64,
+}
+
 /// A daemon as a child process; it is killed when dropped.
 struct Daemon {
     child: Child,
+    callers: SocketAddr,
     settings: PathBuf,
 }
 
@@ -61,7 +79,11 @@
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
-        Self { child, settings }
+        Self {
+            child,
+            callers: at(7101),
+            settings,
+        }
     }
 
     /// Returns the largest resident memory so far, in MiB.
@@ -72,6 +94,28 @@
         let peak = line.unwrap().split_whitespace().nth(1).unwrap();
         peak.parse::<usize>().unwrap() / 1024
     }
+
+    /// Sends a request and returns the status of the response; `None` if there is none.
+    async fn send(&self, path: &str) -> Option<u16> {
+        let mut stream = TcpStream::connect(self.callers).await.ok()?;
+        stream
+            .write_all(format_request(path).as_bytes())
+            .await
+            .ok()?;
+        let head = read_head(&mut stream).await?;
+        head.split_whitespace().nth(1)?.parse().ok()
+    }
+
+    /// Waits until a request is answered with status 200.
+    async fn wait_until_served(&self) {
+        let served = async {
+            while self.send("/safe/whole").await != Some(200) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let result = timeout(SERVED_TIMEOUT, served).await;
+        result.expect("no request is served");
+    }
 }
 
 impl Drop for Daemon {
@@ -82,6 +126,12 @@
     }
 }
 
+fn format_request(path: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nhost: shop.example\r\nx-attempt-id: a1\r\nx-deadline-ms: 5000\r\nconnection: close\r\n\r\n"
+    )
+}
+
 /// Reads a head and the body that its length names; returns the head, or `None` if it is not complete.
 async fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
@@ -150,9 +200,10 @@
     )
 }
 
-/// Starts a store without items. A watch of `endless_prefix` is answered by a text and another without
+/// Starts a store with some items. A watch of `endless_prefix` is answered by a text and another without
 /// end; other watches get no answer unless they must not wait.
 async fn start_store(
+    items: Vec<Item>,
     endless_prefix: &'static str,
     (text, repeated): (&'static str, &'static str),
 ) -> StandIn {
@@ -161,7 +212,11 @@
         let prefix = path.split("pathPrefix=").nth(1).unwrap_or_default();
         let prefix = prefix.split('&').next().unwrap_or_default();
         let reply = match path.split(['?', '/']).nth(1).unwrap_or_default() {
-            "kv-range" => r#"{"items":[],"truncated":false,"storeRevision":7}"#.to_owned(),
+            "kv-range" => {
+                let items: Vec<_> = items.iter().filter(|i| i.key.starts_with(prefix)).collect();
+                let items = serde_json::to_string(&items).unwrap();
+                format!(r#"{{"items":{items},"truncated":false,"storeRevision":7}}"#)
+            }
             "kv-watch" if prefix == endless_prefix => {
                 return (text.to_owned(), repeated.repeat(1000));
             }
@@ -185,7 +240,7 @@
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
         "1\r\nm\r\n",
     );
-    let store = start_store("servers/", chunks).await;
+    let store = start_store(Vec::new(), "servers/", chunks).await;
     let daemon = Daemon::start(store.address);
     store.wait_until_taken(1).await;
     let before = daemon.get_peak_mib();
@@ -193,3 +248,91 @@
     let growth = daemon.get_peak_mib() - before;
     assert!(growth < 16, "the peak grew by {growth} MiB");
 }
+
+/// Guards against memory that grows with what servers send, rather than with the number of requests: many
+/// endless answers at the same time, to callers who read and to callers who do not.
+#[tokio::test]
+async fn many_endless_answers_stay_small() {
+    let paths = [
+        "/safe/body",
+        "/safe/unread",
+        "/safe/header",
+        "/safe/interim",
+        "/safe/chunk",
+    ];
+    let peak = send_endless_requests(&paths).await;
+    assert!(peak < 128, "the peak is {peak} MiB");
+}
+
+/// Guards against interim responses without end that keep the thread busy, so that no other request is
+/// served.
+#[tokio::test]
+async fn endless_interim_responses_leave_time_for_others() {
+    send_endless_requests(&["/safe/interim"]).await;
+}
+
+/// Guards against the size of a chunk without end that keeps the thread busy, so that no other request is
+/// served.
+#[tokio::test]
+async fn endless_chunk_size_leaves_time_for_others() {
+    send_endless_requests(&["/safe/chunk"]).await;
+}
+
+/// Sends 200 requests at the same time to a server that answers without end, each by its path; checks that
+/// other requests are served meanwhile, and returns the largest resident memory of the daemon, in MiB.
+async fn send_endless_requests(paths: &[&'static str]) -> usize {
+    const REQUESTS: usize = 200;
+    let server = StandIn::start(|head| {
+        let ok = "HTTP/1.1 200 OK\r\nx-attempt-id: a1\r\nx-response-seal: s\r\n";
+        let line = "m".repeat(10_000);
+        match head.split_whitespace().nth(1).unwrap_or_default() {
+            "/safe/body" | "/safe/unread" => (format!("{ok}\r\n"), line),
+            "/safe/header" => (format!("{ok}x-more: "), line),
+            "/safe/chunk" => (
+                format!("{ok}transfer-encoding: chunked\r\n\r\n"),
+                "0".repeat(10_000),
+            ),
+            "/safe/interim" => (String::new(), "HTTP/1.1 102 Processing\r\n\r\n".repeat(100)),
+            _ => (format!("{ok}content-length: 2\r\n\r\nok"), String::new()),
+        }
+    })
+    .await;
+    let route = r#"{"name":"safe","pathPrefix":"/safe/","routeKind":"safe","timeoutMs":3000,"targetLatencyMs":200,"priority":1,"service":"shop","maxAttempts":2}"#;
+    let routes = format!(
+        r#"{{"version":"r7","services":[{{"name":"shop","healthPath":"/healthz","maxConns":1000}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"hosts":[{{"host":"shop.example","paths":[{route}]}}]}}"#
+    );
+    let registration = format!(
+        r#"{{"service":"shop","address":"{}","zone":"z1","version":"v1","capacity":1000,"state":"ready","warmupLeftMs":0,"seq":1,"born":1}}"#,
+        server.address
+    );
+    let item = |key: &str, value: String| Item {
+        key: key.to_owned(),
+        value: value.into_bytes(),
+        revision: 7,
+    };
+    let items = vec![item("op/config", routes), item("servers/i-0", registration)];
+    let store = start_store(items, "none", ("", "")).await;
+    let daemon = Daemon::start(store.address);
+    daemon.wait_until_served().await;
+    let callers = daemon.callers;
+    let requests = (0..REQUESTS).map(|number| {
+        let path = paths[number % paths.len()];
+        tokio::spawn(async move {
+            let mut stream = TcpStream::connect(callers).await.unwrap();
+            let request = format_request(path);
+            stream.write_all(request.as_bytes()).await.unwrap();
+            let mut buffer = vec![0; 1 << 16];
+            while path != "/safe/unread" && matches!(stream.read(&mut buffer).await, Ok(1..)) {}
+            stream
+        })
+    });
+    let requests: Vec<_> = requests.collect();
+    server.wait_until_taken(5 << 20).await;
+    daemon.wait_until_served().await;
+    let mut streams = Vec::new();
+    for request in requests {
+        streams.push(request.await.unwrap());
+    }
+    daemon.wait_until_served().await;
+    daemon.get_peak_mib()
+}
