fix(http): close a new connection on which nothing is sent

What callers could see: a connection on which nothing was sent stayed open for as long as its other side wished, and counted against listen.connections, which a gateway stops accepting at.

Cause: the builder of hyper-util that serves both versions of HTTP reads the first bytes before hyper's timer for a header section begins.

Evidence: without the change the new test fails after 20 s: "the connection stays open: Elapsed(())".

Change: the first byte must arrive within the time that a header section has, for callers the routes' idleTimeoutMs, so that a connection opened in advance keeps that time. It holds for all listeners.

Test: endless_bytes::silent_caller_connection_is_closed.

Not covered: a connection that begins like HTTP/2 ("P", ...) and stops in its first 24 bytes still waits without a bound in that builder, and the routes' headerTimeoutMs is still not used.

--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -10,6 +10,7 @@
 use hyper_util::server::conn::auto::Builder;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -27,7 +28,8 @@
     /// Largest header section of a request, in bytes. For HTTP/1.1 it is the size of the read buffer,
     /// which is at least 8192.
     pub header_bytes: usize,
-    /// Time within which the header section of a request must arrive; HTTP/1.1 only.
+    /// Time within which the first byte must arrive on a new connection, and the header section of a request;
+    /// the latter HTTP/1.1 only.
     pub header_timeout: Duration,
     /// Largest number of connections that are open at once.
     pub max_connections: usize,
@@ -71,9 +73,20 @@
         let Some((stream, remote, connection_guard)) = accepted else {
             continue;
         };
-        let builder = create_builder(limits());
+        let limits = limits();
+        let builder = create_builder(limits);
         let (close, serve) = (shutdown.close_connections.clone(), serve.clone());
         tasks.spawn(async move {
+            // hyper's timer begins with the first byte.
+            let first_byte = timeout(limits.header_timeout, async { stream.peek(&mut [0]).await });
+            let has_begun = tokio::select! {
+                result = first_byte => matches!(result, Ok(Ok(1..))),
+                () = close.cancelled() => false,
+            };
+            if !has_begun {
+                log::debug!(remote:% = remote; "accepted connection closed: nothing was sent");
+                return;
+            }
             let service = service_fn(move |request| {
                 let response = serve(remote, request);
                 async move { Ok::<_, std::convert::Infallible>(response.await) }
