fix(entry): close a connection on which a request was refused

A caller of an entry (change tickets) is told `lentilcart-outcome: not-run` for a request that must run at most once and that its server has run; with a second server, the request is sent there as well and runs twice.

Cause: answers to an entry name no request. After an answer of a `not_run` status its body was read to the end, and the connection was used again; a late copy of that answer was taken for the answer to the next request.

Evidence: the test on: `promises::late_copy_of_refusal_is_not_believed`, the second request, which the server answered with 200 behind the copy: HTTP/1.1 503 Service Unavailable lentilcart-outcome: not-run With the change it passes.

Change: the answer is dropped, which closes its connection. Why it works: a copy can only come over the connection of its original. The cost is a new connection after each refused attempt; it was not measured. The change also removes `read_to_end`, which collected the body of such an answer without a limit.

--- a/lentilcart_bench/tests/testsuite/main.rs
+++ b/lentilcart_bench/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod layout;
 mod load;
 mod model;
+mod promises;
 mod scenarios;
 mod script;
 mod soak;
--- /dev/null
+++ b/lentilcart_bench/tests/testsuite/promises.rs
@@ -0,0 +1,132 @@
+//! What callers of entries are told about whether their request ran, where servers and entries fail.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use lentilcart_bench::cluster::{Cluster, Layout};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::cluster::small_layout;
+
+/// Answer of a server that does not run a request.
+const REFUSAL: &str = "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n";
+/// Answer of a server that has run a request.
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// Paths of the requests that have come to scripted servers.
+type Arrivals = Arc<Mutex<Vec<String>>>;
+
+/// Starts a server that answers each request, by its path, with what `respond` returns, or not at all for
+/// `None`. If `repeats` is true, it writes a copy of its last refusal before the next answer on the
+/// connection.
+async fn start_server(
+    arrivals: &Arrivals,
+    repeats: bool,
+    respond: impl Fn(&str) -> Option<&'static str> + Send + Sync + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (arrivals, respond) = (arrivals.clone(), Arc::new(respond));
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (arrivals, respond) = (arrivals.clone(), respond.clone());
+            tokio::spawn(async move {
+                let mut late_copy = "";
+                while let Some(path) = read_path(&mut stream).await {
+                    arrivals.lock().unwrap().push(path.clone());
+                    stream.write_all(late_copy.as_bytes()).await.ok();
+                    late_copy = "";
+                    let Some(response) = respond(&path) else {
+                        continue;
+                    };
+                    stream.write_all(response.as_bytes()).await.ok();
+                    if repeats && response != OK {
+                        late_copy = response;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Reads a request without a body and returns its path, or `None` at the end of the connection.
+async fn read_path(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).ok()?;
+    Some(head.split(' ').nth(1)?.to_owned())
+}
+
+/// Sends a request without a body to an entry and returns the head of the response.
+async fn send(entry: SocketAddr, path: &str) -> String {
+    let mut stream = TcpStream::connect(entry).await.unwrap();
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.unwrap();
+    response
+}
+
+/// Starts a deployment whose first service, of a policy, a class and with a number of owners, has the servers
+/// given and no other service has any.
+async fn start_with_servers(
+    layout: Layout,
+    policy: &str,
+    class: &str,
+    owners: usize,
+    servers: &[SocketAddr],
+) -> Cluster {
+    let name = layout.firm.services[0].name;
+    let mut ticket = format!(
+        "base = 0\n[[service]]\nname = \"{name}\"\ntenant = \"a\"\npolicy = \"{policy}\"\n\
+         homes = {owners}\novercommit = 2\nconnections = 8\nnot_run = [503]\n\
+         load = {{ probes = 50, bytes = 20000, entries = 8 }}\n\
+         [[service.route]]\npath = \"/{name}\"\nclass = \"{class}\"\ndeadline = \"20s\"\n"
+    );
+    let data_center = layout.firm.data_centers[0];
+    for address in servers {
+        write!(
+            ticket,
+            "[[service.server]]\naddress = \"{address}\"\ndata_center = \"{data_center}\"\nslots = 3\n"
+        )
+        .unwrap();
+    }
+    let cluster = Cluster::start(layout).await;
+    let output = cluster.submit(&ticket).await;
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{errors}");
+    cluster
+}
+
+/// Guards against a late copy of a server's refusal that is taken for the answer to the next request on the
+/// connection: its caller was told `not-run` for a request that the server had run.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_copy_of_refusal_is_not_believed() {
+    let arrivals = Arrivals::default();
+    let respond = |path: &str| {
+        Some(if path.ends_with("refused") {
+            REFUSAL
+        } else {
+            OK
+        })
+    };
+    let server = start_server(&arrivals, true, respond).await;
+    let cluster = start_with_servers(small_layout(), "late", "once", 0, &[server]).await;
+    let entry = cluster.layout.get_caller_address(0);
+    let name = cluster.layout.firm.services[0].name;
+    let refused = send(entry, &format!("/{name}/refused")).await;
+    assert!(refused.contains("lentilcart-outcome: not-run"), "{refused}");
+    let path = format!("/{name}/run");
+    let response = send(entry, &path).await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    let arrivals = arrivals.lock().unwrap().clone();
+    assert_eq!(arrivals.iter().filter(|p| **p == path).count(), 1);
+    cluster.stop().await;
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -330,7 +330,8 @@
         } else {
             AttemptOutcome::Failed
         });
-        read_to_end(entry, reply);
+        // Dropping the reply closes its connection: answers name no request, so a late copy of this one
+        // would be taken for the answer to the next request.
         return EntryAttempt::NotRun(format!("server {address} answered {status}"), None);
     }
     let is_failure = status.is_server_error() && status != StatusCode::NOT_IMPLEMENTED;
@@ -348,16 +349,6 @@
     }
 }
 
-/// Reads the body of a discarded answer to its end, so that its connection can be reused.
-fn read_to_end(entry: &Entry, reply: crate::http::ServerResponse) {
-    let answer = reply.into_streamed(|_| ());
-    entry.tasks.spawn(async move {
-        http_body_util::BodyExt::collect(answer.into_body())
-            .await
-            .ok();
-    });
-}
-
 impl PreparedRequest {
     /// Returns the error for the caller, with earlier attempts taken into account. An error whose
     /// outcome is "not run" becomes "answer lost" if an earlier attempt may have run the
