fix(entry): pass on no promise of an owner after a lost one

The caller of an idempotent request that an entry forwards is told `lentilcart-outcome: not-run`, though a server is running it.

Cause: the first owner is lost while a server runs the request, and the next owner's servers refuse it. Its answer, which says `not-run`, was passed on as it was; `may_have_run` was applied to errors of this entry only. The class: "not run" is claimed of all attempts on the proof of one.

Evidence: `promises::forwarded_request_is_unknown_after_lost_owner` before the change, at an entry whose first owner was killed once the server had the request: HTTP/1.1 503 Service Unavailable lentilcart-outcome: not-run With the change it passes: 502, `unknown`.

Change: an owner's `not-run` after another owner may have run the request becomes an answer that was lost. Why it works: `forward` is the only place where another entry's answer reaches a caller.

Looked at: requests that must run at most once are not forwarded; the retry loop and hedges of an entry account for earlier attempts already (`DecidingResult`, `account_for_earlier_attempts`).

--- a/lentilcart_bench/tests/testsuite/promises.rs
+++ b/lentilcart_bench/tests/testsuite/promises.rs
@@ -3,13 +3,19 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use lentilcart_bench::cluster::{Cluster, Layout};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 
 use crate::cluster::small_layout;
 
+/// Interval at which a condition is checked.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest wait for a condition; the test fails after it.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Answer of a server that does not run a request.
 const REFUSAL: &str = "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n";
 /// Answer of a server that has run a request.
@@ -130,3 +136,42 @@
     assert_eq!(arrivals.iter().filter(|p| **p == path).count(), 1);
     cluster.stop().await;
 }
+
+/// Guards against `not-run` for a forwarded request whose first owner was lost while a server may have been
+/// running it, and whose second owner did not run it.
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_request_is_unknown_after_lost_owner() {
+    let arrivals = Arrivals::default();
+    let shared = arrivals.clone();
+    // The first attempt runs for good, and further ones are refused.
+    let respond = move |path: &str| {
+        let count = shared.lock().unwrap().iter().filter(|p| *p == path).count();
+        (count > 1).then_some(REFUSAL)
+    };
+    let server = start_server(&arrivals, false, respond).await;
+    let mut cluster = start_with_servers(small_layout(), "late", "idempotent", 2, &[server]).await;
+    let [first, sender] = [0, 2].map(|rank| cluster.layout.get_entry_by_rank(rank));
+    // The sender forwards to owners that it knows to be live.
+    cluster
+        .wait_for_status(sender, |status| {
+            status.peers.len() == 4 && status.peers.values().all(Option::is_some)
+        })
+        .await;
+    let entry = cluster.layout.get_caller_address(sender);
+    let path = format!("/{}/x", cluster.layout.firm.services[0].name);
+    let (sent_path, sent) = (path.clone(), arrivals.clone());
+    let response = tokio::spawn(async move { send(entry, &sent_path).await });
+    let has_arrived = async {
+        while !sent.lock().unwrap().contains(&path) {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(WAIT_TIMEOUT, has_arrived).await.unwrap();
+    cluster.kill(first);
+    let response = response.await.unwrap();
+    assert!(
+        response.contains("lentilcart-outcome: unknown"),
+        "{response}"
+    );
+    cluster.stop().await;
+}
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -5,10 +5,11 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::PreparedRequest;
+use super::caller_outcome::CallerOutcome;
 use super::entry::Entry;
 use super::peer_links::wait_until_lost;
 use super::request_error::RequestError;
-use crate::http::{ENTRY_HEADER, HttpBody, SendError};
+use crate::http::{ENTRY_HEADER, HttpBody, OUTCOME_HEADER, SendError, get_header_text};
 
 /// Forwards a request to the first owner of its service that answers.
 ///
@@ -19,8 +20,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the deadline passes, or if the connection to the owner breaks and the request may
-/// not be sent again.
+/// Fails if the deadline passes, if the connection to the owner breaks and the request may not be sent
+/// again, or if an owner did not run the request after another one may have.
 pub(crate) async fn forward(
     entry: &Arc<Entry>,
     owners: &[Name],
@@ -53,6 +54,12 @@
         };
         match sent {
             Err(_) => return Err(RequestError::DeadlineExceeded(/* may_have_run */ true)),
+            // What the owner says of the request holds for its own attempts only.
+            Ok(Ok(reply)) if request.may_have_run && promises_not_run(&reply.response) => {
+                return Err(RequestError::AnswerLost(format!(
+                    "entry {owner} did not run the request, but an earlier owner may have run it"
+                )));
+            }
             Ok(Ok(reply)) => return Ok(Some(reply.into_streamed(|_| ()))),
             Ok(Err(SendError::NotSent(_, unsent))) => request.payload.restore(unsent.into_body()),
             Ok(Err(SendError::NoResponse(..))) if may_resend => request.may_have_run = true,
@@ -64,3 +71,8 @@
     request.headers.remove(ENTRY_HEADER);
     Ok(None)
 }
+
+/// Returns whether another entry's response says that no server ran the request.
+fn promises_not_run<B>(response: &Response<B>) -> bool {
+    get_header_text(response.headers(), OUTCOME_HEADER) == Some(CallerOutcome::NotRun.as_str())
+}
