fix(entry): close a connection on which a request for the load was refused

A caller of an entry (change tickets, a policy that asks servers for their load) is told `lentilcart-outcome: not-run` for a request that must run at most once and that its server has run.

Cause: requests for the load share the connections with requests. One that was refused with a status other than 2xx, and states a load, left its connection in use; a late copy of the refusal was taken for the answer to the next request.

Change: after an answer of another status than 2xx the connection is closed. The load in it still counts. Why it works: a copy can only come over the connection of its original.

--- a/lentilcart_bench/tests/testsuite/promises.rs
+++ b/lentilcart_bench/tests/testsuite/promises.rs
@@ -18,6 +18,9 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Answer of a server that does not run a request.
 const REFUSAL: &str = "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n";
+/// The same with a load report, as an answer to a request for the load.
+const REFUSAL_WITH_LOAD: &str =
+    "HTTP/1.1 503 Busy\r\nlentilcart-load: 0\r\ncontent-length: 0\r\n\r\n";
 /// Answer of a server that has run a request.
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
@@ -137,6 +140,33 @@
     cluster.stop().await;
 }
 
+/// Guards against the same after a request for the load that was refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_copy_of_refused_load_is_not_believed() {
+    let arrivals = Arrivals::default();
+    let respond = |path: &str| {
+        Some(if path == "/load" {
+            REFUSAL_WITH_LOAD
+        } else {
+            OK
+        })
+    };
+    let server = start_server(&arrivals, true, respond).await;
+    let cluster = start_with_servers(small_layout(), "probe-pool", "once", 0, &[server]).await;
+    let entry = cluster.layout.get_caller_address(0);
+    let name = cluster.layout.firm.services[0].name;
+    for number in 0..100 {
+        let response = send(entry, &format!("/{name}/{number}")).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{number}: {response}");
+    }
+    let arrivals = arrivals.lock().unwrap().clone();
+    assert!(
+        arrivals.iter().any(|path| path == "/load"),
+        "no request for the load"
+    );
+    cluster.stop().await;
+}
+
 /// Guards against `not-run` for a forwarded request whose first owner was lost while a server may have been
 /// running it, and whose second owner did not run it.
 #[tokio::test(flavor = "multi_thread")]
--- a/src/entry/tick.rs
+++ b/src/entry/tick.rs
@@ -153,6 +153,12 @@
         .ok()?;
     let reply = entry.http_client.send(address, request).await.ok()?;
     let load = get_header_number(reply.response.headers(), LOAD_HEADER)?;
+    let reply = if reply.response.status().is_success() {
+        reply
+    } else {
+        // A late copy of a refusal would be taken for the answer to the next request.
+        reply.with_max_idle_connections(0)
+    };
     let body = reply
         .into_streamed(|_| ())
         .into_body()
