--- a/lentilcart_bench/src/soak/soak_run.rs
+++ b/lentilcart_bench/src/soak/soak_run.rs
@@ -27,7 +27,7 @@
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time after the last request, in which one that was refused could still run.
 const SETTLE: Duration = Duration::from_secs(3);
-/// Longest number of stories that a report tells.
+/// Largest number of stories that a report tells.
 const MAX_STORIES: usize = 10;
 
 /// Result of a soak.
