fix(http): answer requests on connections that wait when a listener closes

Callers of a host that stops got a reset, or a closed connection, in place of an answer.

Cause: the runtime accepts at most 128 connections in a turn, and only those that the driver has told it of; the others are reset when the listener is dropped. A connection that has just been accepted is closed before its first byte is looked for; in the gateway both happen at the same moment. A request that follows its connection by a round trip is lost in the same way.

Change: after the stop the listener lets the runtime look once more and accepts what waits, without the budget of a turn. A connection without any bytes stays open for FIRST_BYTE_GRACE. An idle connection is read once more before it is told to close.

--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -3,14 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::Semaphore;
-use tokio::time::timeout;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::coop::unconstrained;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -21,6 +23,9 @@
 const BACKLOG: u32 = 4096;
 /// Time between an accept that failed and the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time for which a connection without any bytes stays open when connections are closed: its first request may
+/// be on its way.
+const FIRST_BYTE_GRACE: Duration = Duration::from_millis(100);
 
 /// Limits of a listener and of its connections.
 #[derive(Debug, Clone, Copy)]
@@ -45,7 +50,8 @@
     pub close_connections: CancellationToken,
 }
 
-/// Serves HTTP/1.1 and HTTP/2 on a listener until `shutdown.stop_accepting` is cancelled.
+/// Serves HTTP/1.1 and HTTP/2 on a listener until `shutdown.stop_accepting` is cancelled, with the connections
+/// that were opened before.
 ///
 /// Each connection is spawned on `tasks`; wait for `tasks` to join them. `limits` is called
 /// when a connection starts, and its result holds for that connection; its `max_connections` counts
@@ -62,50 +68,83 @@
     F: Future<Output = Response<HttpBody>> + Send + 'static,
 {
     let semaphore = Arc::new(Semaphore::new(limits().max_connections));
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            accepted = accept(&listener, &semaphore) => accepted,
-            // `biased`, so that connections already in the backlog are accepted before the listener
-            // stops. If `max_connections` are open, they are not.
-            () = shutdown.stop_accepting.cancelled() => return,
-        };
-        let Some((stream, remote, connection_guard)) = accepted else {
-            continue;
-        };
-        let limits = limits();
-        let builder = create_builder(limits);
-        let (close, serve) = (shutdown.close_connections.clone(), serve.clone());
+    let spawn = |(stream, remote, guard)| {
+        let close = shutdown.close_connections.clone();
+        let connection = serve_connection(stream, remote, limits(), close, serve.clone());
         tasks.spawn(async move {
-            // hyper's timer begins with the first byte.
-            let first_byte = timeout(limits.header_timeout, async { stream.peek(&mut [0]).await });
-            let has_begun = tokio::select! {
-                result = first_byte => matches!(result, Ok(Ok(1..))),
-                () = close.cancelled() => false,
-            };
-            if !has_begun {
-                log::debug!(remote:% = remote; "accepted connection closed: nothing was sent");
-                return;
-            }
-            let service = service_fn(move |request| {
-                let response = serve(remote, request);
-                async move { Ok::<_, std::convert::Infallible>(response.await) }
-            });
-            let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
-            tokio::pin!(connection);
-            let result = tokio::select! {
-                result = connection.as_mut() => result,
-                () = close.cancelled() => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
-                }
-            };
-            if let Err(error) = result {
-                log::debug!(remote:% = remote; "accepted connection failed: {error}");
-            }
-            drop(connection_guard);
+            connection.await;
+            drop(guard);
         });
+    };
+    loop {
+        tokio::select! {
+            accepted = accept(&listener, &semaphore) => accepted.into_iter().for_each(&spawn),
+            () = shutdown.stop_accepting.cancelled() => break,
+        }
+    }
+    // Lets the runtime look at the listener: connections that still wait would be reset.
+    tokio::task::yield_now().await;
+    while let Some(Some(accepted)) = unconstrained(accept(&listener, &semaphore)).now_or_never() {
+        spawn(accepted);
+    }
+}
+
+/// Serves an accepted connection until it ends, or until `close` is cancelled and the requests that had
+/// arrived are answered.
+async fn serve_connection<S, F>(
+    stream: TcpStream,
+    remote: SocketAddr,
+    limits: ListenerLimits,
+    close: CancellationToken,
+    serve: S,
+) where
+    S: Fn(SocketAddr, Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Response<HttpBody>> + Send + 'static,
+{
+    let close_unused = async {
+        close.cancelled().await;
+        sleep(FIRST_BYTE_GRACE).await;
+    };
+    let has_begun = tokio::select! {
+        biased;
+        // hyper's timer begins with the first byte.
+        result = timeout(limits.header_timeout, has_bytes(&stream)) => result.unwrap_or(false),
+        () = close_unused => false,
+    };
+    if !has_begun {
+        log::debug!(remote:% = remote; "accepted connection closed: nothing was sent");
+        return;
     }
+    let service = service_fn(move |request| {
+        let response = serve(remote, request);
+        async move { Ok::<_, std::convert::Infallible>(response.await) }
+    });
+    let builder = create_builder(limits);
+    let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let close = async {
+        close.cancelled().await;
+        // Lets the runtime look at the connection.
+        tokio::task::yield_now().await;
+    };
+    let result = tokio::select! {
+        // In this order, a request that has arrived is read before the connection is told to close.
+        biased;
+        result = connection.as_mut() => result,
+        () = close => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!(remote:% = remote; "accepted connection failed: {error}");
+    }
+}
+
+/// Waits until bytes have arrived on a connection, which are left there; returns false if it ends or fails
+/// before.
+async fn has_bytes(stream: &TcpStream) -> bool {
+    matches!(stream.peek(&mut [0]).await, Ok(1..))
 }
 
 fn create_builder(limits: ListenerLimits) -> Builder<TokioExecutor> {
@@ -129,7 +168,7 @@
 async fn accept(
     listener: &TcpListener,
     semaphore: &Arc<Semaphore>,
-) -> Option<(TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit)> {
+) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
     let connection_guard = semaphore.clone().acquire_owned().await.ok()?;
     match listener.accept().await {
         Ok((stream, remote)) => {
@@ -138,7 +177,7 @@
         }
         Err(error) => {
             log::warn!("cannot accept a connection: {error}");
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            sleep(ACCEPT_RETRY_DELAY).await;
             None
         }
     }
