fix(gateway): close a connection whose header section is not complete in time

A caller that sent half a header section kept its connection for the idle time of the routes, 15 s with the usual ones: `headerTimeoutMs` was decoded and never used. One that sent the beginning of "PRI * HTTP/2.0" and stopped kept it without a bound, since hyper-util reads the first 24 bytes without a timer.

Cause: hyper's `header_read_timeout` begins as soon as hyper waits for a request, so that it covers the idle time too, and the longer of the two bounds had to be set. Ruled out: setting it to `headerTimeoutMs`.

The timer that hyper gets is our own now: it ends after the idle time, or, once a byte is read, after `headerTimeoutMs` from then. Line ends alone, which are allowed between requests, do not count. Where the version is still unknown after `headerTimeoutMs`, the connection is closed. Left: bytes that were sent before the last response was complete begin nothing, so that such a head has the idle time until more comes. Entries of change tickets use their one setting for both, as before.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -18,7 +18,9 @@
 use super::serve::serve_caller;
 use super::tick::run_periodic_work;
 use crate::error::DaemonError;
-use crate::http::{ListenerLimits, ShutdownTokens, bind_listener, serve_listener};
+use crate::http::{
+    ConnectionLimits, ListenerLimits, ShutdownTokens, bind_listener, serve_listener,
+};
 use crate::platform::StoreClient;
 use crate::settings::GatewaySettings;
 
@@ -134,14 +136,16 @@
 }
 
 /// Returns the limits of the listener for callers, by the routes in force and the settings.
-fn get_caller_limits(gateway: &Gateway) -> ListenerLimits {
+fn get_caller_limits(gateway: &Gateway) -> ConnectionLimits {
     let limits = gateway.get_active_routes().table.limits;
-    ListenerLimits {
+    let listener = ListenerLimits {
         header_bytes: limits.header_bytes,
-        // The idle timeout of the routes, since hyper's timer for an HTTP/1 header also covers the idle
-        // time before it. The routes' header timeout is not used.
-        header_timeout: limits.idle_timeout.into(),
+        header_timeout: limits.header_timeout.into(),
         max_connections: gateway.settings.load().listen.max_connections,
+    };
+    ConnectionLimits {
+        listener,
+        idle_timeout: limits.idle_timeout.into(),
     }
 }
 
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -17,6 +17,9 @@
 use tokio_util::task::TaskTracker;
 
 use super::body::HttpBody;
+use super::connection_limits::ConnectionLimits;
+use super::head_timer::HeadTimer;
+use super::observed_stream::ObservedStream;
 use crate::error::DaemonError;
 
 /// Connections that the kernel queues until they are accepted.
@@ -33,8 +36,8 @@
     /// Largest header section of a request, in bytes. For HTTP/1.1 it is the size of the read buffer,
     /// which is at least 8192.
     pub header_bytes: usize,
-    /// Time within which the first byte must arrive on a new connection, and the header section of a request;
-    /// the latter HTTP/1.1 only.
+    /// Time from the first byte of a request's header section to its end; HTTP/1.1 only, and where the
+    /// version is not known.
     pub header_timeout: Duration,
     /// Largest number of connections that are open at once.
     pub max_connections: usize,
@@ -56,21 +59,22 @@
 /// Each connection is spawned on `tasks`; wait for `tasks` to join them. `limits` is called
 /// when a connection starts, and its result holds for that connection; its `max_connections` counts
 /// only when the listener starts. `serve` gets the address of the remote and the request.
-pub async fn serve_listener<L, S, F>(
+pub async fn serve_listener<L, T, S, F>(
     listener: TcpListener,
     limits: L,
     shutdown: ShutdownTokens,
     tasks: TaskTracker,
     serve: S,
 ) where
-    L: Fn() -> ListenerLimits + Send + 'static,
+    L: Fn() -> T + Send + 'static,
+    T: Into<ConnectionLimits>,
     S: Fn(SocketAddr, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<HttpBody>> + Send + 'static,
 {
-    let semaphore = Arc::new(Semaphore::new(limits().max_connections));
+    let semaphore = Arc::new(Semaphore::new(limits().into().listener.max_connections));
     let spawn = |(stream, remote, guard)| {
         let close = shutdown.close_connections.clone();
-        let connection = serve_connection(stream, remote, limits(), close, serve.clone());
+        let connection = serve_connection(stream, remote, limits().into(), close, serve.clone());
         tasks.spawn(async move {
             connection.await;
             drop(guard);
@@ -94,7 +98,7 @@
 async fn serve_connection<S, F>(
     stream: TcpStream,
     remote: SocketAddr,
-    limits: ListenerLimits,
+    limits: ConnectionLimits,
     close: CancellationToken,
     serve: S,
 ) where
@@ -108,7 +112,7 @@
     let has_begun = tokio::select! {
         biased;
         // hyper's timer begins with the first byte.
-        result = timeout(limits.header_timeout, has_bytes(&stream)) => result.unwrap_or(false),
+        result = timeout(limits.idle_timeout, has_bytes(&stream)) => result.unwrap_or(false),
         () = close_unused => false,
     };
     if !has_begun {
@@ -119,7 +123,12 @@
         let response = serve(remote, request);
         async move { Ok::<_, std::convert::Infallible>(response.await) }
     });
-    let builder = create_builder(limits);
+    let head_timer = HeadTimer::new(limits.listener.header_timeout);
+    let builder = create_builder(limits, head_timer.clone());
+    let stream = ObservedStream {
+        stream,
+        head_timer: head_timer.clone(),
+    };
     let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let close = async {
@@ -131,6 +140,10 @@
         // In this order, a request that has arrived is read before the connection is told to close.
         biased;
         result = connection.as_mut() => result,
+        () = head_timer.wait_for_unknown_version() => {
+            log::debug!(remote:% = remote; "accepted connection closed: no version of HTTP was told");
+            return;
+        }
         () = close => {
             connection.as_mut().graceful_shutdown();
             connection.await
@@ -147,18 +160,19 @@
     matches!(stream.peek(&mut [0]).await, Ok(1..))
 }
 
-fn create_builder(limits: ListenerLimits) -> Builder<TokioExecutor> {
+fn create_builder(limits: ConnectionLimits, head_timer: HeadTimer) -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_timeout)
+        .timer(head_timer)
+        // Between requests; the timer shortens it once a header section has begun.
+        .header_read_timeout(limits.idle_timeout)
         // hyper panics if the buffer is smaller than 8192 bytes.
-        .max_buf_size(limits.header_bytes.max(8192));
+        .max_buf_size(limits.listener.header_bytes.max(8192));
     builder
         .http2()
         .timer(TokioTimer::new())
-        .max_header_list_size(limits.header_bytes as u32)
+        .max_header_list_size(limits.listener.header_bytes as u32)
         .max_concurrent_streams(1000);
     builder
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,16 +2,20 @@
 
 mod body;
 mod connect;
+mod connection_limits;
+mod head_timer;
 mod headers;
 mod http_client;
 mod limited_stream;
 mod listener;
+mod observed_stream;
 
 pub use self::body::{
     BodyEnd, BoxError, HttpBody, NotifyOnEnd, build_get, collect_body, empty_body, full_body,
     stream_body,
 };
 pub use self::connect::{ConnectTimeouts, connect};
+pub use self::connection_limits::ConnectionLimits;
 pub use self::headers::{
     ATTEMPT_HEADER, DEADLINE_HEADER, ENTRY_HEADER, IDEMPOTENCY_KEY_HEADER, LEAVING_HEADER,
     LOAD_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER, find_request_error, get_header_duration,
