fix(gateway): close an HTTP/2 connection that carries no request

An HTTP/2 connection without a request in progress had no bound: one that a caller opened and never used, or left without closing it, counted against `listen.connections` for ever.

Cause: the idle timeout of the routes was hyper's header read timeout, which HTTP/2 does not have. Ruled out: hyper's HTTP/2 keep-alive, which closes a connection whose caller does not answer pings, and keeps one whose caller does.

The requests of each HTTP/2 connection are counted until their response bodies end. After `idleTimeoutMs` without one, the caller is told to leave; if the connection is still open and idle after the same time again, it is closed. HTTP/1.1 has its timer as before, and its bodies are not wrapped. It holds for all listeners.

--- a/src/http/connection_limits.rs
+++ b/src/http/connection_limits.rs
@@ -7,8 +7,8 @@
 pub struct ConnectionLimits {
     /// The other limits.
     pub listener: ListenerLimits,
-    /// Time within which the first byte must arrive, on a new connection and, HTTP/1.1 only, after a
-    /// response.
+    /// Time within which the first byte must arrive, on a new connection and after a response. With HTTP/2,
+    /// time for which a connection may carry no request.
     pub idle_timeout: Duration,
 }
 
--- a/src/http/head_timer.rs
+++ b/src/http/head_timer.rs
@@ -56,12 +56,16 @@
     /// waits for that without a timer. Does not return if the version is known by then.
     pub(super) async fn wait_for_unknown_version(&self) {
         tokio::time::sleep_until((self.started + self.header_timeout).into()).await;
-        let is_http1 = self.progress.is_http1.load(Ordering::Relaxed);
-        if is_http1 || self.count_bytes() >= HTTP2_PREFACE_BYTES {
+        if self.is_http1() || self.count_bytes() >= HTTP2_PREFACE_BYTES {
             std::future::pending::<()>().await;
         }
     }
 
+    /// Returns whether the connection is known to be HTTP/1.1.
+    pub(super) fn is_http1(&self) -> bool {
+        self.progress.is_http1.load(Ordering::Relaxed)
+    }
+
     fn count_bytes(&self) -> usize {
         self.progress.bytes.load(Ordering::Relaxed)
     }
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -6,7 +6,7 @@
 use futures::FutureExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::active_requests::ActiveRequests;
 use super::body::HttpBody;
 use super::connection_limits::ConnectionLimits;
 use super::head_timer::HeadTimer;
@@ -119,9 +120,19 @@
         log::debug!(remote:% = remote; "accepted connection closed: nothing was sent");
         return;
     }
-    let service = service_fn(move |request| {
+    let active_requests = ActiveRequests::default();
+    let counted = active_requests.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let is_http2 = request.version() == Version::HTTP_2;
+        let active = is_http2.then(|| counted.begin());
         let response = serve(remote, request);
-        async move { Ok::<_, std::convert::Infallible>(response.await) }
+        async move {
+            let response = response.await;
+            Ok::<_, std::convert::Infallible>(match active {
+                Some(active) => response.map(|body| active.end_with(body)),
+                None => response,
+            })
+        }
     });
     let head_timer = HeadTimer::new(limits.listener.header_timeout);
     let builder = create_builder(limits, head_timer.clone());
@@ -144,6 +155,15 @@
             log::debug!(remote:% = remote; "accepted connection closed: no version of HTTP was told");
             return;
         }
+        () = wait_for_idle_http2(&active_requests, &head_timer, limits.idle_timeout) => {
+            log::debug!(remote:% = remote; "accepted connection closed: idle");
+            connection.as_mut().graceful_shutdown();
+            tokio::select! {
+                result = connection.as_mut() => result,
+                // The caller has not closed it.
+                () = active_requests.wait_until_idle(limits.idle_timeout) => return,
+            }
+        }
         () = close => {
             connection.as_mut().graceful_shutdown();
             connection.await
@@ -160,6 +180,19 @@
     matches!(stream.peek(&mut [0]).await, Ok(1..))
 }
 
+/// Waits until an HTTP/2 connection has carried no request for `idle_timeout`; does not return if the
+/// connection is HTTP/1.1, which has a timer.
+async fn wait_for_idle_http2(
+    active_requests: &ActiveRequests,
+    head_timer: &HeadTimer,
+    idle_timeout: Duration,
+) {
+    active_requests.wait_until_idle(idle_timeout).await;
+    if head_timer.is_http1() {
+        std::future::pending::<()>().await;
+    }
+}
+
 fn create_builder(limits: ConnectionLimits, head_timer: HeadTimer) -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP: bodies, headers, a client with connection pools, and listeners.
 
+mod active_requests;
 mod body;
 mod connect;
 mod connection_limits;
