fix(state): keep lapsed servers in a second outage of the store

What callers could see: 503, where the store was lost again within 2.1 s after an outage. Servers whose registration had lapsed were dropped at the end of the first grace period, although they could not register again meanwhile.

Cause: the removal time of a lapsed server was fixed when the first outage ended, and the start of another one did not change it.

Ruled out: to postpone each removal.

Change: the directory knows which removals were relayed. The start of an outage postpones the others until the grace period after its end; the end of an outage still only brings removal times forward.

`directory::relayed_removal_is_not_postponed_by_second_outage` guards the change and passed before.

Conclusion: entries that watch the store keep such servers; the others drop them as before.

--- a/lentilcart_state/src/directory/directory.rs
+++ b/lentilcart_state/src/directory/directory.rs
@@ -23,8 +23,8 @@
 pub struct ServerDirectory {
     /// All servers by identifier, lapsed ones included.
     registrations: Map<Name, ServerRegistration>,
-    /// Time at which each server whose registration lapsed is removed, by server identifier.
-    removal_times: Map<Name, Micros>,
+    /// Servers whose registration lapsed, by identifier.
+    lapses: Map<Name, Lapse>,
     /// Start, in Unix milliseconds, of each instance that has said itself that it is leaving, by server
     /// identifier.
     leaving_instances: Map<Name, u64>,
@@ -33,6 +33,15 @@
     outage: Outage,
 }
 
+/// End of the registration of a server that is kept for a time.
+#[derive(Debug, Clone, Copy)]
+struct Lapse {
+    /// Time at which the server is removed.
+    removal_time: Micros,
+    /// Whether another entry reported the end of the registration.
+    relayed: bool,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 enum Outage {
     /// The store answers, and the grace period after the last outage is over.
@@ -52,7 +61,7 @@
     /// It only shows that a lapsed server is registered again.
     pub fn record_registration(&mut self, mut registration: ServerRegistration) -> bool {
         if self.is_older_write(&registration) {
-            return self.removal_times.remove(&registration.id).is_some();
+            return self.lapses.remove(&registration.id).is_some();
         }
         self.removed
             .retain(|(removed, _)| removed.id != registration.id);
@@ -64,7 +73,7 @@
                 self.leaving_instances.remove(&registration.id);
             }
         }
-        let lapsed = self.removal_times.remove(&registration.id).is_some();
+        let lapsed = self.lapses.remove(&registration.id).is_some();
         let previous = self
             .registrations
             .insert(registration.id.clone(), registration.clone());
@@ -103,21 +112,28 @@
     /// Records that a registration was removed; returns whether the server is removed at once.
     ///
     /// In an outage of the store and until the grace period after it is over, a server stays unless it
-    /// is leaving. Where another outage begins within the grace period, a server that lapsed before is
-    /// still removed at the end of that period.
+    /// is leaving. Where another outage begins within the grace period, the server stays until the grace
+    /// period after that one is over.
     pub fn record_removal(&mut self, id: &Name, now: Micros) -> bool {
-        let removal_time = self.get_removal_time(now);
-        self.end_registration(id, now, removal_time)
+        let lapse = Lapse {
+            removal_time: self.get_removal_time(now),
+            relayed: false,
+        };
+        self.end_registration(id, now, lapse)
     }
 
     /// Records that a registration was removed, as another entry learned from the store; returns
     /// whether the server is removed at once.
     ///
-    /// Otherwise the server is removed after one grace period at most, even while the outage lasts.
+    /// Otherwise the server is removed after one grace period at most, even while the outage lasts or where
+    /// another one begins.
     pub fn record_relayed_removal(&mut self, id: &Name, now: Micros) -> bool {
         // The store answers the other entry, so that servers can register again.
-        let removal_time = self.get_removal_time(now).min(now + OUTAGE_GRACE);
-        self.end_registration(id, now, removal_time)
+        let lapse = Lapse {
+            removal_time: self.get_removal_time(now).min(now + OUTAGE_GRACE),
+            relayed: true,
+        };
+        self.end_registration(id, now, lapse)
     }
 
     /// Returns the time at which a server whose registration ends now is removed.
@@ -129,12 +145,12 @@
         }
     }
 
-    /// Removes a server at once, or at the given time; returns whether it was removed at once.
-    fn end_registration(&mut self, id: &Name, now: Micros, removal_time: Micros) -> bool {
+    /// Removes a server at once, or at the time of its lapse; returns whether it was removed at once.
+    fn end_registration(&mut self, id: &Name, now: Micros, lapse: Lapse) -> bool {
         match self.registrations.get(id) {
             None => false,
-            Some(registration) if removal_time > now && !registration.leaving => {
-                self.removal_times.insert(id.clone(), removal_time);
+            Some(registration) if lapse.removal_time > now && !registration.leaving => {
+                self.lapses.insert(id.clone(), lapse);
                 false
             }
             Some(_) => {
@@ -146,8 +162,14 @@
 
     /// Records that there is an outage of the store: as far as this entry knows, the store answers
     /// neither it nor any other entry.
+    ///
+    /// Lapsed servers stay until the grace period after it is over, since they cannot register again
+    /// meanwhile. Those whose removal another entry reported do not stay longer than before.
     pub fn record_outage_start(&mut self) {
         self.outage = Outage::Ongoing;
+        for lapse in self.lapses.values_mut().filter(|lapse| !lapse.relayed) {
+            lapse.removal_time = Micros(u64::MAX);
+        }
     }
 
     /// Records that there is no outage of the store. Where there was one, this starts the grace period
@@ -155,8 +177,8 @@
     pub fn record_outage_end(&mut self, now: Micros) {
         if matches!(self.outage, Outage::Ongoing) {
             self.outage = Outage::Ended(now);
-            for removal_time in self.removal_times.values_mut() {
-                *removal_time = (*removal_time).min(now + OUTAGE_GRACE);
+            for lapse in self.lapses.values_mut() {
+                lapse.removal_time = lapse.removal_time.min(now + OUTAGE_GRACE);
             }
         }
     }
@@ -170,9 +192,9 @@
             self.outage = Outage::None;
         }
         let expired: Vec<Name> = self
-            .removal_times
+            .lapses
             .iter()
-            .filter(|(_, removal_time)| **removal_time <= now)
+            .filter(|(_, lapse)| lapse.removal_time <= now)
             .map(|(id, _)| id.clone())
             .collect();
         for id in &expired {
@@ -183,7 +205,7 @@
     }
 
     fn remove(&mut self, id: &Name, now: Micros) {
-        self.removal_times.remove(id);
+        self.lapses.remove(id);
         self.leaving_instances.remove(id);
         let registration = self.registrations.remove(id);
         self.removed
@@ -197,13 +219,13 @@
     /// is `Micros(u64::MAX)` while an outage of the store lasts.
     #[must_use]
     pub fn get_lapse_end(&self, id: &str) -> Option<Micros> {
-        self.removal_times.get(id).copied()
+        self.lapses.get(id).map(|lapse| lapse.removal_time)
     }
 
     /// Returns the number of lapsed servers.
     #[must_use]
     pub fn get_lapsed_count(&self) -> usize {
-        self.removal_times.len()
+        self.lapses.len()
     }
 
     /// Returns the number of servers of a service that are leaving, by their registration or by their own
--- a/lentilcart_state/tests/testsuite/directory.rs
+++ b/lentilcart_state/tests/testsuite/directory.rs
@@ -105,6 +105,39 @@
     assert_eq!(directory.remove_lapsed(ms(3200)), ["i-1".into()]);
 }
 
+/// Guards against servers that live and are dropped in a second outage of the store, in which they cannot
+/// register again, since the first one had ended.
+#[test]
+fn removal_waits_for_grace_period_of_second_outage() {
+    let mut directory = with_one_server();
+    directory.record_registration(registration("i-2", 1));
+    directory.record_outage_start();
+    assert!(!directory.record_removal(&"i-1".into(), ms(500)));
+    directory.record_outage_end(ms(1000));
+    assert!(!directory.record_removal(&"i-2".into(), ms(1500)));
+    directory.record_outage_start();
+    assert!(directory.remove_lapsed(ms(60_000)).is_empty());
+    directory.record_outage_end(ms(60_000));
+    directory.record_outage_end(ms(61_000));
+    assert!(directory.remove_lapsed(ms(61_900)).is_empty());
+    let mut removed = directory.remove_lapsed(ms(62_200));
+    removed.sort_unstable();
+    assert_eq!(removed, ["i-1".into(), "i-2".into()]);
+}
+
+/// Guards against a second outage that prolongs the time for which a server stays after another entry has
+/// reported its removal.
+#[test]
+fn relayed_removal_is_not_postponed_by_second_outage() {
+    let mut directory = with_one_server();
+    directory.record_outage_start();
+    directory.record_outage_end(ms(1000));
+    assert!(!directory.record_relayed_removal(&"i-1".into(), ms(1500)));
+    directory.record_outage_start();
+    assert!(directory.remove_lapsed(ms(3000)).is_empty());
+    assert_eq!(directory.remove_lapsed(ms(3200)), ["i-1".into()]);
+}
+
 /// Guards against an instance that has said that it is leaving and gets requests again when its
 /// registration is written once more, and against the next instance that gets none.
 #[test]
