fix(gateway): read the answer to a hedge that has come as the first attempt's is passed on

Callers: none saw it. Where the answers to an attempt and to its hedge came together, the first one's was passed on and the hedge dropped with its head unread. A server that said there that it was leaving went on to get requests.

Cause: `select` polls the first attempt before the hedge; what has come for the hedge by then was never looked at.

Ruled out: a first attempt that loses. It is polled right before the hedge that wins, so what has come of it is read.

Change: the hedge is polled once more before it is dropped, with a token cancelled that keeps it from being sent if it still waits for a connection. What its answer says, its outcome included, goes where that of any attempt goes.

Conclusion: a head that comes after the other's response has been passed on is still not read; its connection is closed.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use futures::future::{Either, select};
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
@@ -11,6 +12,7 @@
 use lentilcart_state::{PathRoute, RequestClass};
 use lentilcart_util::{Micros, Name};
 use tokio::time::{Instant, timeout, timeout_at};
+use tokio_util::sync::CancellationToken;
 
 use super::attempt_log::AttemptLog;
 use super::datagram::PermitRequest;
@@ -91,6 +93,8 @@
     deadline: Instant,
     /// Path of the health endpoint, by which connections are checked; `None` if the service is unknown.
     health_path: Option<Name>,
+    /// Cancelled when the attempt must not be sent any more; a response is read all the same.
+    give_up: CancellationToken,
 }
 
 impl AttemptResult {
@@ -356,6 +360,7 @@
         class: inbound.route.class,
         deadline: Instant::from_std(gateway.clock.to_instant(inbound.deadline)),
         health_path: gateway.get_health_path(&dispatcher.service),
+        give_up: gateway.attempts_end.clone(),
     };
     let request = inbound.build_request(&permit.server_id, gateway.clock.now());
     let first = Box::pin(send_attempt(gateway, context.clone(), permit, request));
@@ -381,13 +386,21 @@
     excluded.push(permit.address);
     inbound.attempts += 1;
     let request = inbound.build_request(&permit.server_id, gateway.clock.now());
+    let give_up = gateway.attempts_end.child_token();
     let context = AttemptContext {
         attempt: inbound.attempts,
+        give_up: give_up.clone(),
         ..context
     };
     let second = Box::pin(send_attempt(gateway, context, permit, request));
     let (result, has_won) = match select(first, second).await {
-        Either::Left((first @ AttemptResult::Response(_), _)) => (first, false),
+        Either::Left((first @ AttemptResult::Response(_), second)) => {
+            // The head of the hedge's response may have come since it was polled; it may hold a notice.
+            give_up.cancel();
+            second.now_or_never();
+            (first, false)
+        }
+        // The first attempt has been polled just before the hedge.
         Either::Right((second @ AttemptResult::Response(_), _)) => (second, true),
         Either::Left((first, second)) => {
             let second = second.await;
@@ -458,6 +471,7 @@
         class,
         deadline,
         health_path,
+        give_up,
     } = context;
     let (address, server) = (permit.address, permit.server_id.clone());
     let handle_check = |response: &Response<Incoming>| {
@@ -475,7 +489,7 @@
             request,
             max_idle_time,
             check.as_ref(),
-            gateway.attempts_end.cancelled(),
+            give_up.cancelled(),
         )
         .await
     {
@@ -483,8 +497,7 @@
         Err(SendError::NotSent(reason, _)) => {
             attempt_log.write_not_sent(&reason);
             // The connection may have been given up or declined, which says nothing about the server.
-            let is_cancelled =
-                gateway.attempts_end.is_cancelled() || !is_wanted(gateway, &dispatcher, &permit);
+            let is_cancelled = give_up.is_cancelled() || !is_wanted(gateway, &dispatcher, &permit);
             permit.release(if is_cancelled {
                 AttemptOutcome::Cancelled
             } else {
