fix(gateway): give up a listing of the store that does not end

A store that says of each page that more follow, with new keys each time, made an entry gather pages until its memory ended; each page was bounded, their number was not.

Cause: `Mirror` keeps the pages of a listing until the last one, and nothing counted them. Ruled out: a bound in time, since a listing of many pages may be slow and right.

The backoff ends with a complete listing, not with each page. The stand-in of the store lists without end on demand.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -7,6 +7,7 @@
 use tokio::time::timeout;
 
 use super::gateway::{Gateway, MirrorKind};
+use super::listing_size::ListingSize;
 use crate::util::Backoff;
 
 /// Interval at which an entry checks whether it has to watch the store, and at which a mirror that waits
@@ -29,6 +30,7 @@
 /// Keeps the mirror of a prefix current by listing and watching it in the store.
 pub(crate) async fn keep_mirror(gateway: Arc<Gateway>, kind: MirrorKind) {
     let mut backoff = Backoff::default();
+    let mut listing_size = ListingSize::default();
     loop {
         // Unless this entry has to watch, one listing is enough: later changes come from other entries.
         let has_listed = gateway.lock_mirror(kind).get_revision() > 0;
@@ -48,16 +50,19 @@
                 gateway.lock_mirror(kind).restart_listing();
                 continue;
             }
-            result = call_store(&gateway, kind, call) => result,
+            result = call_store(&gateway, kind, call, &mut listing_size) => result,
         };
         match result {
             Ok(reply) => {
-                backoff = Backoff::default();
                 gateway.record_store_reply();
                 let changes = gateway.lock_mirror(kind).record_reply(reply);
                 gateway.apply_changes(kind, changes, false);
                 // Several servers or entries often come or go at a time.
                 let is_watching = gateway.lock_mirror(kind).is_watching();
+                // A listing may still turn out to be endless.
+                if is_watching {
+                    backoff = Backoff::default();
+                }
                 match kind {
                     MirrorKind::Servers if is_watching => {
                         sleep_unless_stopped(&gateway, SERVER_BATCH_DELAY).await;
@@ -89,16 +94,23 @@
     }
 }
 
-/// Makes a call to the store; a watch is confirmed while it waits.
+/// Makes a call to the store; a watch is confirmed while it waits. A listing that is too large is begun anew,
+/// and the call fails.
 async fn call_store(
     gateway: &Gateway,
     kind: MirrorKind,
     call: StoreCall,
+    listing_size: &mut ListingSize,
 ) -> Result<StoreReply, String> {
-    match &call {
-        StoreCall::Watch { .. } => confirm_watch(gateway, kind, (gateway.store.call)(call)).await,
-        _ => (gateway.store.call)(call).await,
+    if let StoreCall::Watch { .. } = &call {
+        return confirm_watch(gateway, kind, (gateway.store.call)(call)).await;
+    }
+    let reply = (gateway.store.call)(call.clone()).await?;
+    if let Err(reason) = listing_size.add(&call, &reply) {
+        gateway.lock_mirror(kind).restart_listing();
+        return Err(reason);
     }
+    Ok(reply)
 }
 
 /// Waits for the reply to a watch, and confirms it meanwhile by watches that do not wait: if one of them has
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 #[allow(clippy::module_inception)]
 mod gateway;
 mod handle;
+mod listing_size;
 mod mirror;
 mod notice;
 mod on_demand_probe;
