fix(state): say truly whether a ticket was accepted

What operators could see, found by reading: (1) `submit --id ID` of another ticket under an accepted id printed the receipt of that one, so that a change counted as in force that never was. (2) After a lost write of the head, a head or body that could not be read gave "cannot be read", as if nothing had been accepted. (3) A submission gave up after 8 lost answers in all, though the platform had answered in between.

Cause: (1) the ids were compared, not the bodies; (2) an unreadable value was an error of its own whatever had been written; (3) the count of lost replies was never reset.

Change: (1) the body stored under the id is read and compared, as it is where it is written. (2) Where the write of the head was lost, or the id is seen among the accepted ones, it is the outcome that is unknown: the error names the id to submit again with. (3) A reply ends the row.

Ruled out for (3): that each reply ends the row. Where every write of the head is lost and the reads between them are answered, the submission would never end.

Evidence, on the code before: `submit_other_body_under_accepted_id_is_refused` got `Ok(1)`, `submit_unreadable_head_after_lost_write_is_unknown` "the platform's value of head cannot be read", and `submit_counts_lost_answers_in_a_row` `Unreachable("no answer")`. `submit_again_without_body_is_unknown` covers the read that is new.

One more read for a ticket that was accepted before, or whose lost write took effect.

--- a/lentilcart_state/src/accept/submission.rs
+++ b/lentilcart_state/src/accept/submission.rs
@@ -8,7 +8,7 @@
 use super::head::{HEAD_KEY, Head, MAX_INLINE_BYTES, encode, number_key, ticket_key};
 use super::protocol_step::ProtocolStep;
 use crate::error::StateError;
-use crate::platform::{KvReply, KvRequest};
+use crate::platform::{KvReply, KvRequest, VersionedValue};
 use crate::ticket::Ticket;
 
 /// Backoff after the first lost reply in a row; it doubles with each further one.
@@ -71,12 +71,17 @@
 pub struct TicketSubmission {
     id: Name,
     ticket: Arc<Ticket>,
-    /// Number of further lost replies that are tolerated.
+    /// Number of lost replies in a row that are tolerated.
+    max_retries: u32,
+    /// Number of further lost replies in a row that are tolerated.
     remaining_retries: u32,
     /// Wait after the next lost reply.
     backoff: Micros,
-    /// Whether the reply to a write of the head was lost, so that the ticket may be accepted.
+    /// Whether the ticket may be accepted: the reply to a write of the head was lost, or a ticket with its id
+    /// is accepted.
     may_be_accepted: bool,
+    /// Whether the reply to the last write of the head was lost.
+    is_write_lost: bool,
     /// Head as last read.
     head: Head,
     /// Version of the head's key as last read.
@@ -95,6 +100,8 @@
     ReadNumber,
     /// Reading the body of an accepted ticket by its id, to check it for conflicts.
     ReadAccepted(Name),
+    /// Reading the body that was accepted under the submitted ticket's id, with this number.
+    ReadOwn(u64),
     /// Writing the id of the head's ticket under its number, if it is absent.
     WriteNumber,
     /// Writing the body of the submitted ticket, if it is absent.
@@ -108,15 +115,17 @@
 impl TicketSubmission {
     /// Creates a state machine that submits a ticket under the id that its submitter gives it.
     ///
-    /// The submission tolerates `retries` lost replies in all. After each it waits, then repeats the
-    /// request; after a write of the head it reads the head instead.
+    /// The submission tolerates `retries` lost replies in a row. After each it waits, then repeats the
+    /// request; after a write of the head it reads the head instead, which does not end the row.
     #[must_use]
     pub fn new(id: Name, ticket: Arc<Ticket>, retries: u32) -> Self {
         Self {
             id,
+            max_retries: retries,
             remaining_retries: retries,
             backoff: MIN_BACKOFF,
             may_be_accepted: false,
+            is_write_lost: false,
             head: Head::default(),
             head_version: 0,
             checked_number: ticket.base,
@@ -132,13 +141,34 @@
             None => ProtocolStep::Request(self.get_request()),
             Some(KvReply::Lost(reason)) => self.handle_lost_reply(reason),
             Some(reply) => {
-                self.backoff = MIN_BACKOFF;
+                self.end_losses();
                 self.handle_reply(reply)
-                    .unwrap_or_else(|error| ProtocolStep::Done(Err(error)))
+                    .unwrap_or_else(|error| ProtocolStep::Done(Err(self.qualify(error))))
             }
         }
     }
 
+    /// Ends a row of lost replies. After a lost write of the head only the reply to another one does so:
+    /// where each is lost while the reads between are answered, the submission would never end.
+    fn end_losses(&mut self) {
+        self.is_write_lost &= !matches!(self.stage, Stage::WriteHead);
+        if !self.is_write_lost {
+            self.remaining_retries = self.max_retries;
+            self.backoff = MIN_BACKOFF;
+        }
+    }
+
+    /// Returns the error for the submitter: what cannot be read may be what says that the ticket was
+    /// accepted.
+    fn qualify(&self, error: StateError) -> StateError {
+        match error {
+            StateError::Corrupt(..) if self.may_be_accepted => {
+                StateError::OutcomeUnknown(self.id.to_string(), error.to_string())
+            }
+            error => error,
+        }
+    }
+
     /// Returns the request of the current stage.
     fn get_request(&self) -> KvRequest {
         match &self.stage {
@@ -151,6 +181,9 @@
             Stage::ReadAccepted(id) => KvRequest::Get {
                 key: ticket_key(id),
             },
+            Stage::ReadOwn(_) => KvRequest::Get {
+                key: ticket_key(&self.id),
+            },
             Stage::WriteNumber => {
                 create_if_absent(number_key(self.head.number), self.head.id.to_string())
             }
@@ -177,7 +210,7 @@
             (Stage::ReadHead, KvReply::Value(stored)) => {
                 (self.head, self.head_version) = Head::from_stored(stored.as_ref())?;
                 match self.head.number {
-                    number if self.head.id == self.id => Ok(self.finish(number)),
+                    number if self.head.id == self.id => Ok(self.read_own(number)),
                     number if number < self.ticket.base => {
                         Err(StateError::BaseAhead(self.ticket.base, number))
                     }
@@ -195,16 +228,17 @@
                     None => Ok(self.check_next()),
                 }
             }
+            (Stage::ReadOwn(number), KvReply::Value(Some(stored))) => {
+                self.check_own_body(&stored)?;
+                Ok(self.finish(number))
+            }
             (Stage::WriteNumber, KvReply::Swapped(_) | KvReply::Refused(Some(_))) => {
                 Ok(self.enter(Stage::WriteBody))
             }
             (Stage::WriteBody, KvReply::Swapped(_)) => Ok(self.enter(Stage::WriteHead)),
             (Stage::WriteBody, KvReply::Refused(Some(stored))) => {
-                if stored.value == encode(&*self.ticket) {
-                    Ok(self.enter(Stage::WriteHead))
-                } else {
-                    Err(StateError::DuplicateId(self.id.to_string()))
-                }
+                self.check_own_body(&stored)?;
+                Ok(self.enter(Stage::WriteHead))
             }
             (Stage::WriteHead, KvReply::Swapped(_)) => Ok(self.finish(self.head.number + 1)),
             (Stage::WriteHead, KvReply::Refused(_)) => Ok(self.enter(Stage::ReadHead)),
@@ -231,15 +265,31 @@
         }
     }
 
-    /// Goes on with an accepted ticket: reads its body, or ends where it is the submitted ticket.
+    /// Goes on with an accepted ticket: reads its body, to check it for conflicts, or to compare it where
+    /// it has the id of the submitted one.
     fn check_accepted(&mut self, id: Name) -> SubmissionStep {
         if id == self.id {
-            self.finish(self.checked_number + 1)
+            self.read_own(self.checked_number + 1)
         } else {
             self.enter(Stage::ReadAccepted(id))
         }
     }
 
+    /// Goes on with the ticket that was accepted under the submitted one's id.
+    fn read_own(&mut self, number: u64) -> SubmissionStep {
+        self.may_be_accepted = true;
+        self.enter(Stage::ReadOwn(number))
+    }
+
+    /// Fails where the body that is stored under the ticket's id is another one.
+    fn check_own_body(&self, stored: &VersionedValue) -> Result<(), StateError> {
+        if stored.value == encode(&*self.ticket) {
+            Ok(())
+        } else {
+            Err(StateError::DuplicateId(self.id.to_string()))
+        }
+    }
+
     /// Returns the conflict with an accepted ticket, `None` where no service is in both tickets.
     fn get_conflict(&self, id: Name, accepted: &Ticket) -> Option<TicketConflict> {
         let accepted_names: Vec<&Name> = accepted.get_service_names().collect();
@@ -261,7 +311,9 @@
     /// Ends after too many lost replies; otherwise waits and repeats the request. After a write of
     /// the head it reads the head again instead, which shows whether the write took effect.
     fn handle_lost_reply(&mut self, reason: String) -> SubmissionStep {
-        self.may_be_accepted |= matches!(self.stage, Stage::WriteHead);
+        let is_write = matches!(self.stage, Stage::WriteHead);
+        self.may_be_accepted |= is_write;
+        self.is_write_lost |= is_write;
         if self.remaining_retries == 0 {
             let error = if self.may_be_accepted {
                 StateError::OutcomeUnknown(self.id.to_string(), reason)
@@ -273,7 +325,7 @@
         self.remaining_retries -= 1;
         let backoff = self.backoff;
         self.backoff = MAX_BACKOFF.min(backoff + backoff);
-        if matches!(self.stage, Stage::WriteHead) {
+        if is_write {
             self.stage = Stage::ReadHead;
         }
         ProtocolStep::Wait(backoff)
--- a/lentilcart_state/tests/testsuite/submit.rs
+++ b/lentilcart_state/tests/testsuite/submit.rs
@@ -2,8 +2,8 @@
 use std::sync::Arc;
 
 use lentilcart_state::{
-    AppliedState, CatchUp, KvRequest, NumberedTicket, ProtocolStep, Service, StateError, Ticket,
-    TicketSubmission, parse_ticket,
+    AppliedState, CatchUp, HEAD_KEY, KvReply, KvRequest, NumberedTicket, ProtocolStep, Service,
+    StateError, Ticket, TicketSubmission, VersionedValue, parse_ticket,
 };
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -289,6 +289,128 @@
     assert_eq!(submit(&mut kv, "a", ticket(1, 0)).unwrap(), 1);
 }
 
+/// Guards against a receipt for a ticket that was never accepted, since another one was under its id.
+#[test]
+fn submit_other_body_under_accepted_id_is_refused() {
+    let mut kv = KvService::default();
+    submit(&mut kv, "a", ticket(1, 0)).unwrap();
+    for later in [2, 3] {
+        let error = submit(&mut kv, "a", ticket(4, 0)).unwrap_err();
+        assert!(matches!(&error, StateError::DuplicateId(id) if id == "a"));
+        assert!(error.to_string().contains("--id a"), "{error}");
+        // The next round finds the id behind the head.
+        submit(&mut kv, &format!("b{later}"), ticket(later, 1)).unwrap();
+    }
+    assert_eq!(submit(&mut kv, "a", ticket(1, 0)).unwrap(), 1);
+}
+
+/// Guards against an error that says that nothing was accepted, although the submission has seen that its
+/// id is.
+#[test]
+fn submit_again_without_body_is_unknown() {
+    let mut kv = KvService::default();
+    submit(&mut kv, "a", ticket(1, 0)).unwrap();
+    let submission = TicketSubmission::new("a".into(), Arc::new(ticket(1, 0)), 0);
+    let result = submit_with_outcomes(&mut kv, submission, |request| match request {
+        KvRequest::Get { key } if &**key == HEAD_KEY => Outcome::Answered,
+        _ => Outcome::Dropped,
+    });
+    assert!(matches!(result, Err(StateError::OutcomeUnknown(..))));
+}
+
+/// Makes the calls of a submission, each with the outcome that a function returns for it, and returns its
+/// result.
+fn submit_with_outcomes(
+    kv: &mut KvService,
+    mut submission: TicketSubmission,
+    mut outcome: impl FnMut(&KvRequest) -> Outcome,
+) -> Result<u64, StateError> {
+    let mut reply = None;
+    // More steps than any of these submissions needs.
+    for _ in 0..1000 {
+        match submission.step(reply.take()) {
+            ProtocolStep::Request(request) => {
+                let outcome = outcome(&request);
+                reply = Some(kv.call(request, outcome));
+            }
+            ProtocolStep::Wait(_) => {}
+            ProtocolStep::Done(result) => return result.map(|accepted| accepted.number),
+        }
+    }
+    panic!("the submission does not end");
+}
+
+fn is_head_write(request: &KvRequest) -> bool {
+    matches!(request, KvRequest::CompareAndSwap { key, .. } if &**key == HEAD_KEY)
+}
+
+/// Guards against a submission that gives up although the platform answers in between.
+#[test]
+fn submit_counts_lost_answers_in_a_row() {
+    let mut kv = KvService::default();
+    submit(&mut kv, "first", ticket(1, 0)).unwrap();
+    let submission = TicketSubmission::new("a".into(), Arc::new(ticket(2, 0)), 1);
+    let mut calls = 0;
+    let result = submit_with_outcomes(&mut kv, submission, |request| {
+        calls += 1;
+        match calls % 2 {
+            1 if !is_head_write(request) => Outcome::Dropped,
+            _ => Outcome::Answered,
+        }
+    });
+    assert_eq!(result.unwrap(), 2);
+}
+
+/// Guards against a submission that never ends, since the reads between lost writes are answered.
+#[test]
+fn submit_ends_where_each_write_of_head_is_lost() {
+    let mut kv = KvService::default();
+    let submission = TicketSubmission::new("a".into(), Arc::new(ticket(1, 0)), 3);
+    let mut writes = 0;
+    let result = submit_with_outcomes(&mut kv, submission, |request| {
+        if is_head_write(request) {
+            writes += 1;
+            Outcome::Dropped
+        } else {
+            Outcome::Answered
+        }
+    });
+    assert!(matches!(result, Err(StateError::OutcomeUnknown(..))));
+    assert_eq!(writes, 4);
+}
+
+/// Guards against an error that reads as if nothing was accepted, although the ticket is.
+#[test]
+fn submit_unreadable_head_after_lost_write_is_unknown() {
+    let mut kv = KvService::default();
+    let mut submission = TicketSubmission::new("a".into(), Arc::new(ticket(1, 0)), 1);
+    let mut reply = None;
+    let mut is_write_lost = false;
+    let error = loop {
+        match submission.step(reply.take()) {
+            ProtocolStep::Request(request) if is_head_write(&request) => {
+                is_write_lost = true;
+                reply = Some(kv.call(request, Outcome::ReplyLost));
+            }
+            ProtocolStep::Request(_) if is_write_lost => {
+                reply = Some(KvReply::Value(Some(VersionedValue {
+                    version: 1,
+                    value: "no head".to_owned(),
+                })));
+            }
+            ProtocolStep::Request(request) => reply = Some(kv.call(request, Outcome::Answered)),
+            ProtocolStep::Wait(_) => {}
+            ProtocolStep::Done(result) => break result.unwrap_err(),
+        }
+    };
+    assert!(
+        matches!(&error, StateError::OutcomeUnknown(id, _) if id == "a"),
+        "{error}"
+    );
+    assert!(error.to_string().contains("head"), "{error}");
+    assert_eq!(submit(&mut kv, "a", ticket(1, 0)).unwrap(), 1);
+}
+
 #[test]
 fn catch_up_from_snapshot() {
     let mut kv = KvService::default();
