fix(entry): reject requests that a stopping entry cannot expect to end

An entry of change tickets that stops passed on requests whatever their deadline. Those that were still running at the end of `--drain` were answered with 502, so that their callers could not know whether they had run. Gateways reject such requests.

Change: the rule of gateways. While an entry stops, an attempt begins only if the request's deadline is not after the end of the drain, or if it came before the listener closed and is expected to end in time by the base service time of the pool. Others get 503 with `not-run`, before a claim is stored or a permit asked for, and again after the wait for the permit; so do requests that would be forwarded. `EntryHandle::stop` keeps the times that the rule counts on, which are as before.

Shared code: the schedule of a gateway is counted back from the end of its grace period, that of an entry forward from the lame-duck time, so that only the comparison of `may_begin_attempt` is the same. It stands twice, since `src/gateway` is not changed here.

Test: promises::stop_rejects_late_requests_that_may_outlast_it failed before at promises.rs:348 with `HTTP/1.1 502 Bad Gateway`, `lentilcart-outcome: unknown`; now 503 with `not-run`, and no server gets the request, while one with a deadline of 1 s is served.

--- a/lentilcart_bench/tests/testsuite/promises.rs
+++ b/lentilcart_bench/tests/testsuite/promises.rs
@@ -108,9 +108,14 @@
 
 /// Sends a request without a body to an entry and returns the head of the response.
 async fn send(entry: SocketAddr, path: &str) -> String {
-    let mut stream = TcpStream::connect(entry).await.unwrap();
+    let stream = TcpStream::connect(entry).await.unwrap();
+    send_over(stream, path, "").await
+}
+
+/// Sends a request without a body, and with further header fields, over a connection and returns the response.
+async fn send_over(mut stream: TcpStream, path: &str, fields: &str) -> String {
     let request = format!(
-        "POST {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+        "POST {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{fields}content-length: 0\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).await.unwrap();
     let mut response = String::new();
@@ -294,3 +299,37 @@
     );
     cluster.stop().await;
 }
+
+/// Guards against requests that come late in a stop and cannot be expected to end in time: they were passed on,
+/// and their callers got 502 and could not know whether they had run.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_rejects_late_requests_that_may_outlast_it() {
+    let arrivals = Arrivals::default();
+    let respond = |path: &str| (!path.ends_with("endless")).then_some(OK);
+    let server = start_server(&arrivals, Copies::None, respond).await;
+    let mut layout = small_layout();
+    layout.flags = ["--lame-duck", "4s", "--drain", "2s"]
+        .map(str::to_owned)
+        .to_vec();
+    let cluster = start_with_servers(layout, "late", "once", 0, &[server]).await;
+    let entry = cluster.layout.get_caller_address(0);
+    let [long, short] = [(); 2].map(|()| TcpStream::connect(entry));
+    let (long, short) = (long.await.unwrap(), short.await.unwrap());
+    cluster.signal(0, "TERM");
+    let listener_end = async {
+        while TcpStream::connect(entry).await.is_ok() {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(WAIT_TIMEOUT, listener_end).await.unwrap();
+    // Open connections are served for another half of the lame-duck time.
+    let name = cluster.layout.firm.services[0].name;
+    let (endless, brief) = (format!("/{name}/endless"), format!("/{name}/brief"));
+    let short = send_over(short, &brief, "lentilcart-deadline-ms: 1000\r\n").await;
+    assert!(short.starts_with("HTTP/1.1 200"), "{short}");
+    let long = send_over(long, &endless, "").await;
+    assert!(long.contains("lentilcart-outcome: not-run"), "{long}");
+    assert!(long.contains("about to stop"), "{long}");
+    assert_eq!(*arrivals.lock().unwrap(), [brief]);
+    cluster.stop().await;
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -4,7 +4,7 @@
 use futures::future::{Either, select};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use lentilcart_route::{AttemptOutcome, LoadReport};
+use lentilcart_route::{AttemptOutcome, LoadReport, ServerPool};
 use lentilcart_state::{RequestClass, Route, Service};
 use lentilcart_util::Micros;
 use tokio::time::{Instant, timeout_at};
@@ -36,6 +36,8 @@
     /// When preparing it for sending began, on the clock of this process: after any wait for the
     /// ticket in force to be confirmed, and before its body is read. Its deadline counts from here.
     pub(crate) arrived: Micros,
+    /// When its body had arrived, or began to if it is streamed, on the same clock.
+    pub(crate) received: Micros,
     /// The earlier one of the caller's and the route's deadline, on the same clock.
     pub(crate) deadline: Micros,
     /// Whether an owner that the request was forwarded to, or the failed one of an attempt and its
@@ -65,6 +67,22 @@
         self.route.class == RequestClass::Once
     }
 
+    /// Returns whether an attempt may begin: always, unless this entry is stopping and the attempt may
+    /// not end in time.
+    pub(crate) fn may_begin_attempt(&self, entry: &Entry) -> bool {
+        entry.drain.get().is_none_or(|schedule| {
+            let to_instant = |time| Instant::from_std(entry.clock.to_instant(time));
+            let active = entry.get_active_config();
+            let dispatcher = active.dispatchers.get(&self.service.name);
+            let expected = dispatcher.and_then(|d| d.read_pool(ServerPool::get_base_service_time));
+            schedule.may_begin_attempt(
+                to_instant(self.received),
+                to_instant(self.deadline),
+                expected.unwrap_or_default(),
+            )
+        })
+    }
+
     /// Builds the HTTP request of one attempt. Its headers hold the remaining time in milliseconds
     /// and the attempt number; the number 0 leaves the caller's attempt header, if any, as it is.
     /// Takes a streamed body, and returns `None` then until [`Payload::restore`] puts it back.
@@ -128,6 +146,9 @@
     let mut excluded = Vec::new();
     let mut deciding = DecidingResult::None;
     for attempt in 0..MAX_ATTEMPTS {
+        if !request.may_begin_attempt(entry) {
+            return deciding.into_result(RequestError::Stopping);
+        }
         let kind = if attempt == 0 {
             AttemptKind::First
         } else {
@@ -158,6 +179,10 @@
                 /* may_have_run */ false,
             ));
         }
+        // The wait for the permit may have taken long.
+        if !request.may_begin_attempt(entry) {
+            return deciding.into_result(RequestError::Stopping);
+        }
         excluded.push(permit.address);
         let http_request =
             request.build_http_request(incoming_attempt_number + attempt, entry.clock.now());
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -13,6 +13,7 @@
 
 use super::claims::{ClaimWriters, update_claim};
 use super::dispatcher::Dispatcher;
+use super::drain::DrainSchedule;
 use super::peer_links::PeerLinks;
 use super::router::Router;
 use super::stats::Stats;
@@ -60,6 +61,8 @@
     pub(crate) stats: Stats,
     /// Background tasks, for which a stopping entry waits for at most `platform_timeout`.
     pub(crate) tasks: TaskTracker,
+    /// The times of the stop, once it has begun.
+    pub(crate) drain: OnceLock<DrainSchedule>,
     /// Cancelled when this entry, which is leaving, begins no more attempts: requests without a permit are
     /// rejected.
     pub(crate) attempts_end: CancellationToken,
@@ -125,6 +128,7 @@
             links: PeerLinks::default(),
             stats: Stats::default(),
             tasks,
+            drain: OnceLock::new(),
             attempts_end: CancellationToken::new(),
             requests_end: CancellationToken::new(),
             stop: CancellationToken::new(),
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -20,7 +20,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the deadline passes, if the connection to the owner breaks and the request may not be sent
+/// Fails if the deadline passes, if this entry stops before the request can be expected to end, if the connection to the owner breaks and the request may not be sent
 /// again, or if an owner did not run the request after another one may have.
 pub(crate) async fn forward(
     entry: &Arc<Entry>,
@@ -34,6 +34,9 @@
         let Some(address) = entry.get_peer_address(owner) else {
             continue;
         };
+        if !request.may_begin_attempt(entry) {
+            return Err(request.account_for_earlier_attempts(RequestError::Stopping));
+        }
         let Some(http_request) = request.build_http_request(0, entry.clock.now()) else {
             break;
         };
--- a/src/entry/handle.rs
+++ b/src/entry/handle.rs
@@ -2,9 +2,11 @@
 use std::time::Duration;
 
 use tokio::task::JoinHandle;
+use tokio::time::{sleep_until, timeout_at};
 use tokio_util::task::TaskTracker;
 
 use super::control::{catch_up, watch_head, watch_hosts};
+use super::drain::DrainSchedule;
 use super::entry::Entry;
 use super::serve::{serve_caller, serve_peer};
 use super::tick::tick;
@@ -15,13 +17,6 @@
 use crate::platform::PlatformClient;
 use crate::settings::EntrySettings;
 
-/// The drain time divided by this number is reserved, at its end, for the requests that servers are running.
-/// In it, requests without a permit are rejected, since an attempt that began would not end in time.
-const ATTEMPT_RESERVE_DIVISOR: u32 = 5;
-/// Time after the drain within which the callers of requests that are still running get an answer of this
-/// entry.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Handle of a running entry, by which it is stopped.
 #[derive(Debug)]
 pub struct EntryHandle {
@@ -112,21 +107,23 @@
     /// of the lame-duck time; lets requests in flight finish within the drain time; and waits for
     /// the listeners and loops, and for at most `platform_timeout` for the background tasks.
     ///
-    /// Requests that still have no permit, or whose body is still being read, some time before the end
+    /// Requests that cannot be expected to end in time are rejected, those that arrive after the listener has
+    /// closed also if they may take longer. Requests that still have no permit, or whose body is still being read, some time before the end
     /// of the drain time are rejected, so that their callers get an answer and can send them elsewhere.
     /// Those that servers are still running at its end get status 502.
     ///
     /// Returns true if every request finished within the drain time, and false if some were
     /// cut off.
     pub async fn stop(self) -> bool {
-        let settings = &self.entry.settings;
+        let schedule = DrainSchedule::new(&self.entry.settings);
         log::info!("leaving");
+        self.entry.drain.set(schedule).ok();
         self.entry.leave();
-        tokio::time::sleep(settings.lame_duck).await;
+        sleep_until(schedule.listener_end).await;
         self.stop_callers.stop_accepting.cancel();
         // Requests that arrive over open connections now are still answered; the answer closes
         // the connection.
-        tokio::time::sleep(settings.lame_duck / 2).await;
+        sleep_until(schedule.connections_end).await;
         self.stop_callers.close_connections.cancel();
         self.callers.close();
         let drained = async {
@@ -136,22 +133,20 @@
             }
         };
         tokio::pin!(drained);
-        let reserve = settings.drain_timeout / ATTEMPT_RESERVE_DIVISOR;
-        let waiting_time = settings.drain_timeout.saturating_sub(reserve);
-        let mut complete = tokio::time::timeout(waiting_time, drained.as_mut())
+        let mut complete = timeout_at(schedule.attempts_end, drained.as_mut())
             .await
             .is_ok();
         if !complete {
             log::info!(in_flight = self.entry.stats.get_in_flight(); "rejecting requests without a permit");
             self.entry.attempts_end.cancel();
-            complete = tokio::time::timeout(reserve, drained.as_mut())
+            complete = timeout_at(schedule.requests_end, drained.as_mut())
                 .await
                 .is_ok();
         }
         if !complete {
             log::info!(in_flight = self.entry.stats.get_in_flight(); "ending requests that servers are running");
             self.entry.requests_end.cancel();
-            tokio::time::timeout(ANSWER_TIMEOUT, drained).await.ok();
+            timeout_at(schedule.answers_end, drained).await.ok();
         }
         self.entry.stop.cancel();
         self.entry.http_client.close_idle();
@@ -159,9 +154,12 @@
             task.await.ok();
         }
         self.entry.tasks.close();
-        tokio::time::timeout(settings.platform_timeout, self.entry.tasks.wait())
-            .await
-            .ok();
+        tokio::time::timeout(
+            self.entry.settings.platform_timeout,
+            self.entry.tasks.wait(),
+        )
+        .await
+        .ok();
         log::info!(complete; "stopped");
         complete
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,8 +6,8 @@
 //! `forward`, which sends it to the `serve` of that owner; if no owner answers, the request is
 //! passed to `attempt` here. `attempt` gets a permit for each attempt through `owner_list`: from
 //! this entry's `dispatcher` by `grant`, or from the owner of the service by `peer_links`. `claims`
-//! stores claims of idempotency keys, `control` follows the platform, and `tick` does what is due
-//! at fixed times.
+//! stores claims of idempotency keys, `control` follows the platform, `tick` does what is due
+//! at fixed times, and `drain` has the times of a stop.
 
 mod attempt;
 mod caller_outcome;
@@ -15,6 +15,7 @@
 mod claims;
 mod control;
 mod dispatcher;
+mod drain;
 #[allow(clippy::module_inception)]
 mod entry;
 mod forward;
--- a/src/entry/request_error.rs
+++ b/src/entry/request_error.rs
@@ -18,7 +18,8 @@
     NoRoute,
     /// The entry has no ticket in force yet.
     NoTicket,
-    /// This entry is about to stop, and the request had no permit yet, or its body was still being read.
+    /// This entry is about to stop, and the request had no permit yet, cannot be expected to end in time, or
+    /// its body was still being read.
     Stopping,
     /// No permit was granted.
     PermitRejected(PermitRejection),
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -255,6 +255,7 @@
         route,
         service,
         arrived,
+        received: entry.clock.now(),
         deadline: arrived + time_limit,
         may_have_run: false,
     })
