fix(entry): count a hedge as won only if it answered

At entries of change tickets a hedge counted as won where the attempt that it hedged failed first, also if the hedge then failed too. The share of won hedges sets the budget of hedges, so that hedges cost servers the more, the more of them failed; callers saw nothing of it directly.

Cause: `send_with_hedge` took the end of the hedged attempt for the result of the hedge.

Change: a hedge that ends last has won only if it answered.

Test: promises::failed_hedge_does_not_count_as_won failed before at promises.rs:403, `left: 1, right: 0` hedges won; passes now. promises, whole_path and the short soak: 13 passed, and whole_path::serve_separate_processes failed: 999 of 1058 requests answered, 8 `NotRun`, 51 `Unknown`, after 84 s, at a load of 42 on 8 cores. Alone it passed at once after, in 24 s.

--- a/lentilcart_bench/tests/testsuite/promises.rs
+++ b/lentilcart_bench/tests/testsuite/promises.rs
@@ -37,6 +37,11 @@
 /// Server error with an outcome, which only an entry may tell.
 const ERROR_WITH_OUTCOME: &str =
     "HTTP/1.1 500 Error\r\nlentilcart-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
+/// Server error that comes [`ERROR_DELAY`] after its request for each time that the path has come.
+const LATE_ERROR: &str = "HTTP/1.1 500 Late\r\ncontent-length: 0\r\n\r\n";
+/// See [`LATE_ERROR`].
+const ERROR_DELAY: Duration = Duration::from_millis(300);
+
 /// Paths of the requests that have come to scripted servers.
 type Arrivals = Arc<Mutex<Vec<String>>>;
 
@@ -75,6 +80,15 @@
                         late_copy.clear();
                         continue;
                     };
+                    if response == LATE_ERROR {
+                        let count = arrivals
+                            .lock()
+                            .unwrap()
+                            .iter()
+                            .filter(|p| **p == path)
+                            .count();
+                        tokio::time::sleep(ERROR_DELAY * count as u32).await;
+                    }
                     let response = match id {
                         Some(id) => response.replace("{id}", &id),
                         None => response.replace("x-request-id: {id}\r\n", ""),
@@ -139,7 +153,7 @@
     let mut ticket = format!(
         "base = 0\n[[service]]\nname = \"{name}\"\ntenant = \"a\"\npolicy = \"{policy}\"\n\
          homes = {owners}\novercommit = 2\nconnections = 8\nnot_run = [503]\n\
-         load = {{ probes = 50, bytes = 20000, entries = 8 }}\n\
+         load = {{ probes = 50, bytes = 20000, entries = 8 }}\nretry = {{ hedge = 0.5 }}\n\
          [[service.route]]\npath = \"/{name}\"\nclass = \"{class}\"\ndeadline = \"20s\"\n"
     );
     let data_center = layout.firm.data_centers[0];
@@ -356,3 +370,36 @@
     assert_eq!(arrivals.lock().unwrap().len(), 2);
     cluster.stop().await;
 }
+
+/// Guards against a hedge that counts as won though it failed as well, after the attempt that it hedged: the
+/// more of them failed, the more were allowed.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_hedge_does_not_count_as_won() {
+    let arrivals = Arrivals::default();
+    let respond = |path: &str| {
+        Some(if path.ends_with("failing") {
+            LATE_ERROR
+        } else {
+            OK
+        })
+    };
+    let servers = [
+        start_server(&arrivals, Copies::None, respond).await,
+        start_server(&arrivals, Copies::None, respond).await,
+    ];
+    let cluster = start_with_servers(small_layout(), "late", "idempotent", 0, &servers).await;
+    let entry = cluster.layout.get_caller_address(0);
+    let name = cluster.layout.firm.services[0].name;
+    // Requests are hedged from the 50th answer on.
+    for number in 0..100 {
+        let response = send(entry, &format!("/{name}/{number}")).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+    let before = cluster.get_status(0).await.unwrap();
+    let response = send(entry, &format!("/{name}/failing")).await;
+    assert!(response.starts_with("HTTP/1.1 500"), "{response}");
+    let after = cluster.get_status(0).await.unwrap();
+    assert_eq!(after.hedges, before.hedges + 1);
+    assert_eq!(after.hedges_won, before.hedges_won);
+    cluster.stop().await;
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -304,7 +304,9 @@
         Either::Left((result @ EntryAttempt::Answered(_), _)) => (result, false),
         Either::Left((failed, hedge)) => {
             request.may_have_run |= !matches!(failed, EntryAttempt::NotRun(..));
-            (hedge.await, true)
+            let result = hedge.await;
+            let hedge_won = matches!(result, EntryAttempt::Answered(_));
+            (result, hedge_won)
         }
         Either::Right((result @ EntryAttempt::Answered(_), _)) => (result, true),
         Either::Right((failed, original)) => {
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -401,7 +401,7 @@
     }
 
     /// Records the result of a hedge of a service; `won` is true if it answered before the hedged
-    /// attempt, or the hedged attempt failed before it, whatever its own result.
+    /// attempt, or after that had failed.
     pub(crate) fn record_hedge(&self, service: &Name, won: bool) {
         if let Some(dispatcher) = self.get_active_config().dispatchers.get(service) {
             dispatcher.update_pool(|pool, _| pool.record_hedge(won));
--- a/src/entry/owner_list.rs
+++ b/src/entry/owner_list.rs
@@ -56,8 +56,7 @@
     }
 
     /// Reports the result of a hedge to the entry that granted its permit; `won` is true if the
-    /// hedge answered before the hedged attempt, or the hedged attempt failed before it, whatever
-    /// its own result.
+    /// hedge answered before the hedged attempt, or after that had failed.
     pub(crate) fn record_hedge(&self, entry: &Entry, service: &Name, won: bool) {
         match self.get_current() {
             Some(owner) => {
--- a/src/entry/stats.rs
+++ b/src/entry/stats.rs
@@ -19,8 +19,7 @@
     in_flight: AtomicU64,
     /// Hedges sent.
     hedges: AtomicU64,
-    /// Hedges that won: those that answered before the hedged attempt, or whose hedged attempt
-    /// failed before them, whatever their own result.
+    /// Hedges that won: those that answered before the hedged attempt, or after it had failed.
     hedges_won: AtomicU64,
 }
 
--- a/src/ops/views.rs
+++ b/src/ops/views.rs
@@ -42,8 +42,7 @@
         /// Number of hedges since the start: second attempts that were sent before the first was
         /// answered.
         pub hedges: u64,
-        /// Number of hedges that were answered before the first attempt, or were still outstanding
-        /// when the first attempt failed.
+        /// Number of hedges that were answered before the first attempt, or after it had failed.
         pub hedges_won: u64,
     }
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -161,7 +161,7 @@
         #[serde(rename = "e")]
         PermitRelease(u64, AttemptOutcome),
         /// Reports the result of a hedge of a service: true if it answered before the hedged
-        /// attempt, or the hedged attempt failed before it, whatever its own result.
+        /// attempt, or after that had failed.
         #[serde(rename = "h")]
         HedgeResult(Name, bool),
         /// Records the state of a claimed request of a service; `None` releases the claim.
