fix(peer): keep an entry live when a replaced link to it ends

Entries of change tickets hold one link each way. Where the end of a link came late, after the other entry had opened a newer one, that entry counted as lost until its next heartbeat: its idle connections were closed, it was no owner for that time, and requests that waited for its permits went to the next owner.

Cause: the accepting side marked the entry as lost at the end of any link.

Change: an entry knows the newest link that each other one has opened to it, and marks it as lost at the end of that one only. What ends a link is now done when it is dropped, so that a dialled link whose task is aborted fails the requests that wait for a permit over it. The latter is not shown by a test: the task is aborted only where the other entry is no longer listed and is not live, which ends these requests by itself within 25 ms.

Test: peer_links::peer_stays_live_at_end_of_replaced_link failed before at peer_links.rs:161, `assertion failed: entry.is_played_live().await`; passes now, and the end of the newest link still marks the entry as lost.

--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -363,7 +363,7 @@
             .map(|member| member.data_center.clone())
     }
 
-    /// Records that an entry's link to this one has ended: the entry is not live until its next
+    /// Records that an entry's newest link to this one has ended: the entry is not live until its next
     /// heartbeat, and no idle connection to it is used again.
     pub(crate) fn record_peer_lost(&self, name: &Name) {
         self.lock_members().record_link_loss(name);
--- a/src/entry/peer_links.rs
+++ b/src/entry/peer_links.rs
@@ -1,4 +1,5 @@
-//! Client side of the permits between entries: requests permits from owners over dialled links.
+//! Client side of the permits between entries: requests permits from owners over dialled links. Also knows
+//! which of the links that an entry has opened to this one is the newest.
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -15,11 +16,13 @@
 /// Time between two checks whether an entry is still live.
 const LOSS_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Dialled links to other entries, over which this entry asks for permits.
+/// Links to other entries: the dialled ones, over which this entry asks for permits, and the accepted ones.
 #[derive(Debug, Default)]
 pub(crate) struct PeerLinks {
-    /// Links by name of the entry.
+    /// Dialled links by name of the entry.
     links: Mutex<Map<Name, Link>>,
+    /// Number of the newest accepted link by name of the entry.
+    accepted: Mutex<Map<Name, u64>>,
 }
 
 /// A dialled link to another entry.
@@ -60,6 +63,23 @@
         }
     }
 
+    /// Adds an accepted link from an entry, with its number; an older one may still be open.
+    pub(crate) fn insert_accepted(&self, peer: &Name, number: u64) {
+        let mut accepted = self.accepted.lock().expect("no panic under lock");
+        let newest = accepted.entry(peer.clone()).or_insert(number);
+        *newest = number.max(*newest);
+    }
+
+    /// Removes an accepted link by its number, and returns whether it was the newest one from the entry.
+    pub(crate) fn remove_accepted(&self, peer: &Name, number: u64) -> bool {
+        let mut accepted = self.accepted.lock().expect("no panic under lock");
+        let is_newest = accepted.get(peer) == Some(&number);
+        if is_newest {
+            accepted.remove(peer);
+        }
+        is_newest
+    }
+
     /// Delivers a reply to the task that waits for it; a permit that no task waits for is released.
     pub(crate) fn deliver_reply(&self, peer: &Name, id: u64, reply: EntryPermitReply) {
         let mut links = self.lock();
--- a/src/peer/exchange.rs
+++ b/src/peer/exchange.rs
@@ -21,6 +21,18 @@
 use crate::entry::Entry;
 use crate::http::{HttpBody, empty_body};
 
+/// A link to another entry, which is taken out of use when it is dropped, also if its task is aborted.
+struct OpenLink {
+    entry: Arc<Entry>,
+    /// Number of the link, higher than those of earlier ones.
+    number: u64,
+    is_dialer: bool,
+    /// Messages to send over the link.
+    outbox: mpsc::UnboundedSender<Message>,
+    /// Name of the other entry, once its heartbeat has told it.
+    peer: Option<Name>,
+}
+
 /// Runs a link until one of these happens:
 ///
 /// - the connection fails, or the other side closes it;
@@ -41,7 +53,7 @@
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let (outbox, mut outgoing) = mpsc::unbounded_channel();
     let mut permits = PeerPermits::new(entry.clone(), outbox.clone());
-    let mut peer: Option<Name> = None;
+    let mut open_link = OpenLink::new(entry.clone(), is_dialer, outbox);
     if !is_dialer
         && !send(
             &entry,
@@ -63,7 +75,7 @@
             incoming = receive(&mut link) => match incoming {
                 None => break,
                 Some(Message::PermitRequest(id, request)) => {
-                    permits.handle_request(peer.as_ref(), id, request);
+                    permits.handle_request(open_link.peer.as_ref(), id, request);
                     None
                 }
                 Some(Message::PermitRelease(id, outcome)) => {
@@ -71,17 +83,14 @@
                     None
                 }
                 Some(Message::PermitReply(id, reply)) => {
-                    if let Some(peer) = &peer {
+                    if let Some(peer) = &open_link.peer {
                         entry.links.deliver_reply(peer, id, reply);
                     }
                     None
                 }
                 Some(message) => {
-                    if let (None, Some(name)) = (&peer, get_sender_name(&message)) {
-                        if is_dialer {
-                            entry.links.insert(&name, outbox.clone());
-                        }
-                        peer = Some(name);
+                    if let (None, Some(name)) = (&open_link.peer, get_sender_name(&message)) {
+                        open_link.put_in_use(name);
                     }
                     entry.handle_message(message)
                 }
@@ -95,10 +104,42 @@
             break;
         }
     }
-    match peer {
-        Some(name) if is_dialer => entry.links.remove(&name, &outbox),
-        Some(name) => entry.record_peer_lost(&name),
-        None => {}
+}
+
+impl OpenLink {
+    /// Creates a link that is not in use yet, since the name of the other entry is not known.
+    fn new(entry: Arc<Entry>, is_dialer: bool, outbox: mpsc::UnboundedSender<Message>) -> Self {
+        Self {
+            number: entry.next_serial(),
+            entry,
+            is_dialer,
+            outbox,
+            peer: None,
+        }
+    }
+
+    /// Puts the link in use for the entry with this name, in the place of an earlier one.
+    fn put_in_use(&mut self, peer: Name) {
+        let links = &self.entry.links;
+        if self.is_dialer {
+            links.insert(&peer, self.outbox.clone());
+        } else {
+            links.insert_accepted(&peer, self.number);
+        }
+        self.peer = Some(peer);
+    }
+}
+
+impl Drop for OpenLink {
+    fn drop(&mut self) {
+        let links = &self.entry.links;
+        match &self.peer {
+            Some(peer) if self.is_dialer => links.remove(peer, &self.outbox),
+            Some(peer) if links.remove_accepted(peer, self.number) => {
+                self.entry.record_peer_lost(peer);
+            }
+            _ => {}
+        }
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,10 +1,11 @@
-//! Tests of the settings, of the log sink, of the clients of servers and of the platform, of the daemon's
-//! memory and of the command `explain`.
+//! Tests of the settings, of the log sink, of the clients of servers and of the platform, of the links between
+//! entries, of the daemon's memory and of the command `explain`.
 
 mod explain;
 mod http_client;
 mod idle_connections;
 mod logs;
 mod memory;
+mod peer_links;
 mod platform_client;
 mod settings;
