test(bench): let addresses pass to other services in the soak, and check where requests run

The soak of real processes did not play that the address of a server that has ended is used by a server of another service, and did not notice a request that ran at the wrong service.

`ROUTE` is reported for a request that ran at a service that its route does not allow.

--- a/lentilcart_bench/src/soak/checks.rs
+++ b/lentilcart_bench/src/soak/checks.rs
@@ -19,7 +19,7 @@
 /// A broken rule: its name and the request that shows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SoakFault {
-    /// Name: `TWICE`, `REFUSED`, `MIXED`, `LOST`, `UNASKED` for a request that was changed on its way, or
+    /// Name: `TWICE`, `REFUSED`, `ROUTE`, `MIXED`, `LOST`, `UNASKED` for a request that was changed on its way, or
     /// `ENDED` for an entry that ended by itself.
     pub rule: &'static str,
     /// Identifier of the request; the name of the entry that has ended.
@@ -56,6 +56,12 @@
         if request.is_once && runs.len() > 1 {
             add("TWICE", format!("it ran at {servers:?}"));
         }
+        if let Some(run) = runs.iter().find(|run| run.service != request.kind) {
+            add(
+                "ROUTE",
+                format!("it ran at {}, {}", run.server, run.service),
+            );
+        }
         match &request.outcome {
             Outcome::Answered(status, _)
                 if request.is_once && PROMISES.contains(status) && !runs.is_empty() =>
--- a/lentilcart_bench/src/soak/record.rs
+++ b/lentilcart_bench/src/soak/record.rs
@@ -17,6 +17,8 @@
     pub request: Name,
     /// Identifier of the server.
     pub server: Name,
+    /// Service of the server.
+    pub service: &'static str,
     /// Address of the server.
     pub address: SocketAddr,
     /// Number of the connection, counted over all servers.
--- a/lentilcart_bench/src/soak/server.rs
+++ b/lentilcart_bench/src/soak/server.rs
@@ -23,8 +23,8 @@
 pub(super) struct SoakServer {
     pub(super) number: usize,
     pub(super) address: SocketAddr,
-    pub(super) service: &'static str,
-    pub(super) service_time: Duration,
+    /// Name and service time of its service.
+    pub(super) service: Mutex<(&'static str, Duration)>,
     pub(super) seed: u64,
     pub(super) faults: Arc<Set<FaultKind>>,
     pub(super) record: Record,
@@ -57,11 +57,13 @@
         socket.set_reuseaddr(true)?;
         socket.bind(self.address)?;
         let listener = socket.listen(BACKLOG)?;
+        let (service, service_time) = self.service();
         let seed = self.seed ^ (self.number as u64) << 32 ^ u64::from(start) << 16;
         let process = Arc::new(ServerProcess {
             id,
             address: self.address,
-            service_time: self.service_time,
+            service,
+            service_time,
             faults: self.faults.clone(),
             record: self.record.clone(),
             rng: Mutex::new(seeded_rng(seed)),
@@ -82,12 +84,28 @@
         Ok(self.registration(false).expect("it has started"))
     }
 
+    fn service(&self) -> (&'static str, Duration) {
+        *self.service.lock().expect("no panic under lock")
+    }
+
+    /// Returns whether it is of the service of another server.
+    pub(super) fn shares_service(&self, other: &Self) -> bool {
+        self.service() == other.service()
+    }
+
+    /// Changes services with another server, for the next start of both.
+    pub(super) fn swap_services(&self, other: &Self) {
+        let (own, others) = (self.service(), other.service());
+        *self.service.lock().expect("no panic under lock") = others;
+        *other.service.lock().expect("no panic under lock") = own;
+    }
+
     /// Returns the registration of the current start, or `None` between an end and a start.
     pub(super) fn registration(&self, leaving: bool) -> Option<ServerRegistration> {
         let current = self.current.lock().expect("no panic under lock");
         current.as_ref().map(|started| ServerRegistration {
             id: started.process.id.clone(),
-            service: self.service.into(),
+            service: started.process.service.into(),
             address: self.address,
             data_center: DATA_CENTERS[self.number % DATA_CENTERS.len()].into(),
             slots: SLOTS,
