test(bench): change routes and settings in the soak, and check the versions in force

The soak of real processes played no changes of routes and no HUP of entries, and would not have noticed requests that were handled by routes of the past.

`route-move` and `route-drop`: a route moves to another service or is removed, and comes back with a later version. `entry-hup`: an entry's settings change, and it gets HUP; around it a request that is cut counts as LOST. `ROUTE` now means that no version up to the run allowed the service. `CONFIG` is new: a request that was sent more than 2 s after the store had got a version is handled as only an older one allows (a run at the former service or on a removed route, or 404 though the route is there). It is not checked in runs with faults of the store, nor for 4 s after an entry was stopped. `check-config` is the broken stand-in: the store does not get the versions.

--- a/lentilcart_bench/src/soak/record.rs
+++ b/lentilcart_bench/src/soak/record.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use lentilcart_util::{Name, Set};
+use lentilcart_util::{Map, Name, Set};
 
 use crate::util::unix_micros;
 
@@ -82,8 +82,18 @@
     pub outcome: Outcome,
 }
 
+/// A version of the routes.
+#[derive(Debug, Clone)]
+pub struct RouteVersion {
+    /// Unix time at which the store got it, in milliseconds.
+    pub sent: u64,
+    /// Service of each kind of request that has a route.
+    pub services: Map<&'static str, &'static str>,
+}
+
 #[derive(Default)]
 struct RecordState {
+    versions: Vec<RouteVersion>,
     runs: Vec<Run>,
     requests: Vec<SentRequest>,
     events: Vec<(u64, String)>,
@@ -126,6 +136,14 @@
         self.lock().requests.push(request);
     }
 
+    pub(super) fn add_version(&self, version: RouteVersion) {
+        self.lock().versions.push(version);
+    }
+
+    pub(super) fn versions(&self) -> Vec<RouteVersion> {
+        self.lock().versions.clone()
+    }
+
     /// Records a request that reached a server changed.
     pub(super) fn add_changed(&self, request: Name) {
         self.lock().unasked.insert(request);
--- a/lentilcart_bench/src/soak/schedule.rs
+++ b/lentilcart_bench/src/soak/schedule.rs
@@ -12,9 +12,9 @@
 
 use super::entry::Entry;
 use super::fault_kind::FaultKind;
-use super::record::Record;
+use super::record::{Record, RouteVersion, now_ms};
 use super::server::SoakServer;
-use super::site::HEARTBEAT;
+use super::site::{FIRST_VERSION, HEARTBEAT, Site};
 use super::store::Store;
 
 /// Time for which a server that is leaving serves, at least.
@@ -32,6 +32,7 @@
     pub(super) servers: Arc<Vec<SoakServer>>,
     pub(super) entries: Arc<Vec<Entry>>,
     pub(super) store: Store,
+    pub(super) site: Arc<Site>,
     pub(super) record: Record,
 }
 
@@ -71,6 +72,7 @@
         let mut players = JoinSet::new();
         players.spawn(self.clone().play_servers(stop.clone()));
         players.spawn(self.clone().play_entries(stop.clone()));
+        players.spawn(self.clone().play_routes(stop.clone()));
         players.spawn(self.play_store(stop));
         join_all(players).await
     }
@@ -197,8 +199,8 @@
     }
 
     async fn play_entries(self, stop: CancellationToken) -> Result<(), Error> {
-        use FaultKind::{CheckLost, EntryKill, EntryStop, EntryTerm};
-        let kinds = self.pick_kinds(&[EntryTerm, EntryKill, EntryStop, CheckLost]);
+        use FaultKind::{CheckLost, EntryHup, EntryKill, EntryStop, EntryTerm};
+        let kinds = self.pick_kinds(&[EntryTerm, EntryKill, EntryStop, EntryHup, CheckLost]);
         let mut rng = seeded_rng(self.seed ^ 0xe7);
         let mut actions = JoinSet::new();
         while !kinds.is_empty() {
@@ -233,6 +235,7 @@
                 entry.pause(millis(&mut rng, 50, 2000)).await;
                 return Ok(());
             }
+            FaultKind::EntryHup => return entry.reload(),
             FaultKind::EntryTerm => {
                 if !entry.terminate().await {
                     self.record.count("entry killed after its grace");
@@ -245,6 +248,40 @@
         entry.start()
     }
 
+    async fn play_routes(self, stop: CancellationToken) -> Result<(), Error> {
+        let kinds = self.pick_kinds(&[FaultKind::RouteMove, FaultKind::RouteDrop]);
+        let mut rng = seeded_rng(self.seed ^ 0x40);
+        let mut services = self.site.services();
+        let mut number = FIRST_VERSION;
+        while !kinds.is_empty() {
+            tokio::select! {
+                () = sleep(millis(&mut rng, 500, 5000)) => {}
+                () = stop.cancelled() => break,
+            }
+            let names = self.site.kinds.each_ref().map(|kind| kind.name);
+            let kind = kinds[rng.random_range(0..kinds.len())];
+            // One route is never removed, so that the host has one.
+            let first = usize::from(kind == FaultKind::RouteDrop);
+            let index = rng.random_range(first..names.len());
+            let (name, other) = (names[index], names[(index + 1) % names.len()]);
+            match (services.get(name) == Some(&name), kind) {
+                (false, _) => services.insert(name, name),
+                (true, FaultKind::RouteDrop) => services.remove(name),
+                (true, _) => services.insert(name, other),
+            };
+            number += rng.random_range(1..4);
+            self.note(kind, &format!("version {number}: {services:?}"));
+            self.record.add_version(RouteVersion {
+                sent: now_ms(),
+                services: services.clone(),
+            });
+            if !self.faults.contains(&FaultKind::CheckConfig) {
+                self.store.put_routes(&self.site.routes(number, &services));
+            }
+        }
+        Ok(())
+    }
+
     async fn play_store(self, stop: CancellationToken) -> Result<(), Error> {
         use FaultKind::{StoreDown, StorePart, StoreSlow, StoreWatch, StoreWrite};
         let kinds = self.pick_kinds(&[StoreWatch, StoreWrite, StoreDown, StorePart, StoreSlow]);
--- a/lentilcart_bench/src/soak/soak_run.rs
+++ b/lentilcart_bench/src/soak/soak_run.rs
@@ -12,14 +12,14 @@
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
-use super::checks::{SoakFault, find_faults, is_around_stop, tell_story};
+use super::checks::{SoakFault, find_faults, is_around_stop, is_running_on, tell_story};
 use super::client::{CLIENT_RATE, Client};
 use super::entry::Entry;
 use super::options::SoakOptions;
-use super::record::{Outcome, Record};
+use super::record::{Outcome, Record, RouteVersion, now_ms};
 use super::schedule::Schedule;
 use super::server::SoakServer;
-use super::site::Site;
+use super::site::{FIRST_VERSION, Site};
 use super::store::Store;
 use super::store_server::serve_store;
 
@@ -71,7 +71,12 @@
     let site = Arc::new(Site::new(options));
     let record = Record::default();
     let store = Store::new();
-    store.put_routes(&site.routes());
+    let first = RouteVersion {
+        sent: now_ms(),
+        services: site.services(),
+    };
+    store.put_routes(&site.routes(FIRST_VERSION, &first.services));
+    record.add_version(first);
     let servers = Arc::new(build_servers(&site, options, &record));
     for server in servers.iter() {
         store.put_registration(&server.start(None)?);
@@ -101,6 +106,7 @@
             servers: servers.clone(),
             entries: entries.clone(),
             store: store.clone(),
+            site: site.clone(),
             record: record.clone(),
         };
         let faults = tokio::spawn(schedule.play(end.clone()));
@@ -219,9 +225,16 @@
     is_stopped: bool,
 ) -> SoakReport {
     let (requests, runs) = (record.requests(), record.runs());
-    let mut faults = find_faults(&requests, &runs, |request| {
-        is_around_stop(&entries[request.entry], request)
-    });
+    // Faults of the store may keep a version from entries.
+    let mut kinds = options.faults.iter();
+    let has_store = !kinds.any(|kind| kind.as_str().starts_with("store"));
+    let mut faults = find_faults(
+        &requests,
+        &runs,
+        &record.versions(),
+        |request| has_store && is_running_on(&entries[request.entry], request),
+        |request| is_around_stop(&entries[request.entry], request),
+    );
     faults.extend(record.changed().into_iter().map(|request| SoakFault {
         rule: "UNASKED",
         request,
--- a/lentilcart_bench/src/soak/store.rs
+++ b/lentilcart_bench/src/soak/store.rs
@@ -37,7 +37,7 @@
 
 /// A stand-in of the platform's store; clones share it.
 #[derive(Clone)]
-pub(super) struct Store {
+pub(crate) struct Store {
     state: Arc<Mutex<StoreState>>,
     faults: Arc<Mutex<StoreFaults>>,
     /// Raised by each change, of the contents or the faults.
@@ -45,7 +45,7 @@
 }
 
 impl Store {
-    pub(super) fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self {
             state: Arc::default(),
             faults: Arc::default(),
@@ -70,13 +70,13 @@
         self.faults.lock().expect("no panic under lock").clone()
     }
 
-    pub(super) fn put_routes(&self, routes: &RouteTable) {
+    pub(crate) fn put_routes(&self, routes: &RouteTable) {
         let key = lentilcart_platform::ROUTES_KEY.into();
         self.lock().put(key, encode_routes(routes), 0);
         self.notify_watches();
     }
 
-    pub(super) fn put_registration(&self, registration: &ServerRegistration) {
+    pub(crate) fn put_registration(&self, registration: &ServerRegistration) {
         let (key, value) = encode_registration(registration);
         self.lock().put(key, value, 0);
         self.notify_watches();
--- a/lentilcart_bench/src/soak/store_server.rs
+++ b/lentilcart_bench/src/soak/store_server.rs
@@ -15,7 +15,7 @@
 /// # Errors
 ///
 /// Returns an error if the address cannot be bound, or if a connection cannot be accepted.
-pub(super) async fn serve_store(store: Store, address: SocketAddr) -> std::io::Result<()> {
+pub(crate) async fn serve_store(store: Store, address: SocketAddr) -> std::io::Result<()> {
     let handler = move |caller, request| {
         let store = store.clone();
         async move { answer(&store, caller, request).await }
--- a/lentilcart_bench/src/uploads/upload_run.rs
+++ b/lentilcart_bench/src/uploads/upload_run.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::AtomicU32;
 use std::time::Duration;
 
-use lentilcart_platform::{ROUTES_KEY, encode_registration, encode_routes};
 use lentilcart_state::{
     CallerLimits, PathRoute, RequestClass, RouteTable, ServerRegistration, ServiceLimits,
     WeightedService,
@@ -17,7 +16,7 @@
 use super::caller::{HOST, send, send_small};
 use super::entry::Entry;
 use super::server::{HEALTH_PATH, SLOTS, Server};
-use super::store::Store;
+use crate::soak::{Store, serve_store};
 use crate::util::host_address;
 
 /// Services and the paths of their routes: of the uploads, and of the small requests.
@@ -89,16 +88,17 @@
     let number = (std::process::id() % 250) as u8 + 2;
     let store_address = host_address(0, 3, number, 7605);
     let mut tasks = JoinSet::new();
-    let mut items = vec![(Name::from(ROUTES_KEY), encode_routes(&new_routes()))];
+    let store = Store::new();
+    store.put_routes(&new_routes());
     for (index, (service, _)) in SERVICES.iter().enumerate() {
         for server in 0..SERVERS {
             let port = 7610 + index as u16 * u16::from(SERVERS) + u16::from(server);
             let address = host_address(0, 2, number, port);
-            items.push(encode_registration(&new_registration(service, address)));
+            store.put_registration(&new_registration(service, address));
             tasks.spawn(Arc::<Server>::default().serve(address));
         }
     }
-    tasks.spawn(Arc::new(Store::new(items)).serve(store_address));
+    tasks.spawn(serve_store(store, store_address));
     let callers = host_address(0, 1, number, 7601);
     let mut rows = Vec::new();
     for &uploads in &options.counts {
