--- a/lentilcart_bench/src/bin/lentilcart-bench.rs
+++ b/lentilcart_bench/src/bin/lentilcart-bench.rs
@@ -44,12 +44,13 @@
                                       servers is in need, accepts N requests a second each,
                                       and names that limit unless --unnamed is given
   soak --seed N --seconds S [--size small|grown] [--entries E] [--servers N] [--load SHARE]
-       [--pace FACTOR] [--program PATH] [--faults LIST] [--logs FOLDER]
+       [--pace FACTOR] [--program PATH] [--program-share SHARE] [--faults LIST] [--logs FOLDER]
                                       run entries as separate processes before servers and a
                                       store with faults, and check what clients and servers saw;
                                       an unknown part of LIST prints all faults; --servers is
                                       the number of servers of each service, SHARE that of the
-                                      site's load, FACTOR raises the number of ends of servers;
+                                      site's load, FACTOR raises the number of ends of servers,
+                                      --program-share that of the entries that run PATH;
                                       exit code 1 if a rule was broken
   uploads [--program PATH] [--counts A,B] [--waves N] [--memory SIZE] [--folder PATH]
                                       send uploads of 56 MiB at once beside small requests to
@@ -231,6 +232,7 @@
         load: args.opt_value_from_str("--load")?,
         pace: args.opt_value_from_str("--pace")?.unwrap_or(1.0),
         program: program.unwrap_or_else(|| binary_path("lentilcartd")),
+        program_share: args.opt_value_from_str("--program-share")?.unwrap_or(1.0),
         faults: parse_faults(faults.as_deref().unwrap_or("all"))?,
         logs: logs
             .clone()
--- a/lentilcart_bench/src/soak/checks.rs
+++ b/lentilcart_bench/src/soak/checks.rs
@@ -180,7 +180,8 @@
     {
         add(format!("  client: {request:?}"));
         let entry = &entries[request.entry];
-        add(format!("  entry: {} {:?}", entry.name, entry.events()));
+        let (program, events) = (entry.program.display(), entry.events());
+        add(format!("  entry: {} {program} {events:?}", entry.name));
         for copy in record.copies() {
             let is_near = copy.at + COPY_MS >= request.sent && copy.at <= request.ended;
             if is_near && copy.caller.ip() == entry.address.ip() {
--- a/lentilcart_bench/src/soak/entry.rs
+++ b/lentilcart_bench/src/soak/entry.rs
@@ -13,7 +13,7 @@
 use super::options::SoakOptions;
 use super::record::now_ms;
 use super::site::{DATA_CENTERS, GRACE, Site};
-use crate::cluster::Process;
+use crate::cluster::{Process, binary_path};
 
 /// Variable with the path of an entry's settings file.
 const SETTINGS_VARIABLE: &str = "LENTILCART_SETTINGS";
@@ -41,7 +41,7 @@
     ready: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
-    program: PathBuf,
+    pub(super) program: PathBuf,
     /// Whether new connections go to it.
     pub(super) is_in_rotation: AtomicBool,
     /// Whether a fault of the schedule is at work on it.
@@ -59,6 +59,8 @@
     /// Fails if the settings cannot be written.
     pub(super) fn new(number: usize, site: &Site, options: &SoakOptions) -> std::io::Result<Self> {
         let name = format!("entry-{number}");
+        let has_program = ((number + 1) as f64 * options.program_share) as usize
+            > (number as f64 * options.program_share) as usize;
         let data_center = DATA_CENTERS[number % DATA_CENTERS.len()];
         let [callers, ready, peer, ops] = [0, 1, 2, 3].map(|port| site.entry_address(number, port));
         let seeds: Vec<_> = (0..site.entries.min(3))
@@ -83,7 +85,11 @@
             address: callers,
             ready,
             settings,
-            program: options.program.clone(),
+            program: if has_program {
+                options.program.clone()
+            } else {
+                binary_path("lentilcartd")
+            },
             is_in_rotation: AtomicBool::new(true),
             is_taken: AtomicBool::new(false),
             process: Mutex::new(None),
--- a/lentilcart_bench/src/soak/options.rs
+++ b/lentilcart_bench/src/soak/options.rs
@@ -32,6 +32,8 @@
     pub pace: f64,
     /// Daemon to run.
     pub program: PathBuf,
+    /// Share of the entries that run it; the others run the daemon of this workspace.
+    pub program_share: f64,
     /// Kinds of faults that are played.
     pub faults: Set<FaultKind>,
     /// Folder for the settings and logs of the entries.
--- a/lentilcart_bench/tests/testsuite/soak.rs
+++ b/lentilcart_bench/tests/testsuite/soak.rs
@@ -204,6 +204,7 @@
         load: Some(load),
         pace,
         program: binary_path("lentilcartd"),
+        program_share: 1.0,
         faults: parse_faults(faults).unwrap(),
         logs: std::env::temp_dir().join(folder),
     };
