fix(http): ask the kernel for the connections that wait when a listener closes

A caller of an entry that stops still got a reset now and then: in 1 of 45 further trials of scenarios::entry_stopped_cuts_nothing, three at once at a load average of about 25, a request on a new connection ended with "connection error" 100 ms before connections were closed, that is as the listener was.

Cause: with several threads, one turn of a task does not mean that the runtime has asked the kernel, since another thread may be waiting for it.

Change: the listener is taken from the runtime and accepts until the kernel has no more connections. An idle connection is told to close after a timer of 1 ms, before which the runtime looks at all connections. The listener runs on the tracker of its connections.

Not shown by a test: the last point, which needs a connection within microseconds.

--- a/src/entry/handle.rs
+++ b/src/entry/handle.rs
@@ -60,7 +60,8 @@
         close_connections: entry.stop.clone(),
     };
     let tasks = vec![
-        tokio::spawn(serve_listener(
+        // On the tracker of its connections, so that a stop waits for those that it accepts last.
+        callers.spawn(serve_listener(
             caller_listener,
             move || limits,
             stop,
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -80,7 +80,8 @@
     let serve_ops = move |_: SocketAddr, request| serve_ops(ops_gateway.clone(), request);
     let internal_limits = || INTERNAL_LIMITS;
     let mut join_handles = vec![
-        tokio::spawn(serve_listener(
+        // On the tracker of its connections, so that a stop waits for those that it accepts last.
+        caller_connections.spawn(serve_listener(
             caller_listener,
             caller_limits,
             caller_shutdown.clone(),
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -1,9 +1,9 @@
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::FutureExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response, Version};
@@ -11,7 +11,6 @@
 use hyper_util::server::conn::auto::Builder;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::task::coop::unconstrained;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -27,6 +26,8 @@
 const BACKLOG: u32 = 4096;
 /// Time between an accept that failed and the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time between the order to close connections and its execution, in which bytes that have arrived are read.
+const CLOSE_DELAY: Duration = Duration::from_millis(1);
 /// Time for which a connection without any bytes stays open when connections are closed: its first request may
 /// be on its way.
 const FIRST_BYTE_GRACE: Duration = Duration::from_millis(100);
@@ -44,6 +45,9 @@
     pub max_connections: usize,
 }
 
+/// A connection, the address of its other end, and the guard that counts it as open until it is dropped.
+type AcceptedConnection = (TcpStream, SocketAddr, OwnedSemaphorePermit);
+
 /// Tokens that stop a listener in two steps when they are cancelled: first it accepts no more
 /// connections, then open connections close after their request in flight.
 #[derive(Debug, Clone, Default)]
@@ -55,9 +59,10 @@
 }
 
 /// Serves HTTP/1.1 and HTTP/2 on a listener until `shutdown.stop_accepting` is cancelled, with the connections
-/// that were opened before.
+/// that were opened before, unless `max_connections` are open.
 ///
-/// Each connection is spawned on `tasks`; wait for `tasks` to join them. `limits` is called
+/// Each connection is spawned on `tasks`; wait for `tasks` to join them, and run this function on it, too, so
+/// that the last ones are not missed. `limits` is called
 /// when a connection starts, and its result holds for that connection; its `max_connections` counts
 /// only when the listener starts. `serve` gets the address of the remote and the request.
 pub async fn serve_listener<L, T, S, F>(
@@ -87,11 +92,9 @@
             () = shutdown.stop_accepting.cancelled() => break,
         }
     }
-    // Lets the runtime look at the listener: connections that still wait would be reset.
-    tokio::task::yield_now().await;
-    while let Some(Some(accepted)) = unconstrained(accept(&listener, &semaphore)).now_or_never() {
-        spawn(accepted);
-    }
+    accept_waiting(listener, &semaphore)
+        .into_iter()
+        .for_each(spawn);
 }
 
 /// Serves an accepted connection until it ends, or until `close` is cancelled and the requests that had
@@ -144,8 +147,8 @@
     tokio::pin!(connection);
     let close = async {
         close.cancelled().await;
-        // Lets the runtime look at the connection.
-        tokio::task::yield_now().await;
+        // The runtime looks at all connections before a timer ends.
+        sleep(CLOSE_DELAY).await;
     };
     let result = tokio::select! {
         // In this order, a request that has arrived is read before the connection is told to close.
@@ -212,10 +215,7 @@
 
 /// Waits until fewer connections than the limit of `semaphore` are open, and accepts one; the guard
 /// counts it as open until it is dropped. Returns `None` if accepting failed.
-async fn accept(
-    listener: &TcpListener,
-    semaphore: &Arc<Semaphore>,
-) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
+async fn accept(listener: &TcpListener, semaphore: &Arc<Semaphore>) -> Option<AcceptedConnection> {
     let connection_guard = semaphore.clone().acquire_owned().await.ok()?;
     match listener.accept().await {
         Ok((stream, remote)) => {
@@ -230,6 +230,33 @@
     }
 }
 
+/// Closes a listener, and accepts the connections that the kernel has queued for it, while fewer than the limit
+/// of `semaphore` are open. Asks the kernel, since the runtime may not have heard of them yet.
+fn accept_waiting(listener: TcpListener, semaphore: &Arc<Semaphore>) -> Vec<AcceptedConnection> {
+    let mut accepted = Vec::new();
+    let accept_all = || -> std::io::Result<()> {
+        let listener = listener.into_std()?;
+        while let Ok(guard) = semaphore.clone().try_acquire_owned() {
+            match listener.accept() {
+                Ok((stream, remote)) => {
+                    stream.set_nonblocking(true)?;
+                    stream.set_nodelay(true).ok();
+                    accepted.push((TcpStream::from_std(stream)?, remote, guard));
+                }
+                // Closed by its caller before it was accepted.
+                Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    };
+    if let Err(error) = accept_all() {
+        log::warn!("cannot accept the last connections: {error}");
+    }
+    accepted
+}
+
 /// Binds a listener to `address`; `setting` is the name of its setting as users write it, for the
 /// error.
 ///
