test(bench): tell a request that crosses the close of a kept connection from one that is cut

Trace (trials that print each cut request; from the second row on also the responses that its connection had carried): 13 of 14 were on kept connections. The 5 of the second row, in which servers recorded lookups, reached no server. In the one run with the times of both sides, the requests on kept connections were begun 3.4 ms before and 0.3 ms before the entry closed idle connections, at a load of 25 on 8 cores. An idle connection of HTTP/1.1 may be closed at any time (RFC 9112, 9.5), and callers send such a request again; the users' rule on lost requests leaves one out that crosses the close and is not passed on.

So the check was wrong in that it counted these as cut. It is replaced by one that asks more of them: only for an entry that has been told to stop, on a kept connection, without a byte of a response, for a request that may be repeated. The caller sends it again, which must be answered, and the servers' records must not have the first one, which they could not tell before. New connections, incomplete responses and requests that run once count as cut as before.

--- a/lentilcart_bench/tests/testsuite/script.rs
+++ b/lentilcart_bench/tests/testsuite/script.rs
@@ -119,6 +119,9 @@
                 Ok(String::new())
             }
             "signal" => {
+                if let ("TERM", Some(callers)) = (word(1), &self.callers) {
+                    callers.record_stopping(self.cluster().layout.get_caller_address(number(0)));
+                }
                 self.cluster().signal(number(0), word(1));
                 Ok(String::new())
             }
