fix(peer): end a link over which nothing comes

A link between entries of change tickets was kept for good where the other side had gone without closing it, unless a write blocked. On the accepting side its permits stayed taken, so that servers got fewer requests; on the dialling side no new link was opened, also when the other entry was back (by reading; callers could have seen rejections and delays).

Cause: only writes had a timeout, and small heartbeats go on fitting into the buffer of the socket for long.

Change: a link over which nothing comes for four times `--silence`, the timeout of writes, is ended, and dialled again by the side that opened it.

Left open: the handshake of an accepted link is not checked.

Tests, before: peer_links::accepted_link_without_heartbeats_is_ended, `a message or the end of the link: Elapsed(())` (peer_links.rs:143); peer_links::dialled_link_without_answers_is_dialled_again, `called `Result::unwrap()` on an `Err` value: Elapsed(())` (peer_links.rs:184). Both pass now; the latter also shows that an answered link stays open for 8 s, ten times the timeout.

--- a/src/peer/exchange.rs
+++ b/src/peer/exchange.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, SEC_WEBSOCKET_ACCEPT, SEC_WEBSOCKET_KEY, UPGRADE};
@@ -11,6 +12,7 @@
 use lentilcart_util::Name;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout, timeout_at};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite;
 use tokio_tungstenite::tungstenite::handshake::derive_accept_key;
@@ -21,6 +23,17 @@
 use crate::entry::Entry;
 use crate::http::{HttpBody, empty_body};
 
+/// A link is ended after this many times the `silence` setting (the time without a heartbeat after which an
+/// entry counts as lost) in which nothing comes over it, or it takes no data.
+const LINK_TIMEOUT_FACTOR: u32 = 4;
+
+/// What comes over a link.
+enum Received {
+    Message(Message),
+    /// A frame without a message, such as the answer to a ping.
+    Control,
+}
+
 /// A link to another entry, which is taken out of use when it is dropped, also if its task is aborted.
 struct OpenLink {
     entry: Arc<Entry>,
@@ -29,6 +42,8 @@
     is_dialer: bool,
     /// Messages to send over the link.
     outbox: mpsc::UnboundedSender<Message>,
+    /// Permits that the other entry has requested.
+    permits: PeerPermits,
     /// Name of the other entry, once its heartbeat has told it.
     peer: Option<Name>,
 }
@@ -37,13 +52,14 @@
 ///
 /// - the connection fails, or the other side closes it;
 /// - a message cannot be decoded;
-/// - the other side takes no data for four times the `silence` setting (the time without a
-///   heartbeat after which an entry counts as lost);
+/// - nothing comes from the other side, or it takes no data, for [`LINK_TIMEOUT_FACTOR`] times the
+///   `silence` setting;
 /// - this entry stops.
 ///
 /// `is_dialer` is true at the side that opened the connection. That side sends the heartbeats and
 /// the requests for permits; the other one sends a single heartbeat, which tells its name. Both
-/// answer requests for tickets.
+/// answer requests for tickets. Since the other one sends nothing by itself after that, the side that
+/// opened the connection also sends pings (RFC 6455, section 5.5.2).
 pub(crate) async fn run_link<S>(entry: Arc<Entry>, mut link: WebSocketStream<S>, is_dialer: bool)
 where
     S: AsyncRead + AsyncWrite + Unpin,
@@ -51,8 +67,11 @@
     let mut heartbeat_due = entry.heartbeat_due.subscribe();
     let mut timer = tokio::time::interval(entry.settings.heartbeat_interval);
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut pings = tokio::time::interval(entry.settings.silence_timeout);
+    pings.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let link_timeout = get_link_timeout(&entry);
+    let mut receive_end = Instant::now() + link_timeout;
     let (outbox, mut outgoing) = mpsc::unbounded_channel();
-    let mut permits = PeerPermits::new(entry.clone(), outbox.clone());
     let mut open_link = OpenLink::new(entry.clone(), is_dialer, outbox);
     if !is_dialer
         && !send(
@@ -72,29 +91,24 @@
             _ = heartbeat_due.changed(), if is_dialer => {
                 Some(Message::Heartbeat(entry.build_heartbeat()))
             }
-            incoming = receive(&mut link) => match incoming {
-                None => break,
-                Some(Message::PermitRequest(id, request)) => {
-                    permits.handle_request(open_link.peer.as_ref(), id, request);
-                    None
-                }
-                Some(Message::PermitRelease(id, outcome)) => {
-                    permits.release(id, outcome);
-                    None
+            _ = pings.tick(), if is_dialer => {
+                if !send_ping(&entry, &mut link).await {
+                    break;
                 }
-                Some(Message::PermitReply(id, reply)) => {
-                    if let Some(peer) = &open_link.peer {
-                        entry.links.deliver_reply(peer, id, reply);
-                    }
-                    None
-                }
-                Some(message) => {
-                    if let (None, Some(name)) = (&open_link.peer, get_sender_name(&message)) {
-                        open_link.put_in_use(name);
+                None
+            }
+            received = timeout_at(receive_end, receive(&mut link)) => {
+                receive_end = Instant::now() + link_timeout;
+                match received {
+                    Ok(Some(Received::Message(message))) => open_link.handle_message(message),
+                    Ok(Some(Received::Control)) => None,
+                    Ok(None) => break,
+                    Err(_) => {
+                        log::info!(peer:? = open_link.peer; "nothing comes over a link, closing it");
+                        break;
                     }
-                    entry.handle_message(message)
                 }
-            },
+            }
         };
         let sent = match message {
             None => true,
@@ -111,6 +125,7 @@
     fn new(entry: Arc<Entry>, is_dialer: bool, outbox: mpsc::UnboundedSender<Message>) -> Self {
         Self {
             number: entry.next_serial(),
+            permits: PeerPermits::new(entry.clone(), outbox.clone()),
             entry,
             is_dialer,
             outbox,
@@ -118,6 +133,32 @@
         }
     }
 
+    /// Handles a message from the other entry and returns the reply, if one is due.
+    fn handle_message(&mut self, message: Message) -> Option<Message> {
+        match message {
+            Message::PermitRequest(id, request) => {
+                self.permits.handle_request(self.peer.as_ref(), id, request);
+                None
+            }
+            Message::PermitRelease(id, outcome) => {
+                self.permits.release(id, outcome);
+                None
+            }
+            Message::PermitReply(id, reply) => {
+                if let Some(peer) = &self.peer {
+                    self.entry.links.deliver_reply(peer, id, reply);
+                }
+                None
+            }
+            message => {
+                if let (None, Some(name)) = (&self.peer, get_sender_name(&message)) {
+                    self.put_in_use(name);
+                }
+                self.entry.handle_message(message)
+            }
+        }
+    }
+
     /// Puts the link in use for the entry with this name, in the place of an earlier one.
     fn put_in_use(&mut self, peer: Name) {
         let links = &self.entry.links;
@@ -170,7 +211,7 @@
 }
 
 /// Sends a message and those queued behind it, all in one write if they fit; returns false if
-/// the link fails or the write takes longer than four times the `silence` setting.
+/// the link fails or the write takes longer than [`get_link_timeout`].
 async fn send_batch<S>(
     entry: &Entry,
     link: &mut WebSocketStream<S>,
@@ -181,7 +222,6 @@
     S: AsyncRead + AsyncWrite + Unpin,
 {
     let mut next = Some(first);
-    let timeout: Duration = entry.settings.silence_timeout * 4;
     let write = async {
         while let Some(message) = next.take() {
             let bytes = encode(&message);
@@ -194,7 +234,21 @@
         }
         link.flush().await
     };
-    matches!(tokio::time::timeout(timeout, write).await, Ok(Ok(())))
+    matches!(timeout(get_link_timeout(entry), write).await, Ok(Ok(())))
+}
+
+/// Sends a ping, which the other side answers; returns false if the link fails or the write takes too long.
+async fn send_ping<S>(entry: &Entry, link: &mut WebSocketStream<S>) -> bool
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let write = link.send(tungstenite::Message::Ping(Bytes::new()));
+    matches!(timeout(get_link_timeout(entry), write).await, Ok(Ok(())))
+}
+
+/// Returns the time after which a link is ended that nothing comes over, or that takes no data.
+fn get_link_timeout(entry: &Entry) -> Duration {
+    entry.settings.silence_timeout * LINK_TIMEOUT_FACTOR
 }
 
 /// Sends one message; returns false if the link fails or the write takes too long.
@@ -206,25 +260,21 @@
     send_batch(entry, link, message, &mut empty_queue).await
 }
 
-/// Returns the next message; `None` if the link has ended or the message cannot be decoded.
-async fn receive<S>(link: &mut WebSocketStream<S>) -> Option<Message>
+/// Returns what comes next; `None` if the link has ended or a message cannot be decoded.
+async fn receive<S>(link: &mut WebSocketStream<S>) -> Option<Received>
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    loop {
-        match link.next().await? {
-            Ok(tungstenite::Message::Binary(bytes)) => match decode(&bytes) {
-                Ok(message) => return Some(message),
-                Err(error) => {
-                    log::warn!(
-                        "cannot decode a message from another entry, closing the link: {error}"
-                    );
-                    return None;
-                }
-            },
-            Ok(tungstenite::Message::Close(_)) | Err(_) => return None,
-            Ok(_) => {}
-        }
+    match link.next().await? {
+        Ok(tungstenite::Message::Binary(bytes)) => match decode(&bytes) {
+            Ok(message) => Some(Received::Message(message)),
+            Err(error) => {
+                log::warn!("cannot decode a message from another entry, closing the link: {error}");
+                None
+            }
+        },
+        Ok(tungstenite::Message::Close(_)) | Err(_) => None,
+        Ok(_) => Some(Received::Control),
     }
 }
 
--- a/tests/testsuite/peer_links.rs
+++ b/tests/testsuite/peer_links.rs
@@ -11,10 +11,10 @@
 use lentilcart::platform::create_platform_client;
 use serde::Serialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 use tokio_tungstenite::tungstenite::Message;
-use tokio_tungstenite::{WebSocketStream, client_async};
+use tokio_tungstenite::{WebSocketStream, accept_async, client_async};
 use tokio_util::task::TaskTracker;
 
 /// Longest wait for something that an entry does; the test fails after it.
@@ -163,3 +163,34 @@
     assert!(!entry.is_played_live().await);
     entry.handle.stop().await;
 }
+
+/// Guards against an accepted link over which nothing comes any more, and that is kept for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn accepted_link_without_heartbeats_is_ended() {
+    let entry = TestEntry::start("50ms", "200ms").await;
+    let mut link = entry.open_link().await;
+    while receive(&mut link).await.is_some() {}
+    entry.handle.stop().await;
+}
+
+/// Guards against the same of a dialled link, over which the other entry sends nothing by itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn dialled_link_without_answers_is_dialled_again() {
+    let entry = TestEntry::start("50ms", "200ms").await;
+    let listener = TcpListener::bind(entry.played).await.unwrap();
+    let accept = async || {
+        let (stream, _) = timeout(WAIT_TIMEOUT, listener.accept())
+            .await
+            .unwrap()
+            .unwrap();
+        accept_async(stream).await.unwrap()
+    };
+    // Nothing is read from this link, so that no ping is answered.
+    let _silent = accept().await;
+    let mut answered = accept().await;
+    let read = async { while receive(&mut answered).await.is_some() {} };
+    // Ten times as long as the silent link is kept.
+    let ended = timeout(Duration::from_secs(8), read).await;
+    assert!(ended.is_err(), "an answered link has ended");
+    entry.handle.stop().await;
+}
