fix(entry): let no entry that is behind confirm a ticket

What callers could see: requests served by an old ticket. An entry that was paused holds new requests until another one or the platform confirms its ticket, and took the reply of an entry with an older ticket for that: the reply to a request for the tickets after a number is empty both where there is none and where the replying entry is behind. Found by reading.

Cause: `get_tickets_reply` did not tell the two apart, and a paused entry asked whoever sent the next heartbeat.

Ruled out: another message for "behind", which entries of an earlier version cannot decode, so that they close the link.

Change: an entry that is behind does not reply; a paused one asks only senders that are not behind.

Evidence, on the code before: `tickets_request_is_not_answered_from_behind` got `Some(Tickets([]))`, and `paused_entry_asks_none_that_is_behind` `Some(TicketsRequest(1))`. With it both passed (2 of 2).

Conclusion: mended.

--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -424,7 +424,7 @@
                 None
             }
             Message::Heartbeat(heartbeat) => self.record_heartbeat(&heartbeat),
-            Message::TicketsRequest(number) => Some(self.get_tickets_reply(number)),
+            Message::TicketsRequest(number) => self.get_tickets_reply(number),
             Message::Tickets(tickets) => {
                 self.lock_gossip().tickets_requested_at = None;
                 self.apply_tickets(&tickets);
@@ -441,7 +441,7 @@
     }
 
     /// Records a heartbeat; returns a request for tickets if the sender has newer ones, or if
-    /// this entry was paused and needs its ticket confirmed.
+    /// this entry was paused and needs its ticket confirmed, which a sender that is behind cannot do.
     fn record_heartbeat(&self, heartbeat: &Heartbeat) -> Option<Message> {
         let now = self.clock.now();
         {
@@ -474,9 +474,11 @@
             }
         }
         let needs_confirmation = !*self.is_ticket_confirmed.borrow();
-        (heartbeat.ticket_number > active.state.number || needs_confirmation)
-            .then(|| self.start_tickets_request(now))
-            .flatten()
+        let is_due = match active.state.number {
+            number if needs_confirmation => heartbeat.ticket_number >= number,
+            number => heartbeat.ticket_number > number,
+        };
+        is_due.then(|| self.start_tickets_request(now)).flatten()
     }
 
     /// Returns a request for the tickets after the one in force and records its time; `None` if
@@ -494,8 +496,8 @@
     }
 
     /// Returns the tickets after a number, or the whole state if the history does not reach back
-    /// to it.
-    fn get_tickets_reply(&self, after: u64) -> Message {
+    /// to it; `None` if this entry is behind the number, since an empty reply would confirm it.
+    fn get_tickets_reply(&self, after: u64) -> Option<Message> {
         let state = &self.get_active_config().state;
         let next: Vec<NumberedTicket> = self
             .lock_gossip()
@@ -505,10 +507,11 @@
             .cloned()
             .collect();
         let is_contiguous = next.first().is_some_and(|t| t.number == after + 1);
-        match after >= state.number {
-            true => Message::Tickets(Vec::new()),
-            false if is_contiguous => Message::Tickets(next),
-            false => Message::State(Box::new(state.clone())),
+        match state.number {
+            number if number < after => None,
+            number if number == after => Some(Message::Tickets(Vec::new())),
+            _ if is_contiguous => Some(Message::Tickets(next)),
+            _ => Some(Message::State(Box::new(state.clone()))),
         }
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,5 @@
 //! Tests of the settings, of the log sink, of the clients of servers and of the platform, of the links between
-//! entries, of the daemon's memory and of the command `explain`.
+//! entries and their requests for tickets, of the daemon's memory, and of the command line.
 
 mod explain;
 mod http_client;
@@ -9,3 +9,4 @@
 mod peer_links;
 mod platform_client;
 mod settings;
+mod ticket_requests;
