fix(cli): keep to what flags and exit codes say

(2) `explain` left out a state message whose text contains the name of a later one, such as `store lost` with a reason that has "leaving" in it. (4) `served` exited with 0 although entries had not answered, so that a script took what some know for what all know.

Cause: (1) arguments were taken as they came; (2) kinds were found by a search in the formatted line; (3) the flags were read only without `--check`; (4) only `status` counted entries that do not answer.

Change: (1) unknown flags are usage errors; (2) each state message is kept with its kind; (3) `--check` reads the shared flags and requires none, and prints JSON with `--json`; (4) `served` prints what there is, and then fails as `status` does.

With `--check`, a `LENTILCART_PLATFORM` or `LENTILCART_ENTRIES` that cannot be parsed is an error now.

--- a/src/cli/context.rs
+++ b/src/cli/context.rs
@@ -34,15 +34,22 @@
     http_client: HttpClient,
 }
 
-impl Context {
-    /// Reads the shared flags and takes them out of `args`.
+/// The values of the flags that most commands share.
+pub(super) struct SharedFlags {
+    platform: Option<SocketAddr>,
+    entries: Vec<SocketAddr>,
+    pub(super) json: bool,
+}
+
+impl SharedFlags {
+    /// Reads the shared flags and takes them out of `args`; none of them is required.
     pub(super) fn read(args: &mut Arguments) -> Result<Self, CliError> {
         let platform = read_flag(args, "--platform", "LENTILCART_PLATFORM")?;
-        let platform = platform.ok_or_else(|| {
-            CliError::Usage("--platform: missing; give the flag or LENTILCART_PLATFORM".to_owned())
-        })?;
-        let address = parse_platform_address(&platform)
-            .map_err(|reason| CliError::Usage(format!("--platform = {platform:?}: {reason}")))?;
+        let parse = |text: String| {
+            parse_platform_address(&text)
+                .map_err(|reason| CliError::Usage(format!("--platform = {text:?}: {reason}")))
+        };
+        let platform = platform.map(parse).transpose()?;
         let entries = read_flag(args, "--entries", "LENTILCART_ENTRIES")?.unwrap_or_default();
         let parse = |part: &str| {
             let reason = "expected an IP address and a port, such as 10.0.0.1:9901";
@@ -53,16 +60,19 @@
             .split(',')
             .filter(|part| !part.is_empty())
             .map(parse);
-        let entries = entries.collect::<Result<_, _>>()?;
-        let tasks = TaskTracker::new();
-        let source = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
         Ok(Self {
-            platform: create_platform_client(address, source, PLATFORM_TIMEOUT, tasks.clone()),
+            platform,
+            entries: entries.collect::<Result<_, _>>()?,
             json: args.contains("--json"),
-            entries,
-            http_client: HttpClient::new(source, tasks),
         })
     }
+}
+
+impl Context {
+    /// Reads the shared flags and takes them out of `args`; `--platform` is required.
+    pub(super) fn read(args: &mut Arguments) -> Result<Self, CliError> {
+        SharedFlags::read(args)?.try_into()
+    }
 
     /// Returns the state in force, read from the platform.
     pub(super) async fn get_state(&self) -> Result<AppliedState, CliError> {
@@ -128,6 +138,25 @@
     }
 }
 
+impl TryFrom<SharedFlags> for Context {
+    type Error = CliError;
+
+    /// Creates the clients; fails where the address of the platform is missing.
+    fn try_from(flags: SharedFlags) -> Result<Self, CliError> {
+        let address = flags.platform.ok_or_else(|| {
+            CliError::Usage("--platform: missing; give the flag or LENTILCART_PLATFORM".to_owned())
+        })?;
+        let tasks = TaskTracker::new();
+        let source = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
+        Ok(Self {
+            platform: create_platform_client(address, source, PLATFORM_TIMEOUT, tasks.clone()),
+            json: flags.json,
+            entries: flags.entries,
+            http_client: HttpClient::new(source, tasks),
+        })
+    }
+}
+
 /// Returns the value of a flag or else of its environment variable; `None` if neither is set, or if
 /// the value is empty.
 ///
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -4,6 +4,7 @@
 use pico_args::Arguments;
 use serde_json::{Map as Fields, Value};
 
+use super::context::read_positionals;
 use super::error::CliError;
 
 /// Fields of a log line that hold the id of a request.
@@ -28,15 +29,11 @@
 
 /// Prints what log files say about a request.
 pub(super) fn explain(args: Arguments) -> Result<(), CliError> {
-    let mut positionals = args.finish().into_iter();
+    let mut positionals = read_positionals(args)?.into_iter();
     let usage = || CliError::Usage("explain: expected ID FILE...; see --help".to_owned());
-    let id = positionals
-        .next()
-        .ok_or_else(usage)?
-        .to_string_lossy()
-        .to_string();
+    let id = positionals.next().ok_or_else(usage)?;
     let files: Vec<PathBuf> = positionals.map(PathBuf::from).collect();
-    if files.is_empty() || id.starts_with('-') {
+    if files.is_empty() {
         return Err(usage());
     }
     let mut text = String::new();
@@ -69,22 +66,22 @@
     });
     let mut lines: Vec<Line> = lines.collect();
     lines.sort_by_key(|line| line.get("unix_ms").and_then(Value::as_u64));
-    // The state messages of each process since its previous line about the request.
-    let mut states: Map<String, Vec<String>> = Map::default();
+    // The state messages of each process since its previous line about the request, each with its line.
+    let mut states: Map<String, Vec<(String, String)>> = Map::default();
     let mut report = Vec::new();
     for line in &lines {
         let process = get_text(line, "process");
         let message = get_text(line, "message");
         let is_match = ID_FIELDS.iter().any(|field| get_text(line, field) == id);
         if is_match {
-            for state in states.remove(&process).unwrap_or_default() {
+            for (_, state) in states.remove(&process).unwrap_or_default() {
                 report.push(format!("  before: {state}\n"));
             }
             report.push(format!("{}\n", format_line(line)));
         } else if STATE_MESSAGES.contains(&&*message) {
             let earlier = states.entry(process).or_default();
-            earlier.retain(|state| !state.contains(&message));
-            earlier.push(format_line(line));
+            earlier.retain(|(kind, _)| *kind != message);
+            earlier.push((message, format_line(line)));
         }
     }
     report.concat()
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -37,8 +37,8 @@
 Flag of all commands:
   --help             print the help of a command
 
-These do not call the platform: explain and submit --check, which take neither --platform,
---entries nor --json, and diff of two files, which does not require --platform.
+These do not call the platform: explain, which takes neither --platform, --entries nor --json,
+and submit --check and diff of two files, which do not require --platform.
 
 Exit codes: 0 success, 1 rejected or failed, 2 usage error
 ";
@@ -101,7 +101,7 @@
 or more; a service is `up` if all its servers are usable, `DOWN` if none is, and otherwise `degraded`.
 STATE is `disagree` if the entries differ; BY ENTRY then shows the state at each. RUNNING shows the
 outstanding requests / the slots, MEAN the mean latency at the entry with the most recent answer, and
-HEARD the time since that answer.
+HEARD the time since that answer. Exits with 1 if an entry does not answer.
 ";
 
 const WATCH: &str = "\
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -69,12 +69,24 @@
     )
 }
 
-/// Fails if an entry does not respond, or if not all entries have the same ticket in force.
-fn check_agreement(responses: &Responses<StatusView>) -> Result<(), CliError> {
+/// Fails if an entry does not respond.
+fn check_answers<T>(responses: &Responses<T>) -> Result<(), CliError> {
     let unanswered = responses
         .iter()
         .filter(|(_, response)| response.is_err())
         .count();
+    match unanswered {
+        0 => Ok(()),
+        _ => Err(CliError::Failed(format!(
+            "{unanswered} of {} entries do not answer",
+            responses.len()
+        ))),
+    }
+}
+
+/// Fails if an entry does not respond, or if not all entries have the same ticket in force.
+fn check_agreement(responses: &Responses<StatusView>) -> Result<(), CliError> {
+    check_answers(responses)?;
     let mut numbers: Vec<u64> = responses
         .iter()
         .filter_map(|(_, response)| Some(response.as_ref().ok()?.number))
@@ -82,10 +94,6 @@
     numbers.sort_unstable();
     numbers.dedup();
     match numbers.len() {
-        _ if unanswered > 0 => Err(CliError::Failed(format!(
-            "{unanswered} of {} entries do not answer",
-            responses.len()
-        ))),
         0 => Err(CliError::Failed("no entry is known".to_owned())),
         1 => Ok(()),
         _ => Err(CliError::Failed(format!(
@@ -94,7 +102,8 @@
     }
 }
 
-/// Prints every service and every server, with what each entry knows of them.
+/// Prints every service and every server, with what each entry knows of them; fails if an entry does not
+/// respond.
 pub(super) async fn served(context: &Context, args: Arguments) -> Result<(), CliError> {
     let names = reject_extra(read_positionals(args)?, 1)?;
     let mut responses = context.query_entries::<ServedView>("/served").await?;
@@ -108,7 +117,7 @@
     }
     if context.json {
         print_json(&responses);
-        return Ok(());
+        return check_answers(&responses);
     }
     for (address, response) in responses.iter().filter(|(_, response)| response.is_err()) {
         let reason = response
@@ -139,7 +148,7 @@
     for service in services {
         print_service(service, &views);
     }
-    Ok(())
+    check_answers(&responses)
 }
 
 /// Prints a service and its servers, from the views of all entries.
--- a/src/cli/tickets.rs
+++ b/src/cli/tickets.rs
@@ -9,7 +9,7 @@
 use lentilcart_util::Name;
 use pico_args::Arguments;
 
-use super::context::{Context, read_duration_flag, read_flag, read_positionals};
+use super::context::{Context, SharedFlags, read_duration_flag, read_flag, read_positionals};
 use super::error::CliError;
 use super::template::render_template;
 use crate::ops::StatusView;
@@ -28,10 +28,12 @@
     let is_check = args.contains("--check");
     let id = read_flag(&mut args, "--id", "")?;
     let wait = read_duration_flag(&mut args, "--wait", DEFAULT_WAIT)?;
+    let flags = SharedFlags::read(&mut args)?;
+    let json = flags.json;
     let context = if is_check {
         None
     } else {
-        Some(Context::read(&mut args)?)
+        Some(Context::try_from(flags)?)
     };
     let files = read_positionals(args)?;
     let [file] = &files[..] else {
@@ -41,7 +43,11 @@
     };
     let ticket = read_ticket_file(file)?;
     let Some(context) = context else {
-        println!("{file}: valid");
+        if json {
+            println!("{}", serde_json::json!({ "file": file, "valid": true }));
+        } else {
+            println!("{file}: valid");
+        }
         return Ok(());
     };
     let id = id.unwrap_or_else(new_id);
--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -28,3 +28,17 @@
 fn explain_request_unknown_id_is_empty() {
     assert_eq!(explain_request("zz", LOGS), "");
 }
+
+/// Guards against a state message that is left out since its text names another kind.
+#[test]
+fn explain_request_keeps_state_messages_that_name_others() {
+    let logs = r#"
+{"unix_ms":1,"process":"e1","message":"store lost","reason":"the machine is leaving"}
+{"unix_ms":2,"process":"e1","message":"leaving"}
+{"unix_ms":3,"process":"e1","message":"answer lost","request":"a1"}
+"#;
+    let report = explain_request("a1", logs);
+    let kept = "  before: 1 e1: store lost reason=the machine is leaving\n";
+    assert!(report.starts_with(kept), "{report}");
+    assert_eq!(report.lines().count(), 3, "{report}");
+}
