test(entry): keep the links of a paused entry open in the test of its requests

Since links over which nothing comes are ended after 4 times `--silence`, 1 s by default, the entry that the test plays lost its link in the pause of 1 s. A longer `--silence` keeps it; the assertions are unchanged.

--- a/tests/testsuite/ticket_requests.rs
+++ b/tests/testsuite/ticket_requests.rs
@@ -100,6 +100,8 @@
         ["--callers", &callers],
         ["--peer", &peer],
         ["--ops", &ops],
+        // The links stay open while the entry is paused.
+        ["--silence", "10s"],
     ];
     let args: Vec<OsString> = args.concat().into_iter().map(OsString::from).collect();
     let settings = EntrySettings::read(args, |_| None).unwrap();
