--- a/lentilcart_bench/src/soak/checks.rs
+++ b/lentilcart_bench/src/soak/checks.rs
@@ -20,8 +20,8 @@
 /// A broken rule: its name and the request that shows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SoakFault {
-    /// Name: `TWICE`, `REFUSED`, `ROUTE`, `CONFIG`, `MIXED`, `LOST`, `UNASKED` for a request that was changed on its way, or
-    /// `ENDED` for an entry that ended by itself.
+    /// Name: `TWICE`, `REFUSED`, `ROUTE`, `CONFIG`, `MIXED`, `LOST`, `UNASKED` for a request that was changed on
+    /// its way, or `ENDED` for an entry that ended by itself.
     pub rule: &'static str,
     /// Identifier of the request; the name of the entry that has ended.
     pub request: Name,
@@ -32,8 +32,8 @@
 /// Compares what clients and servers saw, and returns the rules that were broken.
 ///
 /// `versions` are those of the routes, in the order in which the store got them. `is_in_touch` tells whether the
-/// entry of a request was running on and reached the store. `is_planned_end` tells whether a connection of a request to an entry ended around a planned stop of the
-/// entry, with no other fault of it.
+/// entry of a request was running on and reached the store. `is_planned_end` tells whether a connection of a
+/// request to an entry ended around a planned stop of the entry, with no other fault of it.
 #[must_use]
 pub fn find_faults(
     requests: &[SentRequest],
@@ -145,7 +145,8 @@
     runs.iter().all(is_sound)
 }
 
-/// Returns whether a request was sent around a stop by TERM of its entry, or around its HUP, without any other fault of it.
+/// Returns whether a request was sent around a stop by TERM of its entry, or around its HUP, without any other
+/// fault of it.
 pub(super) fn is_around_stop(entry: &Entry, request: &SentRequest) -> bool {
     let events = entry.events();
     let is_stop = |(at, event): &(u64, EntryEvent)| {
--- a/lentilcart_bench/tests/testsuite/soak.rs
+++ b/lentilcart_bench/tests/testsuite/soak.rs
@@ -215,7 +215,8 @@
 
 /// Guards against a request that runs twice, a false promise, another request's answer or a lost request,
 /// with entries as processes of their own that are stopped and started, before servers that break the
-/// protocol and restart, while routes change; and against a server that is started while it runs, as two faults of it overlap.
+/// protocol and restart, while routes change; and against a server that is started while it runs, as two faults
+/// of it overlap.
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_faulty_servers_and_stops_keep_promises() {
     let report = play("faulty-servers,entry-term,entry-hup,route", 10, 0.4, 4.0).await;
@@ -233,7 +234,8 @@
 }
 
 /// Guards against a soak that does not notice answers of other requests, planned stops that cut requests
-/// off, runs at the wrong service, or old routes: a run in which servers or the schedule are wrong on purpose must fail.
+/// off, runs at the wrong service, or old routes: a run in which servers or the schedule are wrong on purpose
+/// must fail.
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_broken_stand_in_is_noticed() {
     for (faults, seconds, expected) in [
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -20,8 +20,9 @@
 ///
 /// # Errors
 ///
-/// Fails if the deadline passes, if this entry stops before the request can be expected to end, if the connection to the owner breaks and the request may not be sent
-/// again, or if an owner did not run the request after another one may have.
+/// Fails if the deadline passes, if this entry stops before the request can be expected to end, if the
+/// connection to the owner breaks and the request may not be sent again, or if an owner did not run the request
+/// after another one may have.
 pub(crate) async fn forward(
     entry: &Arc<Entry>,
     owners: &[Name],
--- a/src/entry/handle.rs
+++ b/src/entry/handle.rs
@@ -109,9 +109,9 @@
     /// the listeners and loops, and for at most `platform_timeout` for the background tasks.
     ///
     /// Requests that cannot be expected to end in time are rejected, those that arrive after the listener has
-    /// closed also if they may take longer. Requests that still have no permit, or whose body is still being read, some time before the end
-    /// of the drain time are rejected, so that their callers get an answer and can send them elsewhere.
-    /// Those that servers are still running at its end get status 502.
+    /// closed also if they may take longer. So are, some time before the end of the drain time, requests that
+    /// still have no permit, or whose body is still being read: their callers get an answer and can send them
+    /// elsewhere. Those that servers are still running at its end get status 502.
     ///
     /// Returns true if every request finished within the drain time, and false if some were
     /// cut off.
