test(bench): count only requests that must run once as doubled

It has callers of all kinds, one after the other.

The ids of lookups now begin with another word, and only those of requests that must run once are counted, over all groups as before.

--- a/lentilcart_bench/tests/testsuite/load.rs
+++ b/lentilcart_bench/tests/testsuite/load.rs
@@ -23,6 +23,11 @@
 /// Maximum number of attempts of a request with an idempotency key.
 const KEYED_ATTEMPTS: usize = 3;
 
+/// Beginning of the ids of requests that must run at most once.
+const ONCE_PREFIX: &str = "once";
+/// Beginning of the ids of requests that may be repeated, and are hedged.
+const LOOKUP_PREFIX: &str = "lookup";
+
 /// Counts of what callers saw, and of what servers ran.
 #[derive(Debug, Default)]
 pub struct CallerTally {
@@ -47,8 +52,6 @@
 pub struct Callers {
     stop: Arc<AtomicBool>,
     answered: Arc<AtomicUsize>,
-    /// Whether their requests must run at most once.
-    once: bool,
     /// Entries that have been told to stop.
     stopping: Arc<Mutex<Vec<SocketAddr>>>,
     /// Callers; each returns its counts.
@@ -136,7 +139,6 @@
         Self {
             stop,
             answered,
-            once: kind != "lookups",
             stopping,
             tasks,
         }
@@ -180,9 +182,8 @@
                 *runs.entry(id).or_default() += count;
             }
         }
-        // Requests that may be repeated are hedged.
-        let is_doubled = |count: &u32| self.once && *count > 1;
-        total.doubled = runs.values().filter(|count| is_doubled(count)).count();
+        let once_runs = runs.iter().filter(|(id, _)| id.starts_with(ONCE_PREFIX));
+        total.doubled = once_runs.filter(|(_, count)| **count > 1).count();
         total.cut += crossed.iter().filter(|id| runs.contains_key(*id)).count();
         total.false_not_run = not_run.iter().filter(|id| runs.contains_key(*id)).count();
         total
@@ -197,7 +198,12 @@
         while !stop.load(Ordering::Relaxed) {
             count += 1;
             record.tally.sent += 1;
-            let mut id = format!("s{}c{}-{count}", self.group, self.number);
+            let prefix = if self.once {
+                ONCE_PREFIX
+            } else {
+                LOOKUP_PREFIX
+            };
+            let mut id = format!("{prefix}{}c{}-{count}", self.group, self.number);
             let mut outcome = self.send_until_known(&id, count).await;
             if outcome == CallOutcome::Crossed {
                 // Under another id, so that the servers' records tell whether the first one ran.
