refactor(http): one stream type that hands on what is read

ObservedStream now takes a function that gets the bytes of each read and may fail: the client's records them in a ReadLimit, the listener's in a HeadTimer.

--- a/src/http/http_client.rs
+++ b/src/http/http_client.rs
@@ -2,6 +2,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::task::Context;
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
@@ -15,7 +16,8 @@
 
 use super::body::{BodyEnd, HttpBody, NotifyOnEnd, build_get, collect_body, stream_body};
 use super::connect::{ConnectTimeouts, connect};
-use super::limited_stream::{LimitedStream, ReadLimit};
+use super::observed_stream::ObservedStream;
+use super::read_limit::ReadLimit;
 
 /// Largest number of idle connections kept to each address, unless the response sets another number.
 const DEFAULT_MAX_IDLE_CONNECTIONS: usize = 1000;
@@ -320,8 +322,11 @@
             .to_owned();
         let read_limit = ReadLimit::unlimited();
         let limit = read_limit.clone();
-        let stream = TokioIo::new(LimitedStream { stream, limit });
-        let handshake = builder.handshake(stream).await;
+        let stream = ObservedStream {
+            stream,
+            on_read: move |cx: &mut Context<'_>, bytes: &[u8]| limit.record_read(cx, bytes),
+        };
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|e| e.to_string())?;
         let driver = self.tasks.spawn(async move {
             if let Err(error) = connection.await {
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -2,6 +2,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::task::Context;
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -139,9 +140,13 @@
     });
     let head_timer = HeadTimer::new(limits.listener.header_timeout);
     let builder = create_builder(limits, head_timer.clone());
+    let timer = head_timer.clone();
     let stream = ObservedStream {
         stream,
-        head_timer: head_timer.clone(),
+        on_read: move |_: &mut Context<'_>, bytes: &[u8]| {
+            timer.record_read(bytes);
+            Ok(())
+        },
     };
     let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
     tokio::pin!(connection);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -7,9 +7,9 @@
 mod head_timer;
 mod headers;
 mod http_client;
-mod limited_stream;
 mod listener;
 mod observed_stream;
+mod read_limit;
 
 pub use self::body::{
     BodyEnd, BoxError, HttpBody, NotifyOnEnd, build_get, collect_body, empty_body, full_body,
--- a/src/http/observed_stream.rs
+++ b/src/http/observed_stream.rs
@@ -5,17 +5,18 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::head_timer::HeadTimer;
-
-/// A TCP stream of a caller, which tells the timer of its connection what is read.
-pub(super) struct ObservedStream {
+/// A TCP stream that hands the bytes of each read to a function, and fails if that does.
+pub(super) struct ObservedStream<F> {
     /// The stream itself.
     pub(super) stream: TcpStream,
-    /// The timer of the connection.
-    pub(super) head_timer: HeadTimer,
+    /// Called with the bytes of each read.
+    pub(super) on_read: F,
 }
 
-impl AsyncRead for ObservedStream {
+impl<F> AsyncRead for ObservedStream<F>
+where
+    F: Fn(&mut Context<'_>, &[u8]) -> io::Result<()> + Unpin,
+{
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -23,12 +24,11 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        self.head_timer.record_read(&buf.filled()[before..]);
-        Poll::Ready(Ok(()))
+        Poll::Ready((self.on_read)(cx, &buf.filled()[before..]))
     }
 }
 
-impl AsyncWrite for ObservedStream {
+impl<F: Unpin> AsyncWrite for ObservedStream<F> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
