refactor(http): one type for the limits of a listener

ConnectionLimits was ListenerLimits with an idle timeout beside it, and made serve_listener generic over what converts into it, so that entries of change tickets need not name that timeout.

ListenerLimits has the idle timeout itself; entries and internal listeners set it to their header timeout, as the conversion did.

--- a/src/entry/handle.rs
+++ b/src/entry/handle.rs
@@ -46,6 +46,7 @@
     let limits = ListenerLimits {
         header_bytes: settings.header_bytes,
         header_timeout: settings.header_timeout,
+        idle_timeout: settings.header_timeout,
         max_connections: settings.max_connections,
     };
     let entry = Arc::new(Entry::new(settings, platform, background.clone()));
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -18,9 +18,7 @@
 use super::serve::serve_caller;
 use super::tick::run_periodic_work;
 use crate::error::DaemonError;
-use crate::http::{
-    ConnectionLimits, ListenerLimits, ShutdownTokens, bind_listener, serve_listener,
-};
+use crate::http::{ListenerLimits, ShutdownTokens, bind_listener, serve_listener};
 use crate::platform::StoreClient;
 use crate::settings::GatewaySettings;
 
@@ -28,6 +26,7 @@
 const INTERNAL_LIMITS: ListenerLimits = ListenerLimits {
     header_bytes: 16 * 1024,
     header_timeout: Duration::from_secs(30),
+    idle_timeout: Duration::from_secs(30),
     max_connections: 256,
 };
 /// Interval at which a stopping gateway checks for requests in flight.
@@ -137,16 +136,13 @@
 }
 
 /// Returns the limits of the listener for callers, by the routes in force and the settings.
-fn get_caller_limits(gateway: &Gateway) -> ConnectionLimits {
+fn get_caller_limits(gateway: &Gateway) -> ListenerLimits {
     let limits = gateway.get_active_routes().table.limits;
-    let listener = ListenerLimits {
+    ListenerLimits {
         header_bytes: limits.header_bytes,
         header_timeout: limits.header_timeout.into(),
-        max_connections: gateway.settings.load().listen.max_connections,
-    };
-    ConnectionLimits {
-        listener,
         idle_timeout: limits.idle_timeout.into(),
+        max_connections: gateway.settings.load().listen.max_connections,
     }
 }
 
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -18,7 +18,6 @@
 
 use super::active_requests::ActiveRequests;
 use super::body::HttpBody;
-use super::connection_limits::ConnectionLimits;
 use super::head_timer::HeadTimer;
 use super::observed_stream::ObservedStream;
 use crate::error::DaemonError;
@@ -42,6 +41,9 @@
     /// Time from the first byte of a request's header section to its end; HTTP/1.1 only, and where the
     /// version is not known.
     pub header_timeout: Duration,
+    /// Time within which the first byte must arrive, on a new connection and after a response. With HTTP/2,
+    /// time for which a connection may carry no request.
+    pub idle_timeout: Duration,
     /// Largest number of connections that are open at once.
     pub max_connections: usize,
 }
@@ -66,22 +68,21 @@
 /// that the last ones are not missed. `limits` is called
 /// when a connection starts, and its result holds for that connection; its `max_connections` counts
 /// only when the listener starts. `serve` gets the address of the remote and the request.
-pub async fn serve_listener<L, T, S, F>(
+pub async fn serve_listener<L, S, F>(
     listener: TcpListener,
     limits: L,
     shutdown: ShutdownTokens,
     tasks: TaskTracker,
     serve: S,
 ) where
-    L: Fn() -> T + Send + 'static,
-    T: Into<ConnectionLimits>,
+    L: Fn() -> ListenerLimits + Send + 'static,
     S: Fn(SocketAddr, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<HttpBody>> + Send + 'static,
 {
-    let semaphore = Arc::new(Semaphore::new(limits().into().listener.max_connections));
+    let semaphore = Arc::new(Semaphore::new(limits().max_connections));
     let spawn = |(stream, remote, guard)| {
         let close = shutdown.close_connections.clone();
-        let connection = serve_connection(stream, remote, limits().into(), close, serve.clone());
+        let connection = serve_connection(stream, remote, limits(), close, serve.clone());
         tasks.spawn(async move {
             connection.await;
             drop(guard);
@@ -103,7 +104,7 @@
 async fn serve_connection<S, F>(
     stream: TcpStream,
     remote: SocketAddr,
-    limits: ConnectionLimits,
+    limits: ListenerLimits,
     close: CancellationToken,
     serve: S,
 ) where
@@ -138,7 +139,7 @@
             })
         }
     });
-    let head_timer = HeadTimer::new(limits.listener.header_timeout);
+    let head_timer = HeadTimer::new(limits.header_timeout);
     let builder = create_builder(limits, head_timer.clone());
     let timer = head_timer.clone();
     let stream = ObservedStream {
@@ -201,7 +202,7 @@
     }
 }
 
-fn create_builder(limits: ConnectionLimits, head_timer: HeadTimer) -> Builder<TokioExecutor> {
+fn create_builder(limits: ListenerLimits, head_timer: HeadTimer) -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
@@ -209,11 +210,11 @@
         // Between requests; the timer shortens it once a header section has begun.
         .header_read_timeout(limits.idle_timeout)
         // hyper panics if the buffer is smaller than 8192 bytes.
-        .max_buf_size(limits.listener.header_bytes.max(8192));
+        .max_buf_size(limits.header_bytes.max(8192));
     builder
         .http2()
         .timer(TokioTimer::new())
-        .max_header_list_size(limits.listener.header_bytes as u32)
+        .max_header_list_size(limits.header_bytes as u32)
         .max_concurrent_streams(1000);
     builder
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,7 +3,6 @@
 mod active_requests;
 mod body;
 mod connect;
-mod connection_limits;
 mod head_timer;
 mod headers;
 mod http_client;
@@ -16,7 +15,6 @@
     stream_body,
 };
 pub use self::connect::{ConnectTimeouts, connect};
-pub use self::connection_limits::ConnectionLimits;
 pub use self::headers::{
     ATTEMPT_HEADER, DEADLINE_HEADER, ENTRY_HEADER, IDEMPOTENCY_KEY_HEADER, LEAVING_HEADER,
     LOAD_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER, find_request_error, get_header_duration,
