refactor(util): one rule for the attempts of a stop

AttemptWindow has the rule and the two times that it needs. The schedules stay apart, as a gateway counts back from the end of its grace period and an entry forward from its lame-duck time. No behaviour changes.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -71,15 +71,11 @@
     /// not end in time.
     pub(crate) fn may_begin_attempt(&self, entry: &Entry) -> bool {
         entry.drain.get().is_none_or(|schedule| {
-            let to_instant = |time| Instant::from_std(entry.clock.to_instant(time));
             let active = entry.get_active_config();
             let dispatcher = active.dispatchers.get(&self.service.name);
             let expected = dispatcher.and_then(|d| d.read_pool(ServerPool::get_base_service_time));
-            schedule.may_begin_attempt(
-                to_instant(self.received),
-                to_instant(self.deadline),
-                expected.unwrap_or_default(),
-            )
+            let window = &schedule.window;
+            window.may_begin_attempt(&entry.clock, self.received, self.deadline, expected)
         })
     }
 
--- a/src/entry/handle.rs
+++ b/src/entry/handle.rs
@@ -141,7 +141,7 @@
         if !complete {
             log::info!(in_flight = self.entry.stats.get_in_flight(); "rejecting requests without a permit");
             self.entry.attempts_end.cancel();
-            complete = timeout_at(schedule.requests_end, drained.as_mut())
+            complete = timeout_at(schedule.window.requests_end, drained.as_mut())
                 .await
                 .is_ok();
         }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -134,13 +134,9 @@
     /// not end in time.
     fn may_begin_attempt(&self, gateway: &Gateway, dispatcher: &Dispatcher) -> bool {
         gateway.drain.get().is_none_or(|schedule| {
-            let to_instant = |time| Instant::from_std(gateway.clock.to_instant(time));
             let expected = dispatcher.read_pool(ServerPool::get_base_service_time);
-            schedule.may_begin_attempt(
-                to_instant(self.received),
-                to_instant(self.deadline),
-                expected.unwrap_or_default(),
-            )
+            let window = &schedule.window;
+            window.may_begin_attempt(&gateway.clock, self.received, self.deadline, expected)
         })
     }
 
--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -1,8 +1,9 @@
 use std::time::Duration;
 
-use lentilcart_util::Micros;
 use tokio::time::Instant;
 
+use crate::util::AttemptWindow;
+
 /// The grace period divided by this number is reserved at its end for the exit of the process: in this
 /// last sixth the platform no longer counts on responses. The listeners and background tasks get the
 /// first half of the reserved time to end.
@@ -23,13 +24,10 @@
 pub(crate) struct DrainSchedule {
     /// When the listener for callers closes.
     pub(crate) listener_end: Instant,
-    /// From when a request that arrives completely is sent to a server only if its deadline is not after
-    /// [`requests_end`](Self::requests_end).
-    late_after: Instant,
+    /// When attempts may begin.
+    pub(crate) window: AttemptWindow,
     /// From when no attempt begins: requests without a server are rejected.
     pub(crate) attempts_end: Instant,
-    /// When requests that servers are still running are answered by this entry instead.
-    pub(crate) requests_end: Instant,
     /// When the answers of this entry must have been written.
     pub(crate) answers_end: Instant,
     /// When the listeners and background tasks must have ended.
@@ -47,25 +45,13 @@
         Self {
             // Requests that wait must get their answers in time, however long the notice period is.
             listener_end: attempts_end.min(started + notice),
-            late_after: started + (grace / LATE_DIVISOR).saturating_sub(SIGNAL_DELAY),
+            window: AttemptWindow {
+                late_after: started + (grace / LATE_DIVISOR).saturating_sub(SIGNAL_DELAY),
+                requests_end,
+            },
             attempts_end,
-            requests_end,
             answers_end: requests_end + exit_reserve / 4,
             tasks_end: requests_end + exit_reserve / 2,
         }
     }
-
-    /// Returns whether an attempt that begins now may be sent, for a request that arrived completely at
-    /// `received` and is given up at `deadline`. It must end before the process does: for certain if the
-    /// request arrived late, or else if it takes no more than the `expected` service time.
-    pub(crate) fn may_begin_attempt(
-        &self,
-        received: Instant,
-        deadline: Instant,
-        expected: Micros,
-    ) -> bool {
-        let is_late = received >= self.late_after;
-        let expected_end = Instant::now() + Duration::from(expected);
-        deadline <= self.requests_end || !is_late && expected_end <= self.requests_end
-    }
 }
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -198,7 +198,7 @@
         if !complete {
             log::info!(in_flight = self.gateway.in_flight.load(Ordering::Relaxed); "rejecting requests without a server");
             self.gateway.attempts_end.cancel();
-            complete = timeout_at(schedule.requests_end, drained.as_mut())
+            complete = timeout_at(schedule.window.requests_end, drained.as_mut())
                 .await
                 .is_ok();
         }
