--- a/lentilcart_util/src/units/micros.rs
+++ b/lentilcart_util/src/units/micros.rs
@@ -8,9 +8,9 @@
 /// Instant or duration in whole microseconds.
 ///
 /// Instants count from an origin that the calling code chooses. Code that gets its instants as
-/// arguments needs no clock, and its decisions can be replayed. Addition saturates at the largest
-/// value and subtraction at zero; the conversions from milliseconds and from [`Duration`] do not
-/// saturate.
+/// arguments needs no clock, and its decisions can be replayed. Addition and the conversion from
+/// milliseconds saturate at the largest value and subtraction at zero; the conversion from [`Duration`]
+/// does not saturate.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
@@ -43,6 +43,12 @@
         self.0 as f64 / 1e3
     }
 
+    /// Returns the duration in whole milliseconds, rounded up, so that only a duration of zero becomes 0.
+    #[must_use]
+    pub const fn as_millis_ceil(self) -> u64 {
+        self.0.div_ceil(1000)
+    }
+
     /// Returns the duration in seconds, including the fractional part.
     #[must_use]
     pub fn as_secs(self) -> f64 {
--- a/src/platform/http_platform.rs
+++ b/src/platform/http_platform.rs
@@ -120,13 +120,13 @@
         version: u64,
         max_wait: Duration,
     ) -> WatchOutcome<VersionedValue> {
-        let wait_ms = round_up_to_millis(max_wait);
+        let wait_ms = Micros::from(max_wait).as_millis_ceil();
         let path = format!("/watch/{key}?version={version}&wait_ms={wait_ms}");
         self.watch(&path, max_wait).await
     }
 
     async fn watch_hosts(&self, version: u64, max_wait: Duration) -> WatchOutcome<HostList> {
-        let wait_ms = round_up_to_millis(max_wait);
+        let wait_ms = Micros::from(max_wait).as_millis_ceil();
         let path = format!("/hosts?version={version}&wait_ms={wait_ms}");
         self.watch(&path, max_wait).await
     }
@@ -150,7 +150,8 @@
     }
 
     async fn acquire_lease(&self, name: Name, holder: Name, ttl: Duration) -> Result<bool, String> {
-        let body = json!({ "holder": holder, "ttl_ms": round_up_to_millis(ttl) }).to_string();
+        let body =
+            json!({ "holder": holder, "ttl_ms": Micros::from(ttl).as_millis_ceil() }).to_string();
         let path = format!("/lease/{name}");
         let counter = &self.call_counters.leases;
         match self
@@ -181,12 +182,6 @@
     }
 }
 
-/// Returns a time in milliseconds, rounded up: a lease of 0 ms ends at once, and a watch of 0 ms does not
-/// wait.
-fn round_up_to_millis(time: Duration) -> u64 {
-    Micros::from(time).0.div_ceil(1000)
-}
-
 /// Parses a JSON body.
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, String> {
     serde_json::from_slice(body).map_err(|e| format!("unreadable response: {e}"))
