--- a/lentilcart_bench/tests/testsuite/promises.rs
+++ b/lentilcart_bench/tests/testsuite/promises.rs
@@ -171,6 +171,18 @@
     cluster
 }
 
+/// Starts a cluster whose service has one server and takes requests that run once; returns it with the address
+/// for callers of its first entry, and the name of the service.
+async fn start_with_server(
+    policy: &str,
+    server: SocketAddr,
+) -> (Cluster, SocketAddr, &'static str) {
+    let cluster = start_with_servers(small_layout(), policy, "once", 0, &[server]).await;
+    let entry = cluster.layout.get_caller_address(0);
+    let name = cluster.layout.firm.services[0].name;
+    (cluster, entry, name)
+}
+
 /// Guards against a late copy of a server's refusal that is taken for the answer to the next request on the
 /// connection: its caller was told `not-run` for a request that the server had run.
 #[tokio::test(flavor = "multi_thread")]
@@ -184,9 +196,7 @@
         })
     };
     let server = start_server(&arrivals, Copies::Refusals, respond).await;
-    let cluster = start_with_servers(small_layout(), "late", "once", 0, &[server]).await;
-    let entry = cluster.layout.get_caller_address(0);
-    let name = cluster.layout.firm.services[0].name;
+    let (cluster, entry, name) = start_with_server("late", server).await;
     let refused = send(entry, &format!("/{name}/refused")).await;
     assert!(refused.contains("lentilcart-outcome: not-run"), "{refused}");
     let path = format!("/{name}/run");
@@ -209,9 +219,7 @@
         })
     };
     let server = start_server(&arrivals, Copies::Refusals, respond).await;
-    let cluster = start_with_servers(small_layout(), "probe-pool", "once", 0, &[server]).await;
-    let entry = cluster.layout.get_caller_address(0);
-    let name = cluster.layout.firm.services[0].name;
+    let (cluster, entry, name) = start_with_server("probe-pool", server).await;
     for number in 0..100 {
         let response = send(entry, &format!("/{name}/{number}")).await;
         assert!(response.starts_with("HTTP/1.1 200"), "{number}: {response}");
@@ -237,9 +245,7 @@
         })
     };
     let server = start_server(&arrivals, Copies::First, respond).await;
-    let cluster = start_with_servers(small_layout(), "late", "once", 0, &[server]).await;
-    let entry = cluster.layout.get_caller_address(0);
-    let name = cluster.layout.firm.services[0].name;
+    let (cluster, entry, name) = start_with_server("late", server).await;
     let first = send(entry, &format!("/{name}/first")).await;
     assert!(first.ends_with("first"), "{first}");
     let path = format!("/{name}/second");
@@ -261,9 +267,7 @@
     let arrivals = Arrivals::default();
     let respond = |path: &str| Some(if path == "/load" { LOAD } else { NAMED });
     let server = start_server(&arrivals, Copies::First, respond).await;
-    let cluster = start_with_servers(small_layout(), "probe-pool", "once", 0, &[server]).await;
-    let entry = cluster.layout.get_caller_address(0);
-    let name = cluster.layout.firm.services[0].name;
+    let (cluster, entry, name) = start_with_server("probe-pool", server).await;
     for number in 0..100 {
         let response = send(entry, &format!("/{name}/{number}")).await;
         let is_own =
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod logs;
 mod memory;
 mod peer_links;
+mod peer_messages;
 mod platform_client;
 mod settings;
 mod ticket_requests;
--- a/tests/testsuite/peer_links.rs
+++ b/tests/testsuite/peer_links.rs
@@ -9,7 +9,6 @@
 use lentilcart::EntrySettings;
 use lentilcart::entry::{EntryHandle, start_entry};
 use lentilcart::platform::create_platform_client;
-use serde::Serialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -17,6 +16,8 @@
 use tokio_tungstenite::{WebSocketStream, accept_async, client_async};
 use tokio_util::task::TaskTracker;
 
+use crate::peer_messages::{Heartbeat, PeerMessage};
+
 /// Longest wait for something that an entry does; the test fails after it.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 /// Name of the entry that the tests play.
@@ -24,33 +25,6 @@
 /// Last byte of the loopback address of the next entry.
 static NEXT_ADDRESS_BYTE: AtomicU8 = AtomicU8::new(1);
 
-/// Messages of the protocol between entries.
-#[derive(Serialize)]
-enum PeerMessage {
-    #[serde(rename = "b")]
-    Heartbeat(Heartbeat),
-    /// Request for the tickets after a number.
-    #[serde(rename = "w")]
-    TicketsRequest(u64),
-}
-
-/// A heartbeat, with the fields that are required.
-#[derive(Serialize)]
-struct Heartbeat {
-    #[serde(rename = "n")]
-    name: &'static str,
-    #[serde(rename = "d")]
-    data_center: &'static str,
-    #[serde(rename = "p")]
-    peer_address: SocketAddr,
-    #[serde(rename = "t")]
-    ticket_number: u64,
-    #[serde(rename = "c")]
-    platform_answer_age_ms: Option<u64>,
-    #[serde(rename = "l")]
-    leaving: bool,
-}
-
 /// An entry in this process, without a platform, and the addresses around it.
 struct TestEntry {
     handle: EntryHandle,
@@ -103,14 +77,7 @@
         let (mut link, _) = client_async(url, stream).await.unwrap();
         // The entry's own heartbeat.
         receive(&mut link).await.unwrap();
-        let heartbeat = Heartbeat {
-            name: PLAYED_NAME,
-            data_center: "z1",
-            peer_address: self.played,
-            ticket_number: 0,
-            platform_answer_age_ms: None,
-            leaving: false,
-        };
+        let heartbeat = Heartbeat::new(PLAYED_NAME, "z1", self.played, 0);
         for message in [
             PeerMessage::Heartbeat(heartbeat),
             PeerMessage::TicketsRequest(0),
--- a/tests/testsuite/ticket_requests.rs
+++ b/tests/testsuite/ticket_requests.rs
@@ -1,7 +1,7 @@
 //! Requests for tickets between entries, by a link that a test opens as another entry.
 
 use std::ffi::OsString;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, TcpListener};
 use std::time::Duration;
 
 use futures::{FutureExt, SinkExt, StreamExt};
@@ -9,67 +9,35 @@
 use lentilcart::entry::{EntryHandle, start_entry};
 use lentilcart::platform::PlatformClient;
 use lentilcart::state::{NumberedTicket, parse_ticket};
-use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
+use crate::peer_messages::{Heartbeat, PeerMessage};
+
 /// Longer than the process may stand still before its ticket counts as unconfirmed.
 const PAUSE: Duration = Duration::from_secs(1);
 /// Time within which an entry sends what it is going to send.
 const REPLY_WAIT: Duration = Duration::from_millis(500);
 
-/// The messages between entries that concern tickets.
-#[derive(Debug, Serialize, Deserialize)]
-enum WireMessage {
-    #[serde(rename = "b")]
-    Heartbeat(WireHeartbeat),
-    #[serde(rename = "w")]
-    TicketsRequest(u64),
-    #[serde(rename = "n")]
-    Tickets(Vec<NumberedTicket>),
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct WireHeartbeat {
-    #[serde(rename = "n")]
-    name: String,
-    #[serde(rename = "d")]
-    data_center: String,
-    #[serde(rename = "p")]
-    peer_address: SocketAddr,
-    #[serde(rename = "t")]
-    ticket_number: u64,
-    #[serde(rename = "c")]
-    platform_answer_age_ms: Option<u64>,
-    #[serde(rename = "l")]
-    leaving: bool,
-}
-
 /// A link to an entry, from another entry that is not there.
 struct Link(WebSocketStream<TcpStream>);
 
 impl Link {
-    async fn send(&mut self, message: &WireMessage) {
+    async fn send(&mut self, message: &PeerMessage) {
         let mut bytes = Vec::new();
         ciborium::into_writer(message, &mut bytes).unwrap();
         self.0.send(Message::Binary(bytes.into())).await.unwrap();
     }
 
     async fn send_heartbeat(&mut self, ticket_number: u64) {
-        let heartbeat = WireHeartbeat {
-            name: "other".to_owned(),
-            data_center: "a".to_owned(),
-            peer_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-            ticket_number,
-            platform_answer_age_ms: None,
-            leaving: false,
-        };
-        self.send(&WireMessage::Heartbeat(heartbeat)).await;
+        let heartbeat =
+            Heartbeat::new("other", "a", (Ipv4Addr::LOCALHOST, 1).into(), ticket_number);
+        self.send(&PeerMessage::Heartbeat(heartbeat)).await;
     }
 
     /// Returns the next message, `None` where none comes.
-    async fn receive(&mut self) -> Option<WireMessage> {
+    async fn receive(&mut self) -> Option<PeerMessage> {
         let next = tokio::time::timeout(REPLY_WAIT, self.0.next()).await.ok()?;
         let bytes = next.unwrap().unwrap().into_data();
         Some(ciborium::from_reader(&*bytes).unwrap())
@@ -113,7 +81,7 @@
     let mut link = Link(link);
     let first = link.receive().await;
     assert!(
-        matches!(first, Some(WireMessage::Heartbeat(_))),
+        matches!(first, Some(PeerMessage::Heartbeat(_))),
         "{first:?}"
     );
     (entry, link)
@@ -124,12 +92,12 @@
 #[tokio::test]
 async fn tickets_request_is_not_answered_from_behind() {
     let (_entry, mut link) = start_with_link().await;
-    link.send(&WireMessage::TicketsRequest(5)).await;
+    link.send(&PeerMessage::TicketsRequest(5)).await;
     let reply = link.receive().await;
     assert!(reply.is_none(), "{reply:?}");
-    link.send(&WireMessage::TicketsRequest(0)).await;
+    link.send(&PeerMessage::TicketsRequest(0)).await;
     let reply = link.receive().await;
-    assert!(matches!(&reply, Some(WireMessage::Tickets(tickets)) if tickets.is_empty()));
+    assert!(matches!(&reply, Some(PeerMessage::Tickets(tickets)) if tickets.is_empty()));
 }
 
 /// Guards against an entry that was paused and loses time by asking one that cannot confirm its ticket.
@@ -142,7 +110,7 @@
         id: "first".into(),
         ticket: parse_ticket(text, &["late"]).unwrap().into(),
     };
-    link.send(&WireMessage::Tickets(vec![ticket])).await;
+    link.send(&PeerMessage::Tickets(vec![ticket])).await;
     tokio::time::sleep(REPLY_WAIT).await;
     // The entry runs in this thread.
     std::thread::sleep(PAUSE);
@@ -153,7 +121,7 @@
     link.send_heartbeat(1).await;
     let request = link.receive().await;
     assert!(
-        matches!(request, Some(WireMessage::TicketsRequest(1))),
+        matches!(request, Some(PeerMessage::TicketsRequest(1))),
         "{request:?}"
     );
 }
