refactor(route): part the server pool by question

server_pool.rs had 1,065 lines and answered whether a server may get a request, how soon a request can start and which server it gets, all in one file, so that each new rule would have touched it. Only visibility changes.

--- a/lentilcart_route/src/pool/mod.rs
+++ b/lentilcart_route/src/pool/mod.rs
@@ -10,8 +10,12 @@
 //! The *base service time* is the service time at an idle server with a slowdown factor of 1.
 
 mod config;
+mod dispatch;
+mod eligibility;
+mod outcomes;
 mod pending_request;
 mod preflight;
+mod queue_wait;
 mod server_notice;
 mod server_phase;
 mod server_pool;
--- /dev/null
+++ b/lentilcart_route/src/pool/queue_wait.rs
@@ -0,0 +1,81 @@
+//! How soon a request can start: the wait that the queue and the rate limits of the servers impose, and the longest one allowed.
+
+use lentilcart_util::Micros;
+
+use super::{Decision, PendingRequest, Rejection, ServerPool, ServerState};
+
+const MEDIAN: f64 = 0.5;
+
+impl ServerPool {
+    /// Returns the time by which a queued request must start: the end of its longest wait, or the
+    /// deadline less the `median` latency if that is earlier.
+    fn get_latest_start(&self, request: &PendingRequest, median: Micros) -> Micros {
+        let max_wait = (request.deadline - request.arrived).scaled(self.config.wait_share);
+        (request.arrived + max_wait).min(request.deadline - median)
+    }
+
+    /// Returns the median latency; zero while it is not known, so that only
+    /// `PoolConfig::wait_share` and the deadline itself bound the wait.
+    fn get_median_latency(&self) -> Micros {
+        self.hedger.get_quantile(MEDIAN).unwrap_or_default()
+    }
+
+    /// Returns whether the queued requests ahead of a new one will take longer than it can wait, or its
+    /// turn by the rate limits of the servers will come too late.
+    pub(super) fn is_wait_too_long(&self, now: Micros, request: &PendingRequest) -> bool {
+        let ahead = self.queue.get_ahead_count(request.priority);
+        let paced_wait = self.get_paced_wait(now, request, ahead);
+        if ahead == 0 && paced_wait == Micros::ZERO {
+            return false;
+        }
+        let limit = |state: &ServerState| self.get_effective_limit(now, state);
+        let total_limit: u32 = self.states.iter().map(limit).sum();
+        let wait =
+            Micros((ahead as f64 * self.mean_latency / f64::from(total_limit.max(1))) as u64);
+        now + wait.max(paced_wait) > self.get_latest_start(request, self.get_median_latency())
+    }
+
+    /// Returns how long a request with a number of queued requests `ahead` of it waits at least because
+    /// all servers that it may get name rate limits; zero if one does not, or if there is none.
+    fn get_paced_wait(&self, now: Micros, request: &PendingRequest, ahead: usize) -> Micros {
+        if !self.has_rate_limits {
+            return Micros::ZERO;
+        }
+        let mut next_start = Micros(u64::MAX);
+        let mut total_rate = 0.0;
+        let mut has_server = false;
+        for state in &self.states {
+            if state.get_limit(now, &self.config) == 0
+                || request.excluded.contains(&state.config.address)
+            {
+                continue;
+            }
+            let Some(rate) = state.pacer.get_rate(self.rate_share) else {
+                return Micros::ZERO;
+            };
+            has_server = true;
+            total_rate += rate;
+            next_start = next_start.min(state.pacer.get_next_start(self.rate_share));
+        }
+        match () {
+            () if !has_server => Micros::ZERO,
+            () if total_rate <= 0.0 => Micros(u64::MAX),
+            () => (next_start - now) + Micros::from_secs(ahead as f64 / total_rate),
+        }
+    }
+
+    /// Rejects queued requests that can no longer start in time.
+    pub(super) fn reject_expired(&mut self, now: Micros) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        let median = self.get_median_latency();
+        while let Some(request) =
+            self.pop(|pool, request| pool.get_latest_start(request, median) < now)
+        {
+            decisions.push(Decision::Reject {
+                request_id: request.id,
+                reason: Rejection::Overload,
+            });
+        }
+        decisions
+    }
+}
