feat(state): read client accounts, public routes and warm-up limits

The configurations of the two new deployments name client accounts with keys and limits, public routes, and a request rate for cold servers; the settings name the tolerances of both limits. They are decoded into types that the parts of this work share, without effect on requests yet. A number below 0 refuses the configuration with the name of its field.

--- a/lentilcart_bench/src/soak/site.rs
+++ b/lentilcart_bench/src/soak/site.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lentilcart_state::{
-    CallerLimits, PathRoute, RequestClass, RouteTable, ServiceLimits, WeightedService,
+    AccountTable, CallerLimits, PathRoute, RequestClass, RouteTable, ServiceLimits, WeightedService,
 };
 use lentilcart_util::{Map, Micros, Name};
 
@@ -152,6 +152,7 @@
                 timeout: micros(kind.deadline),
                 latency_objective: micros(kind.objective),
                 rank: 0,
+                public: false,
                 max_attempts: 3,
                 services: vec![WeightedService {
                     service: service.into(),
@@ -165,6 +166,7 @@
         let services = self.kinds.iter().map(|kind| {
             let limits = ServiceLimits {
                 health_path: HEALTH_PATH.into(),
+                warmup: None,
                 max_connections: 220,
             };
             (Name::from(kind.name), limits)
@@ -173,6 +175,7 @@
             version,
             services: services.collect(),
             hosts: std::iter::once((Name::from(HOST), routes)).collect(),
+            accounts: AccountTable::default(),
             limits: CallerLimits::default(),
         }
     }
--- a/lentilcart_bench/src/uploads/upload_run.rs
+++ b/lentilcart_bench/src/uploads/upload_run.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use lentilcart_state::{
-    CallerLimits, PathRoute, RequestClass, RouteTable, ServerRegistration, ServiceLimits,
-    WeightedService,
+    AccountTable, CallerLimits, PathRoute, RequestClass, RouteTable, ServerRegistration,
+    ServiceLimits, WeightedService,
 };
 use lentilcart_util::{Map, Micros, Name};
 use serde::Serialize;
@@ -215,6 +215,7 @@
             timeout,
             latency_objective: timeout,
             rank: 0,
+            public: false,
             max_attempts: 2,
             services: vec![WeightedService {
                 service: service.into(),
@@ -227,6 +228,7 @@
     let services = SERVICES.map(|(service, _)| {
         let limits = ServiceLimits {
             health_path: HEALTH_PATH.into(),
+            warmup: None,
             max_connections: 220,
         };
         (Name::from(service), limits)
@@ -235,6 +237,7 @@
         version: 1,
         services: services.into_iter().collect(),
         hosts: Map::from_iter([(Name::from(HOST), routes.into_iter().collect())]),
+        accounts: AccountTable::default(),
         limits: CallerLimits {
             header_bytes: 16 * 1024,
             body_bytes: MAX_BODY_BYTES,
--- a/lentilcart_state/src/lib.rs
+++ b/lentilcart_state/src/lib.rs
@@ -49,7 +49,8 @@
 pub use self::parse::parse_ticket;
 pub use self::platform::{KvReply, KvRequest, VersionedValue};
 pub use self::routing::{
-    CallerLimits, HeaderNames, PathRoute, RouteTable, ServiceLimits, WeightedService,
+    Account, AccountLimit, AccountTable, CallerLimits, HeaderNames, PathRoute, RouteTable,
+    ServiceLimits, WarmupLimit, WeightedService,
 };
 pub use self::ticket::{
     EjectLimits, ProbeBudget, RequestClass, RetryLimits, Route, Server, Service, Ticket,
--- /dev/null
+++ b/lentilcart_state/src/routing/account_table.rs
@@ -0,0 +1,59 @@
+use std::collections::HashMap;
+use std::collections::hash_map::RandomState;
+use std::fmt;
+use std::sync::Arc;
+
+use lentilcart_util::Name;
+
+use super::Account;
+
+/// The client accounts of one version of the routes, by their keys.
+///
+/// Keys are secrets: the debug output does not contain them.
+#[derive(Default)]
+pub struct AccountTable {
+    accounts: Vec<Arc<Account>>,
+    // Hashed with a random key, so that the time of a look-up tells nothing of the keys in the table.
+    by_key: HashMap<Name, Arc<Account>, RandomState>,
+}
+
+impl AccountTable {
+    /// Creates a table of accounts and their keys. A key that two accounts have belongs to the last one.
+    #[must_use]
+    pub fn new(accounts: impl IntoIterator<Item = (Account, Vec<Name>)>) -> Self {
+        let mut table = Self::default();
+        for (account, keys) in accounts {
+            let account = Arc::new(account);
+            let entries = keys.into_iter().map(|key| (key, account.clone()));
+            table.by_key.extend(entries);
+            table.accounts.push(account);
+        }
+        table
+    }
+
+    /// Returns whether there are no accounts, so that requests need no key.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    /// Returns the accounts, in the order of the configuration.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Account>> {
+        self.accounts.iter()
+    }
+
+    /// Returns the account that has a key.
+    #[must_use]
+    pub fn find(&self, key: &str) -> Option<&Arc<Account>> {
+        self.by_key.get(key)
+    }
+}
+
+impl fmt::Debug for AccountTable {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("AccountTable")
+            .field("accounts", &self.accounts)
+            .finish_non_exhaustive()
+    }
+}
--- a/lentilcart_state/src/routing/path_route.rs
+++ b/lentilcart_state/src/routing/path_route.rs
@@ -34,6 +34,8 @@
     /// Dispatch rank of the requests, from 0; rank 0 is dispatched first. Runs opposite to the
     /// priority of [`Route`](crate::Route), where 9 is dispatched first.
     pub rank: u8,
+    /// Whether requests need no key of a client account, also where there are accounts.
+    pub public: bool,
     /// Maximum number of times that a request is sent to a server, retries and hedges included.
     pub max_attempts: u32,
     /// Services that serve the requests; never empty.
--- a/lentilcart_state/src/routing/table.rs
+++ b/lentilcart_state/src/routing/table.rs
@@ -1,16 +1,27 @@
 use std::sync::Arc;
 
-use lentilcart_util::{Map, Name};
+use lentilcart_util::{Map, Micros, Name};
 
-use super::{CallerLimits, PathRoute};
+use super::{AccountTable, CallerLimits, PathRoute};
 
-/// What a route table says of the servers of a service: health path and connection limit.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// What a route table says of the servers of a service: health path, connection limit and warm-up.
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServiceLimits {
     /// Path under which a server reports its health and load.
     pub health_path: Name,
     /// Maximum number of connections that a server accepts from all entries together.
     pub max_connections: u32,
+    /// Limit on the requests of a cold server; `None` for no limit.
+    pub warmup: Option<WarmupLimit>,
+}
+
+/// Limit on the requests of a cold server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmupLimit {
+    /// Time for which a server is cold after it has started.
+    pub duration: Micros,
+    /// Requests a second that a cold server takes from all entries together.
+    pub rate: f64,
 }
 
 /// The complete routes of one version.
@@ -22,6 +33,8 @@
     pub services: Map<Name, ServiceLimits>,
     /// Routes by host in lower case, then by path prefix.
     pub hosts: Map<Name, Map<Name, Arc<PathRoute>>>,
+    /// Client accounts; empty where requests need no key.
+    pub accounts: AccountTable,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
 }
--- a/lentilcart_state/tests/testsuite/routing.rs
+++ b/lentilcart_state/tests/testsuite/routing.rs
@@ -19,6 +19,7 @@
         timeout: Micros::from_millis(1000),
         latency_objective: Micros::from_millis(200),
         rank: 0,
+        public: false,
         max_attempts: 2,
         services: services.collect(),
         pick_count: AtomicU32::new(0),
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -42,6 +42,12 @@
     pub servers: ServerSettings,
     /// Retry budget of each service, shared by all entries.
     pub retries: RetrySettings,
+    /// Tolerance of the limit on the requests of cold servers.
+    #[serde(default)]
+    pub warmup: WarmupSettings,
+    /// Tolerance of the limits on the requests of client accounts.
+    #[serde(default)]
+    pub accounts: AccountSettings,
     /// Memory of the process, and the part of it for bodies. It is read at the start only.
     #[serde(default)]
     pub memory: MemorySettings,
@@ -261,6 +267,51 @@
     pub burst: f64,
 }
 
+/// Tolerance of the limit on the requests of cold servers. A cold server gets at most `overage` times its
+/// rate and `slack` requests more in a second from all entries together.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct WarmupSettings {
+    /// Factor on the rate of a cold server, at least 1.
+    pub overage: f64,
+    /// Requests beyond that.
+    pub slack: f64,
+}
+
+impl Default for WarmupSettings {
+    fn default() -> Self {
+        Self {
+            overage: 1.0,
+            slack: 0.0,
+        }
+    }
+}
+
+/// Tolerance of the limits on the requests of client accounts. In any window, all entries together send at
+/// most what rate and burst allow, a share `overage` of it more, and `slack` requests more.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct AccountSettings {
+    /// Length of the window.
+    #[serde_as(as = "DurationText")]
+    pub window: Micros,
+    /// Share of the allowed requests by which they may be exceeded, at least 0.
+    pub overage: f64,
+    /// Requests beyond that.
+    pub slack: f64,
+}
+
+impl Default for AccountSettings {
+    fn default() -> Self {
+        Self {
+            window: Micros::from_millis(5000),
+            overage: 0.0,
+            slack: 0.0,
+        }
+    }
+}
+
 /// Memory of the process, and the part of it for bodies; texts with a unit, such as `"256MiB"`.
 #[serde_as]
 #[derive(Debug, Clone, Default, PartialEq, Deserialize)]
@@ -401,6 +452,24 @@
                 self.retries.ratio < 0.0 || self.retries.burst < 0.0,
                 "retries: expected a ratio and a burst of at least 0".to_owned(),
             ),
+            (
+                is_below(self.warmup.overage, 1.0) || is_below(self.warmup.slack, 0.0),
+                format!(
+                    "warmup: overage = {}, slack = {}: expected an overage of at least 1 and a slack of at least 0",
+                    self.warmup.overage, self.warmup.slack
+                ),
+            ),
+            (
+                is_below(self.accounts.overage, 0.0) || is_below(self.accounts.slack, 0.0),
+                format!(
+                    "accounts: overage = {}, slack = {}: expected numbers of at least 0",
+                    self.accounts.overage, self.accounts.slack
+                ),
+            ),
+            (
+                self.accounts.window == Micros::ZERO,
+                "accounts.window = \"0ms\": expected a time above 0".to_owned(),
+            ),
             (
                 bodies.is_some_and(|bodies| bodies < MIN_BODIES),
                 format!(
@@ -431,3 +500,8 @@
         broken.map(|(_, message)| message).collect()
     }
 }
+
+/// Returns whether a value is below a bound, or no finite number.
+fn is_below(value: f64, bound: f64) -> bool {
+    !value.is_finite() || value < bound
+}
