feat(state,route): evacuations of data centres

Cause: an operator's key op/evacuate/NAME must keep requests from the servers of a data centre. Change: EvacuationTable holds which data centres are evacuated, at which revision and by whom told. A mirror of op/ merges only newer routes from mirrors of an earlier version, which have no other keys, and never counts their revision. The pool gives evacuated servers a limit of 0, checks queued requests against the servers that are left at once, and begins a slow start when a data centre is taken back.

--- a/lentilcart_route/src/pool/config.rs
+++ b/lentilcart_route/src/pool/config.rs
@@ -46,6 +46,8 @@
     /// slow start until the next tick. The warm-up, in which the server itself is slow, is
     /// independent of the slow start.
     pub slow_start: Micros,
+    /// Duration of the slow start of a server whose data centre was evacuated and is taken back.
+    pub return_slow_start: Micros,
     /// Retry tokens of a new pool, before the first answer.
     pub initial_retries: f64,
     /// Budget of the load probes of policy `probe-pool`.
@@ -68,6 +70,7 @@
             max_connections: 40,
             wait_share: 0.5,
             slow_start: Micros::ZERO,
+            return_slow_start: Micros::ZERO,
             initial_retries: 10.0,
             probe_budget: ProbeBudget::default(),
             retry: RetryLimits::default(),
--- a/lentilcart_route/src/pool/dispatch.rs
+++ b/lentilcart_route/src/pool/dispatch.rs
@@ -2,7 +2,7 @@
 
 use lentilcart_util::Micros;
 
-use super::{Decision, PendingRequest, Rejection, ServerPhase, ServerPool};
+use super::{Decision, PendingRequest, Rejection, ServerPool, ServerState};
 use crate::policy::{LoadSource, PickContext};
 
 impl ServerPool {
@@ -11,10 +11,7 @@
     /// Returns the decisions that follow, also on other requests; no decision on this request means
     /// that it is queued.
     pub fn offer(&mut self, now: Micros, request: PendingRequest) -> Vec<Decision> {
-        let has_server = self
-            .states
-            .iter()
-            .any(|state| state.listed && state.phase != ServerPhase::Leaving);
+        let has_server = self.states.iter().any(ServerState::is_open);
         match () {
             () if !has_server => vec![Decision::Reject {
                 request_id: request.id,
--- a/lentilcart_route/src/pool/eligibility.rs
+++ b/lentilcart_route/src/pool/eligibility.rs
@@ -17,13 +17,12 @@
 const MIN_RESERVE_SERVERS: f64 = 8.0;
 
 impl ServerPool {
-    /// Returns whether a server that is listed and not leaving is not excluded by the request and wants
+    /// Returns whether a server that is listed, not leaving and not evacuated is not excluded by the request and wants
     /// requests from its sender now. It may have no room.
     #[must_use]
     pub fn has_wanting_server(&self, now: Micros, request: &PendingRequest) -> bool {
         self.states.iter().any(|state| {
-            state.listed
-                && state.phase != ServerPhase::Leaving
+            state.is_open()
                 && !request.excluded.contains(&state.config.address)
                 && state.get_hold_off_end(request.sender) <= now
         })
@@ -165,7 +164,7 @@
     /// last slot is used too.
     pub(super) fn update_reduced_limits(&mut self) {
         let is_local = |state: &&ServerState| {
-            state.listed && state.config.data_center == self.config.data_center
+            state.listed && !state.evacuated && state.config.data_center == self.config.data_center
         };
         let servers = self.states.iter().filter(is_local).count() as f64;
         let queued = self.queue.len() as f64;
--- a/lentilcart_route/src/pool/mod.rs
+++ b/lentilcart_route/src/pool/mod.rs
@@ -12,6 +12,7 @@
 mod config;
 mod dispatch;
 mod eligibility;
+mod evacuation;
 mod outcomes;
 mod pending_request;
 mod preflight;
--- a/lentilcart_route/src/pool/outcomes.rs
+++ b/lentilcart_route/src/pool/outcomes.rs
@@ -299,7 +299,10 @@
     fn promote_after_answer(&mut self, now: Micros, server: usize) {
         let state = &mut self.states[server];
         state.phase = match state.phase {
-            ServerPhase::Probation => ServerPhase::SlowStart { since: now },
+            ServerPhase::Probation => {
+                state.return_ramp = None;
+                ServerPhase::SlowStart { since: now }
+            }
             ServerPhase::Serving => {
                 state.ejections = 0;
                 ServerPhase::Serving
--- a/lentilcart_route/src/pool/pending_request.rs
+++ b/lentilcart_route/src/pool/pending_request.rs
@@ -69,7 +69,7 @@
         /// time is left for an answer before its deadline. Also the reason while all servers are
         /// ejected.
         Overload,
-        /// The service has no server, or all its servers are leaving.
+        /// The service has no server, or all its servers are leaving or evacuated.
         NoServer,
     }
 }
--- a/lentilcart_route/src/pool/server_pool.rs
+++ b/lentilcart_route/src/pool/server_pool.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use lentilcart_util::{Micros, Rng, seeded_rng};
+use lentilcart_util::{Micros, Name, Rng, Set, seeded_rng};
 
 use super::service_times::ServiceTimes;
 use super::{Decision, PoolConfig, ServerConfig, ServerPhase, ServerState, ServerSummary, Shard};
@@ -16,6 +16,8 @@
     /// listed or has outstanding attempts.
     pub(super) states: Vec<ServerState>,
     pub(super) queue: RequestQueue,
+    /// Names of the evacuated data centres, whose servers get no new requests.
+    pub(super) evacuated: Set<Name>,
     pub(super) retry_tokens: TokenBucket,
     pub(super) hedger: Hedger,
     pub(super) shard: Shard,
@@ -53,6 +55,7 @@
         Self {
             states: Vec::new(),
             queue: RequestQueue::default(),
+            evacuated: Set::default(),
             retry_tokens,
             hedger: Hedger::new(config.retry.hedge, Micros::ZERO),
             shard: Shard::default(),
@@ -113,6 +116,7 @@
             }
         }
         self.has_rate_limits = self.get_rate_limited_count() > 0;
+        self.mark_evacuated(now);
     }
 
     /// Sets the shard of this entry among the entries that dispatch for the service.
@@ -139,6 +143,7 @@
             state.phase = if leaving {
                 ServerPhase::Leaving
             } else {
+                state.return_ramp = None;
                 ServerPhase::SlowStart { since: now }
             };
         }
@@ -282,7 +287,10 @@
         for state in &mut self.states {
             state.phase = match state.phase {
                 ServerPhase::Ejected { until } if now >= until => ServerPhase::Probation,
-                ServerPhase::SlowStart { since } if now - since >= self.config.slow_start => {
+                ServerPhase::SlowStart { since }
+                    if now - since >= state.get_slow_start(&self.config) =>
+                {
+                    state.return_ramp = None;
                     ServerPhase::Serving
                 }
                 phase => phase,
--- a/lentilcart_route/src/pool/server_state.rs
+++ b/lentilcart_route/src/pool/server_state.rs
@@ -53,6 +53,10 @@
     pub(crate) phase: ServerPhase,
     /// Whether the server is in the latest list of servers.
     pub(crate) listed: bool,
+    /// Whether the server is in an evacuated data centre, and gets no new requests.
+    pub(crate) evacuated: bool,
+    /// Duration of the slow start after an evacuation; `None` for that of the pool.
+    pub(crate) return_ramp: Option<Micros>,
     /// Outstanding attempts of this entry. Each counts as one outstanding request: the first
     /// attempt of a request and its hedge are two.
     pub(crate) attempts: Vec<Attempt>,
@@ -144,6 +148,8 @@
             config,
             phase,
             listed: true,
+            evacuated: false,
+            return_ramp: None,
             attempts: Vec::new(),
             digests: Map::default(),
             report: None,
@@ -307,10 +313,11 @@
             (false, _) => config.max_connections,
         };
         let limit = match self.phase {
-            _ if !self.listed => 0,
+            _ if !self.listed || self.evacuated => 0,
             ServerPhase::Serving => full,
             ServerPhase::SlowStart { since } => {
-                let ramp_share = (now - since).0 as f64 / config.slow_start.0.max(1) as f64;
+                let duration = self.get_slow_start(config);
+                let ramp_share = (now - since).0 as f64 / duration.0.max(1) as f64;
                 ((f64::from(full) * ramp_share) as u32).clamp(1, full)
             }
             ServerPhase::Probation => 1,
@@ -319,6 +326,29 @@
         limit.min(config.max_connections)
     }
 
+    /// Returns the duration of the server's slow start.
+    pub(crate) fn get_slow_start(&self, config: &PoolConfig) -> Micros {
+        self.return_ramp.unwrap_or(config.slow_start)
+    }
+
+    /// Returns whether the server is listed and gets requests as far as its phase and its data centre are
+    /// concerned: it is neither leaving nor evacuated.
+    pub(crate) fn is_open(&self) -> bool {
+        self.listed && self.phase != ServerPhase::Leaving && !self.evacuated
+    }
+
+    /// Sets whether the server is in an evacuated data centre. One that is taken back begins with a slow
+    /// start, unless it is ejected, on probation or leaving.
+    pub(crate) fn set_evacuated(&mut self, now: Micros, evacuated: bool, config: &PoolConfig) {
+        let is_back = self.evacuated && !evacuated;
+        self.evacuated = evacuated;
+        if let (true, ServerPhase::Serving | ServerPhase::SlowStart { .. }) = (is_back, self.phase)
+        {
+            self.phase = ServerPhase::SlowStart { since: now };
+            self.return_ramp = Some(config.return_slow_start);
+        }
+    }
+
     /// Adds an attempt; an attempt of the same request is replaced by one that starts now.
     pub(crate) fn start_attempt(
         &mut self,
--- a/lentilcart_route/tests/testsuite/main.rs
+++ b/lentilcart_route/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the routing decisions.
 
 mod byte_budget;
+mod evacuation;
 mod hold_offs;
 mod late_paced;
 mod limits;
--- a/lentilcart_state/src/lib.rs
+++ b/lentilcart_state/src/lib.rs
@@ -12,7 +12,7 @@
 //!   returns a [`StoreCall`] for it and processes the [`StoreReply`].
 //!
 //! The other types make no requests; the code that holds them updates them: [`ServerDirectory`],
-//! [`MemberTable`], [`RouteTable`].
+//! [`MemberTable`], [`RouteTable`], [`EvacuationTable`].
 //!
 //! Entries that take their services from change tickets use [`Ticket`] with [`Route`] and
 //! [`Service`]. Gateways, the entries that take routes and servers from the store, use
@@ -26,6 +26,7 @@
 mod claim;
 mod directory;
 mod error;
+mod evacuation;
 mod member;
 mod mirror;
 mod parse;
@@ -41,6 +42,7 @@
 pub use self::claim::{Claim, ClaimLog, ClaimOp, ClaimState, ClaimVerdict, KeyDigest};
 pub use self::directory::{ServerDirectory, ServerRegistration};
 pub use self::error::{FieldError, StateError, TicketFileError};
+pub use self::evacuation::{Evacuation, EvacuationChange, EvacuationSource, EvacuationTable};
 pub use self::member::{Member, MemberTable, rendezvous_rank};
 pub use self::mirror::{
     Mirror, MirrorChange, MirrorSnapshot, Precondition, StoreCall, StoreEvent, StoreItem, StorePut,
--- a/lentilcart_state/src/mirror/mirror.rs
+++ b/lentilcart_state/src/mirror/mirror.rs
@@ -26,6 +26,10 @@
         /// keys were removed after the requested revision, each with the revision of its removal.
         #[serde(rename = "gone")]
         pub removals: Option<Vec<(Name, u64)>>,
+        /// Prefix of the keys that `items` and `removals` cover, where entries of an earlier version cover
+        /// a narrower one; `None` from these, and where there is no narrower one.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub prefix: Option<Name>,
     }
 }
 
@@ -40,6 +44,9 @@
 #[derive(Debug)]
 pub struct Mirror {
     prefix: Name,
+    /// Prefix that entries of an earlier version mirror in place of `prefix`, which it begins with; `None` if
+    /// they mirror the same.
+    earlier_prefix: Option<Name>,
     items: Map<Name, StoreItem>,
     /// Revision of the store up to which the mirror is complete; 0 before the first listing.
     revision: u64,
@@ -72,6 +79,7 @@
     pub fn new(prefix: Name) -> Self {
         Self {
             prefix,
+            earlier_prefix: None,
             items: Map::default(),
             revision: 0,
             latest_change_revision: 0,
@@ -81,6 +89,27 @@
         }
     }
 
+    /// Sets the narrower prefix that entries of an earlier version mirror in place of this one's.
+    #[must_use]
+    pub fn with_earlier_prefix(mut self, prefix: Name) -> Self {
+        self.earlier_prefix = Some(prefix);
+        self
+    }
+
+    /// Returns the items whose keys begin with a prefix, in no particular order.
+    pub fn iter_prefix(&self, prefix: &str) -> impl Iterator<Item = &StoreItem> {
+        let items = self.items.values();
+        items.filter(move |item| item.key.starts_with(prefix))
+    }
+
+    /// Returns whether a snapshot is that of an entry of an earlier version, whose mirror has only a part of
+    /// the keys.
+    #[must_use]
+    pub fn is_partial(&self, snapshot: &MirrorSnapshot) -> bool {
+        let covers = |prefix: &Name| self.prefix.starts_with(&**prefix);
+        self.earlier_prefix.is_some() && !snapshot.prefix.as_ref().is_some_and(covers)
+    }
+
     /// Returns the revision of the store up to which the mirror is complete; 0 before the first
     /// listing.
     #[must_use]
@@ -143,12 +172,16 @@
 
     /// Merges a snapshot of another entry's mirror if it is newer, and returns the changes.
     ///
+    /// A snapshot of only a part of the keys adds newer items of that part. It removes nothing, and does
+    /// not count for the revision of the mirror: the changes of the other keys up to its revision are
+    /// not known. Before the first listing it is ignored, so that no item is known without the others.
+    ///
     /// **NOTE:** A snapshot of changes must have been requested with an `after_revision` no higher
     /// than this mirror's revision. This is not checked; the changes between the two revisions would
     /// be missing.
     pub fn merge(&mut self, snapshot: MirrorSnapshot) -> Vec<MirrorChange> {
-        if snapshot.revision <= self.revision {
-            return Vec::new();
+        if self.is_partial(&snapshot) || snapshot.revision <= self.revision {
+            return self.merge_part(snapshot.items);
         }
         let Some(removed_keys) = snapshot.removals else {
             return self.replace_all(snapshot.items, snapshot.revision);
@@ -160,6 +193,20 @@
         self.apply_events(removed.chain(written), snapshot.revision)
     }
 
+    /// Adds the newer items of the part of the keys that entries of an earlier version mirror, and returns the
+    /// changes. A mirror may hold items of that part which are newer than its revision.
+    fn merge_part(&mut self, items: Vec<StoreItem>) -> Vec<MirrorChange> {
+        let Some(part) = self.earlier_prefix.clone() else {
+            return Vec::new();
+        };
+        let revision = self.revision;
+        let is_newer = |item: &StoreItem| {
+            revision > 0 && item.revision > revision && item.key.starts_with(&*part)
+        };
+        let newer = items.into_iter().filter(is_newer);
+        newer.filter_map(|item| self.put_item(item)).collect()
+    }
+
     /// Returns a snapshot of the changes after a revision, or of all items where the removals since
     /// then are no longer remembered or the revision is 0.
     #[must_use]
@@ -174,6 +221,7 @@
             revision: self.revision,
             items: self.items.values().filter(is_new).cloned().collect(),
             removals: is_known.then(|| removed.cloned().collect()),
+            prefix: self.earlier_prefix.as_ref().map(|_| self.prefix.clone()),
         }
     }
 
--- a/lentilcart_state/tests/testsuite/main.rs
+++ b/lentilcart_state/tests/testsuite/main.rs
@@ -2,6 +2,8 @@
 
 mod claims;
 mod directory;
+mod earlier_mirror;
+mod evacuations;
 mod kv_service;
 mod members;
 mod mirror;
--- a/lentilcart_state/tests/testsuite/mirror.rs
+++ b/lentilcart_state/tests/testsuite/mirror.rs
@@ -88,6 +88,7 @@
         revision: 8,
         items: vec![item("s/b", 2)],
         removals: None,
+        prefix: None,
     };
     assert!(mirror.merge(older).is_empty());
     assert_eq!(keys(&mirror), [key("s/a", 8)]);
@@ -101,6 +102,7 @@
         revision: 9,
         items: vec![item("s/b", 9)],
         removals: None,
+        prefix: None,
     });
     assert!(
         mirror
@@ -144,6 +146,7 @@
         revision: 9,
         items: Vec::new(),
         removals: Some(vec![("s/a".into(), 8)]),
+        prefix: None,
     });
     let late = StoreReply::Events {
         events: vec![StoreEvent::Written(item("s/a", 6))],
