feat(gateway): obey evacuations of data centres

Cause: entries sent requests to the servers of an evacuated data centre. Change: the mirror of the routes watches op/ instead of op/config, without a further store call. Evacuations come into force before the routes of the same listing, reach every pool, and are checked once more for each request with a permit until its connection is open. Registrations tell whether an entry mirrors all of op/, so that entries of an earlier version are not relied on to watch.

--- a/src/entry/dispatcher.rs
+++ b/src/entry/dispatcher.rs
@@ -4,7 +4,7 @@
 use lentilcart_route::{
     AttemptOutcome, Decision, LoadReport, PendingRequest, Rejection, ServerPool,
 };
-use lentilcart_util::{Map, Micros, Name};
+use lentilcart_util::{Map, Micros, Name, Set};
 use tokio::sync::oneshot;
 
 use super::permit::Permit;
@@ -139,6 +139,20 @@
         })
     }
 
+    /// Sets the evacuated data centres, whose servers get no new requests, and rejects the queued requests
+    /// that the other servers cannot start in time.
+    pub(crate) fn set_evacuated(&self, data_centers: &Set<Name>) {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        let decisions = state.pool.set_evacuated(now, data_centers);
+        state.deliver_decisions(now, decisions);
+    }
+
+    /// Returns whether a server is in an evacuated data centre.
+    pub(crate) fn is_evacuated(&self, address: SocketAddr) -> bool {
+        self.read_pool(|pool| pool.is_evacuated(address))
+    }
+
     /// Returns the current time on the clock of the pool.
     pub(crate) fn get_now(&self) -> Micros {
         self.clock.now()
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -276,6 +276,7 @@
             max_connections: service.get_connection_limit(),
             wait_share: service.wait_share,
             slow_start: service.slow_start,
+            return_slow_start: Micros::ZERO,
             initial_retries: INITIAL_RETRIES,
             probe_budget: service.probe_budget,
             retry: service.retry,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -17,6 +17,7 @@
 use super::attempt_log::AttemptLog;
 use super::datagram::PermitRequest;
 use super::error_reply::{ErrorReason, ErrorReply};
+use super::evacuations::count_evacuation_refusal;
 use super::gateway::Gateway;
 use super::permit_table::{acquire_permit, is_serving, to_pool_request};
 use super::response::{ResponseVerdict, classify_response, read_response};
@@ -267,9 +268,12 @@
         let permit = match acquired {
             Ok(Ok(permit)) => permit,
             Ok(Err(Rejection::NoServer)) => {
-                return inbound.finish(last, ErrorReason::NoServer);
+                let reason = gateway.get_no_server_reason(dispatcher);
+                count_evacuation_refusal(dispatcher, reason);
+                return inbound.finish(last, reason);
             }
             Ok(Err(_)) => {
+                count_evacuation_refusal(dispatcher, ErrorReason::Overload);
                 inbound.queue_len = dispatcher.read_pool(ServerPool::get_queue_len);
                 let (now, sender) = (gateway.clock.now(), gateway.settings.load().listen.peer);
                 inbound.restriction =
@@ -476,17 +480,17 @@
     };
     let (max_idle_time, check) = get_connection_limits(gateway, class, health_path, &handle_check);
     let attempt_log = AttemptLog::new(&request_id, attempt, &permit);
+    let evacuated = gateway.wait_for_evacuation(&server);
     // What the pool knew of the server when it selected it; default values if an owner selected it.
     let (selection, started) = (permit.selection, gateway.clock.now());
     let received = match gateway
         .server_client
-        .send_checked(
-            address,
-            request,
-            max_idle_time,
-            check.as_ref(),
-            give_up.cancelled(),
-        )
+        .send_checked(address, request, max_idle_time, check.as_ref(), async {
+            tokio::select! {
+                () = give_up.cancelled() => {}
+                () = evacuated => {}
+            }
+        })
         .await
     {
         Ok(received) => received,
--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -9,6 +9,7 @@
 use lentilcart_util::{Map, Micros, Name, Set};
 
 use super::datagram::GatewayHeartbeat;
+use super::evacuations::RETURN_SLOW_START;
 use super::gateway::{ActiveRoutes, Gateway, MirrorKind};
 use crate::entry::Dispatcher;
 
@@ -20,10 +21,10 @@
 
 impl Gateway {
     /// Applies changes of a mirrored prefix and sends a heartbeat. A removal of the routes is ignored:
-    /// they stay in force.
+    /// they stay in force. Evacuations come into force before routes that came with them.
     ///
     /// `relayed` is true if the changes were fetched from another entry, and false if this entry read
-    /// them from the store itself. It matters for removed servers only: after a relayed removal a server
+    /// them from the store itself. For evacuations it matters to the log only. For removed servers: after a relayed removal a server
     /// stays for one grace period at most, even while the store does not answer this entry, since it may
     /// answer the other one.
     pub(crate) fn apply_changes(
@@ -37,6 +38,7 @@
         }
         match kind {
             MirrorKind::Routes => {
+                self.apply_evacuations(&changes, relayed);
                 let items = changes.into_iter().filter_map(|change| match change {
                     MirrorChange::Put(item) => Some(item),
                     MirrorChange::Removed(_) => None,
@@ -91,7 +93,9 @@
         let get_or_create = |service: &Name| {
             let known = old.dispatchers.get(service).cloned();
             known.unwrap_or_else(|| {
-                let pool = ServerPool::new(self.get_pool_config(&table, service), self.random_seed);
+                let config = self.get_pool_config(&table, service);
+                let mut pool = ServerPool::new(config, self.random_seed);
+                pool.set_evacuated(self.clock.now(), &self.evacuated.borrow());
                 Arc::new(Dispatcher::new(service.clone(), pool, self.clock))
             })
         };
@@ -107,6 +111,8 @@
         self.active_routes
             .store(Arc::new(Arc::new(ActiveRoutes { table, dispatchers })));
         self.update_pools(&added);
+        // An evacuation may have come since the new pools were created.
+        self.update_evacuated_servers();
     }
 
     /// Returns the configuration of a service's pool by the settings, the routes and the number of
@@ -123,6 +129,7 @@
             reserve: settings.servers.reserve,
             remote_reserve: settings.servers.remote_reserve,
             remote_cost: settings.servers.remote_cost,
+            return_slow_start: RETURN_SLOW_START,
             max_connections: limits.map_or(1, |limits| limits.max_connections).max(1),
             wait_share: MAX_WAIT_SHARE,
             initial_retries: 0.0,
@@ -262,18 +269,23 @@
                 MirrorChange::Put(item) => match GatewayHeartbeat::decode(&item.value) {
                     // Whether an entry is leaving is known from its heartbeats only: the registration
                     // is not updated.
-                    Ok(heartbeat) => members.upsert(
-                        &heartbeat.name,
-                        &heartbeat.data_center,
-                        heartbeat.peer,
-                        false,
-                    ),
+                    Ok(heartbeat) => {
+                        members.upsert(
+                            &heartbeat.name,
+                            &heartbeat.data_center,
+                            heartbeat.peer,
+                            false,
+                        );
+                        self.record_registered_entry(&heartbeat);
+                    }
                     Err(error) => log::warn!(key:% = item.key; "entry ignored: {error}"),
                 },
                 MirrorChange::Removed(key) => {
                     let name = key.strip_prefix(MirrorKind::Hosts.get_prefix());
+                    let name = Name::from(name.unwrap_or_default());
                     // An entry whose heartbeats still arrive stays.
-                    members.remove_unlisted(&name.unwrap_or_default().into(), now);
+                    members.remove_unlisted(&name, now);
+                    self.forget_registered_entry(&name);
                 }
             }
         }
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -10,7 +10,7 @@
     /// store.
     ///
     /// The registration is written once for each lease, so most of its fields become stale; only `name`,
-    /// `data_center` and `peer` are read from it.
+    /// `data_center`, `peer` and `mirrors_operator_keys` are read from it.
     #[derive(Eq)]
     pub(crate) struct GatewayHeartbeat {
         pub(crate) name: Name,
@@ -27,6 +27,10 @@
         pub(crate) leaving: bool,
         /// Whether the entry watches the store and the store answers it.
         pub(crate) watching: bool,
+        /// Whether the entry mirrors all keys of the operator, not only the routes; false from an entry of
+        /// an earlier version. Only registrations say it, which saves bytes in heartbeats.
+        #[serde(rename = "op", default, skip_serializing_if = "std::ops::Not::not")]
+        pub(crate) mirrors_operator_keys: bool,
     }
 }
 
--- a/src/gateway/error_reply.rs
+++ b/src/gateway/error_reply.rs
@@ -24,6 +24,8 @@
         RoutesBehind,
         /// The service has no server that may get requests.
         NoServer,
+        /// No server of the service may get requests, since data centres are evacuated.
+        Evacuated,
         /// No server would be free in time.
         Overload,
         /// This entry is about to stop, and no server runs the request: it had none yet, or cannot be
@@ -71,6 +73,7 @@
             Self::UnknownRoute => "unknown-route",
             Self::RoutesBehind => "routes-behind",
             Self::NoServer => "no-server",
+            Self::Evacuated => "evacuated",
             Self::Overload => "overload",
             Self::Stopping => "stopping",
             Self::StoppingMayHaveRun => "stopping-sent",
@@ -97,6 +100,7 @@
             | Self::NoRoutes
             | Self::RoutesBehind
             | Self::NoServer
+            | Self::Evacuated
             | Self::Overload
             | Self::Stopping
             | Self::NoBudget
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 
 use arc_swap::ArcSwap;
-use lentilcart_state::{Member, MemberTable, Mirror, RouteTable, ServerDirectory};
-use lentilcart_util::{Map, Name};
+use lentilcart_state::{EvacuationTable, Member, MemberTable, Mirror, RouteTable, ServerDirectory};
+use lentilcart_util::{Map, Micros, Name, Set};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
@@ -22,10 +22,10 @@
 use crate::settings::GatewaySettings;
 use crate::util::{Clock, unix_millis};
 
-/// The keys of the store that every entry mirrors: a single key or all keys with a prefix.
+/// The keys of the store that every entry mirrors: all keys with a prefix.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum MirrorKind {
-    /// The routes, under a single key.
+    /// The operator's keys: the routes and the evacuations.
     Routes,
     /// Registrations of servers, one key each.
     Servers,
@@ -38,14 +38,24 @@
     /// the path `/mirror/{index}` by which entries fetch mirrors.
     pub(crate) const ALL: [Self; 3] = [Self::Routes, Self::Servers, Self::Hosts];
 
-    /// Returns the key prefix in the store; for the routes it is the whole key.
+    /// Returns the key prefix in the store.
     pub(crate) const fn get_prefix(self) -> &'static str {
         match self {
-            Self::Routes => lentilcart_platform::ROUTES_KEY,
+            Self::Routes => lentilcart_platform::OPERATOR_PREFIX,
             Self::Servers => lentilcart_platform::SERVERS_PREFIX,
             Self::Hosts => lentilcart_platform::ENTRIES_PREFIX,
         }
     }
+
+    /// Creates the mirror of this kind.
+    fn new_mirror(self) -> Mirror {
+        let mirror = Mirror::new(self.get_prefix().into());
+        match self {
+            // Entries of an earlier version mirror the routes only.
+            Self::Routes => mirror.with_earlier_prefix(lentilcart_platform::ROUTES_KEY.into()),
+            Self::Servers | Self::Hosts => mirror,
+        }
+    }
 }
 
 /// The routes in force and the dispatchers of their services.
@@ -98,6 +108,16 @@
     pub(crate) load_updates: Mutex<VecDeque<LoadUpdate>>,
     /// The routes in force; the inner `Arc` is what requests hold.
     pub(super) active_routes: ArcSwap<Arc<ActiveRoutes>>,
+    /// The evacuations in force, and how this entry learned of them.
+    pub(super) evacuations: Mutex<EvacuationTable>,
+    /// Names of the evacuated data centres, for requests that are about to be sent.
+    pub(super) evacuated: watch::Sender<Set<Name>>,
+    /// Entries of an earlier version, which do not watch the operator's other keys than the routes, by
+    /// their registrations.
+    pub(super) earlier_entries: Mutex<Set<Name>>,
+    /// Entries whose mirror, when it was fetched, did not bring this entry's up to date, and when. Only
+    /// entries of an earlier version are among them.
+    pub(super) partial_fetches: Mutex<Map<Name, Micros>>,
     leaving: AtomicBool,
     directory: Mutex<ServerDirectory>,
     members: Mutex<MemberTable>,
@@ -153,10 +173,14 @@
             in_flight: AtomicU64::new(0),
             heartbeat_due: watch::Sender::new(0),
             relist: Notify::new(),
-            mirrors: MirrorKind::ALL.map(|kind| Mutex::new(Mirror::new(kind.get_prefix().into()))),
+            mirrors: MirrorKind::ALL.map(|kind| Mutex::new(kind.new_mirror())),
             store_revision: watch::Sender::new(0),
             load_updates: Mutex::default(),
             active_routes: ArcSwap::default(),
+            evacuations: Mutex::default(),
+            evacuated: watch::Sender::default(),
+            earlier_entries: Mutex::default(),
+            partial_fetches: Mutex::default(),
             leaving: AtomicBool::new(false),
             directory: Mutex::default(),
             members: Mutex::new(MemberTable::new(settings.name.clone(), own, peer_timeout)),
@@ -250,6 +274,7 @@
                 .map(|kind| self.lock_mirror(kind).get_latest_change_revision()),
             leaving: self.is_leaving(),
             watching: self.has_to_watch() && self.is_store_reachable(),
+            mirrors_operator_keys: false,
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,7 +12,7 @@
 //! `notice` reads what the server says of itself there, and `error_reply` is the reply if no server's response can be passed on.
 //!
 //! State that requests read: `mirror` watches the store, `changes` puts routes, servers and entries in
-//! force, `store_contact` tracks whether the store answers, `peers` and `datagram` exchange state with
+//! force, `evacuations` the evacuations of data centres, `store_contact` tracks whether the store answers, `peers` and `datagram` exchange state with
 //! other entries, `probe` keeps the load of servers current, `register` keeps this entry listed in the
 //! store, and `tick` runs periodic work.
 //!
@@ -25,6 +25,7 @@
 mod datagram;
 mod drain;
 mod error_reply;
+mod evacuations;
 #[allow(clippy::module_inception)]
 mod gateway;
 mod handle;
--- a/src/gateway/on_demand_probe.rs
+++ b/src/gateway/on_demand_probe.rs
@@ -60,6 +60,10 @@
         return Ok(permit);
     };
     for _ in 0..MAX_PREFLIGHT_PROBES {
+        // The data centre of the server may have been evacuated since the permit was granted.
+        if dispatcher.is_evacuated(permit.address) {
+            break;
+        }
         let settings = gateway.settings.load();
         let (max_age, timeout) = (
             settings.servers.preflight_age,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -173,7 +173,9 @@
     for kind in MirrorKind::ALL {
         // The peer's latest change counts, not its revision, which also advances without changes under
         // the prefix. A mirror complete up to that change has all that the peer has.
-        if heartbeat.latest_revisions[kind as usize] > gateway.lock_mirror(kind).get_revision() {
+        if heartbeat.latest_revisions[kind as usize] > gateway.lock_mirror(kind).get_revision()
+            && !(kind == MirrorKind::Routes && gateway.is_partial_mirror(&heartbeat.name, now))
+        {
             let gateway = gateway.clone();
             let tasks = gateway.tasks.clone();
             let (peer, name, latest) = (
@@ -238,7 +240,14 @@
     match fetched.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
         Ok(snapshot) => {
             let revision = snapshot.revision;
-            let changes = gateway.lock_mirror(kind).merge(snapshot);
+            let (changes, is_current) = {
+                let mut mirror = gateway.lock_mirror(kind);
+                let changes = mirror.merge(snapshot);
+                (changes, mirror.get_revision() >= latest)
+            };
+            if kind == MirrorKind::Routes && !is_current {
+                gateway.record_partial_mirror(peer_name);
+            }
             log::info!(peer:% = peer_name, kind:? = kind, own = own_revision, revision, changes = changes.len(); "mirror fetched from peer");
             gateway.apply_changes(kind, changes, true);
         }
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -127,18 +127,21 @@
         if is_serving(gateway, &permit.server_id) && !is_held_off && !is_excluded {
             return Ok(permit);
         }
-        log::info!(owner:% = owner, server:% = permit.server_id, is_held_off, is_excluded; "server of the granted permit is not serving");
+        let is_evacuated = dispatcher.is_evacuated(permit.address);
+        log::info!(owner:% = owner, server:% = permit.server_id, is_held_off, is_excluded, is_evacuated; "server of the granted permit is not serving");
         permit.release(AttemptOutcome::Cancelled);
     }
     acquire_local_permit(gateway, dispatcher, pool_request).await
 }
 
-/// Returns whether this entry knows a server, and not as leaving. It is checked after a grant because an
-/// owner that is cut off from the store learns later than this entry that a server leaves, and after a
-/// probe of the server.
+/// Returns whether this entry knows a server, and neither as leaving nor as evacuated. It is checked after a
+/// grant because an owner that is cut off from the store learns later than this entry that a server leaves
+/// or is evacuated, and after a probe of the server.
 pub(crate) fn is_serving(gateway: &Gateway, server: &Name) -> bool {
     let directory = gateway.lock_directory();
-    directory.get(server).is_some_and(|server| !server.leaving)
+    directory
+        .get(server)
+        .is_some_and(|server| !server.leaving && !gateway.is_evacuated(&server.data_center))
 }
 
 /// Returns the address of a service's owner, or `None` if this entry chooses servers itself.
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -39,7 +39,7 @@
 }
 
 /// Probes the servers assigned to this entry in turn, each once per period, unless its load report is
-/// younger than the period. The period grows with the longest base service time of their services.
+/// younger than the period or its data centre is evacuated. The period grows with the longest base service time of their services.
 pub(crate) async fn keep_probing(gateway: Arc<Gateway>) {
     let mut targets: Vec<Arc<ProbeTarget>> = Vec::new();
     let mut assigned_at: Option<Micros> = None;
@@ -77,6 +77,7 @@
         let own_address = settings.listen.peer;
         let is_due = |server: &Arc<ProbeTarget>| {
             server.dispatcher.is_load_stale(server.address, max_age)
+                && !server.dispatcher.is_evacuated(server.address)
                 && !server.dispatcher.is_held_off(server.address, own_address)
         };
         if let Some(server) = server.filter(is_due) {
@@ -131,8 +132,11 @@
 }
 
 /// Probes a server: records its load report, queues it for the other entries, and records a failure if
-/// the probe fails or takes longer than `timeout`.
+/// the probe fails or takes longer than `timeout`. A server of an evacuated data centre is not probed.
 pub(crate) async fn probe(gateway: &Gateway, server: &ProbeTarget, timeout: Micros) {
+    if server.dispatcher.is_evacuated(server.address) {
+        return;
+    }
     let reply = tokio::time::timeout(timeout.into(), fetch_load(gateway, server)).await;
     let outcome = match &reply {
         Ok(Ok(_)) => "answered",
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -3,6 +3,7 @@
 use lentilcart_state::{StoreCall, StorePut, StoreReply};
 use lentilcart_util::{Micros, Name};
 
+use super::datagram::GatewayHeartbeat;
 use super::gateway::{Gateway, MirrorKind};
 use super::mirror::sleep_unless_stopped;
 
@@ -54,9 +55,13 @@
             return Err("the store opened no lease".to_owned());
         };
         gateway.record_store_reply();
+        let registration = GatewayHeartbeat {
+            mirrors_operator_keys: true,
+            ..gateway.get_heartbeat()
+        };
         let put = StorePut {
             key: get_key(gateway),
-            value: gateway.get_heartbeat().encode(),
+            value: registration.encode(),
             lease,
         };
         let write = StoreCall::Write {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -43,6 +43,9 @@
 /// Time for which the bodies of rejected requests are still read and dropped once this entry, which is
 /// leaving, begins no more attempts.
 const DISCARD_GRACE: Duration = Duration::from_millis(500);
+/// Time until a retry after [`ErrorReason::Evacuated`]: an evacuation lasts for seconds at least, and its end
+/// takes about as long to reach an entry.
+const EVACUATED_RETRY_AFTER: Micros = Micros::from_millis(1000);
 /// Remaining time assumed when computing `Retry-After` if no route has been matched and the caller sets
 /// no deadline.
 const DEFAULT_REMAINING: Micros = Micros::from_millis(1000);
@@ -102,9 +105,16 @@
         Err(mut reply) => {
             record_metrics(&summary, reply.reason.as_str(), elapsed);
             let restriction = summary.restriction;
-            let room_after = restriction.map(|(room_after, _)| room_after);
+            let room_after = match reply.reason {
+                ErrorReason::Evacuated => Some(EVACUATED_RETRY_AFTER),
+                _ => restriction.map(|(room_after, _)| room_after),
+            };
             reply.retry_after = Some(get_retry_after(reply.reason, summary.remaining, room_after));
             let restricted = restriction.map_or("none", |(_, restriction)| restriction.as_str());
+            let evacuated = match reply.reason {
+                ErrorReason::Evacuated => gateway.describe_evacuations(),
+                _ => String::new(),
+            };
             if restriction.is_some() {
                 metrics::counter!(
                     "lentilcart_requests_restricted_total",
@@ -115,7 +125,7 @@
             log::info!(
                 request:% = summary.id, route:% = summary.route, service:% = summary.service,
                 reason = reply.reason.as_str(), status = reply.reason.get_status().as_u16(),
-                sent = summary.attempts, waiting = summary.queue_len, restricted, number = summary.routes_version, took_ms = elapsed.as_millis(),
+                sent = summary.attempts, waiting = summary.queue_len, restricted, evacuated, number = summary.routes_version, took_ms = elapsed.as_millis(),
                 detail = reply.detail.as_str();
                 "request not served"
             );
--- a/src/gateway/store_contact.rs
+++ b/src/gateway/store_contact.rs
@@ -139,9 +139,12 @@
 
     /// Returns this entry's rank, from 0, in the rendezvous order in which entries watch the store: the
     /// first ones do, and the others step in, one after the other, while no watcher sends heartbeats.
+    /// Entries of an earlier version have no place in it, since they do not watch all keys of the operator.
     pub(crate) fn get_watch_rank(&self) -> usize {
         let members = self.lock_members();
+        let earlier = self.lock_earlier_entries();
         let names = members.iter().map(|(name, _)| name);
+        let names = names.filter(|name| !earlier.contains(*name));
         let ranked = rendezvous_rank("watch", names, usize::MAX);
         let own = ranked
             .iter()
@@ -180,7 +183,9 @@
         let now = self.clock.now();
         let members = self.lock_members();
         let watchers = self.latest_watcher.lock().expect("no panic under lock");
+        let earlier = self.lock_earlier_entries();
         let names = members.iter().map(|(name, _)| name);
+        let names = names.filter(|name| !earlier.contains(*name));
         let ranked = rendezvous_rank("watch", names, usize::MAX);
         let first = ranked
             .into_iter()
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -108,6 +108,7 @@
             .set(held_off as f64);
         metrics::gauge!("lentilcart_servers_leaving", "service" => service).set(leaving as f64);
     }
+    gateway.record_evacuation_gauges();
     gateway.bodies.record_gauges();
     metrics::gauge!("lentilcart_server_connections_opened")
         .set(gateway.server_client.get_opened_count() as f64);
