feat(route): reserve no slots against an evacuated data centre

Cause: requests of an evacuated data centre have no local servers, and were kept from slots that stay free for requests of the servers' own data centre. Change: remote_reserve does not count against an origin that is evacuated.

--- a/lentilcart_route/src/pool/config.rs
+++ b/lentilcart_route/src/pool/config.rs
@@ -31,8 +31,8 @@
     /// Part of the limit of each server in another data centre than a request's origin that the
     /// request does not get (trunk reservation). The limit contains the overcommit, so that outside
     /// an overload remote requests may occupy all slots if `overcommit` is at least this. It is
-    /// always reserved; this matters in an overload, when data centres would otherwise only swap
-    /// requests.
+    /// always reserved, unless the origin is evacuated; this matters in an overload, when data centres
+    /// would otherwise only swap requests.
     pub remote_reserve: u32,
     /// Cost of a server in another data centre, as a probability from 0 to 1 that the objective is
     /// missed; only policy `late-paced` reads it.
--- a/lentilcart_route/src/pool/dispatch.rs
+++ b/lentilcart_route/src/pool/dispatch.rs
@@ -86,12 +86,7 @@
     fn get_available_servers(&self, now: Micros) -> Vec<(usize, f64)> {
         let states = self.states.iter().enumerate();
         let available = states.filter(|(_, state)| {
-            let is_local = state.config.data_center == self.config.data_center;
-            let reserved = if is_local {
-                0
-            } else {
-                self.config.remote_reserve
-            };
+            let reserved = self.get_reserved(state, &self.config.data_center);
             self.get_counted_requests(now, state) + reserved < self.get_effective_limit(now, state)
         });
         available
--- a/lentilcart_route/src/pool/eligibility.rs
+++ b/lentilcart_route/src/pool/eligibility.rs
@@ -90,11 +90,7 @@
             && state.get_hold_off_end(request.sender) <= now;
         let is_trusted = !request.at_most_once || state.phase != ServerPhase::Probation;
         let origin = request.origin.as_ref().unwrap_or(&self.config.data_center);
-        let reserved = if state.config.data_center == *origin {
-            0
-        } else {
-            self.config.remote_reserve
-        };
+        let reserved = self.get_reserved(state, origin);
         let has_room =
             self.get_counted_requests(now, state) + reserved < self.get_effective_limit(now, state);
         let is_fast = || state.get_latency_factor(now, self.service_times.get_mean()) <= max_factor;
--- a/lentilcart_route/src/pool/evacuation.rs
+++ b/lentilcart_route/src/pool/evacuation.rs
@@ -60,6 +60,17 @@
         decisions
     }
 
+    /// Returns the part of a server's limit that is reserved for requests of its own data centre and that
+    /// requests of the data centre `origin` do not get. Nothing is reserved against a data centre that is
+    /// evacuated: it has no servers that its requests could use instead.
+    pub(super) fn get_reserved(&self, state: &ServerState, origin: &Name) -> u32 {
+        if state.config.data_center == *origin || self.evacuated.contains(origin) {
+            0
+        } else {
+            self.config.remote_reserve
+        }
+    }
+
     /// Returns the number of listed servers in evacuated data centres.
     #[must_use]
     pub fn get_evacuated_count(&self) -> usize {
--- a/lentilcart_route/tests/testsuite/evacuation.rs
+++ b/lentilcart_route/tests/testsuite/evacuation.rs
@@ -184,6 +184,25 @@
     assert!(!started.contains(&2));
 }
 
+/// Guards against slots that stay free for requests of their data centre, which has few, while the requests of an
+/// evacuated one are refused.
+#[test]
+fn evacuated_origin_gets_reserved_slots() {
+    for (is_evacuated, expected) in [(false, 2), (true, 3)] {
+        let config = PoolConfig {
+            remote_reserve: 1,
+            ..pool(0).get_config().clone()
+        };
+        let mut pool = ServerPool::new(config, 1);
+        pool.set_servers(Micros::ZERO, &servers(2)[1..]);
+        if is_evacuated {
+            pool.set_evacuated(Micros::ZERO, &names(&["z1"]));
+        }
+        let started = (0..4).flat_map(|id| starts(&offer(&mut pool, Micros::ZERO, id)));
+        assert_eq!(started.count(), expected);
+    }
+}
+
 /// Guards against servers that get their full load at once when their data centre is taken back, and against a
 /// slow start of servers that were not evacuated.
 #[test]
