test(bench): evacuations in the soak of real processes

Change: the fault evacuate-site writes and removes evacuations, and the rule EVACUATED names each request or health check that a server got from an entry later than 5 s after the acknowledgement. Pauses of the entry and faults of the store within that time stretch it. check-evacuation, which keeps the evacuations from the store, must fail.

--- a/lentilcart_bench/src/soak/checks.rs
+++ b/lentilcart_bench/src/soak/checks.rs
@@ -21,9 +21,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SoakFault {
     /// Name: `TWICE`, `REFUSED`, `ROUTE`, `CONFIG`, `MIXED`, `LOST`, `UNASKED` for a request that was changed on
-    /// its way, or `ENDED` for an entry that ended by itself.
+    /// its way, `EVACUATED` for what a server of an evacuated data centre got too late, or `ENDED` for an entry that ended by itself.
     pub rule: &'static str,
-    /// Identifier of the request; the name of the entry that has ended.
+    /// Identifier of the request, empty for a health check; the name of the entry that has ended.
     pub request: Name,
     /// What is wrong.
     pub detail: String,
--- a/lentilcart_bench/src/soak/entry.rs
+++ b/lentilcart_bench/src/soak/entry.rs
@@ -124,6 +124,18 @@
         self.events.lock().expect("no panic under lock").clone()
     }
 
+    /// Returns the start and the end of each time for which the process was stopped.
+    pub(super) fn pauses(&self) -> Vec<(u64, u64)> {
+        let events = self.events();
+        let at = |kind| {
+            let of_kind = events.iter().filter(move |(_, event)| *event == kind);
+            of_kind.map(|(at, _)| *at)
+        };
+        at(EntryEvent::Stopped)
+            .zip(at(EntryEvent::Continued))
+            .collect()
+    }
+
     /// Returns whether the process is running.
     pub(super) fn is_running(&self) -> bool {
         self.lock().as_mut().is_some_and(Process::is_running)
--- a/lentilcart_bench/src/soak/fault_kind.rs
+++ b/lentilcart_bench/src/soak/fault_kind.rs
@@ -78,6 +78,8 @@
     RouteMove = "route-move",
     /// A route is removed, and added again later.
     RouteDrop = "route-drop",
+    /// One or two data centres are evacuated, and taken back later.
+    EvacuateSite = "evacuate-site",
     /// Replies to watches are lost.
     StoreWatch = "store-watch",
     /// Replies to writes are lost.
@@ -96,10 +98,12 @@
     CheckRoute = "check-route",
     /// Shows that the versions of routes are checked: the store does not get them.
     CheckConfig = "check-config",
+    /// Shows that evacuations are checked: the store does not get them.
+    CheckEvacuation = "check-evacuation",
 }
 
 /// Parses a list of kinds and groups of faults, separated by commas: `server`, `copy`, `answer`,
-/// `connection`, `entry`, `route` and `store` are groups, `faulty-servers` the first four of them, `all` all
+/// `connection`, `entry`, `route`, `evacuate` and `store` are groups, `faulty-servers` the first four of them, `all` all
 /// and `none` none. The kinds of the group `check` show that a soak fails; `all` does not hold them.
 ///
 /// # Errors
@@ -114,7 +118,7 @@
                 || part == name
                 || part == group
                 || (part == "faulty-servers"
-                    && !["entry", "route", "store", "check"].contains(&group))
+                    && !["entry", "route", "evacuate", "store", "check"].contains(&group))
         };
         let before = faults.len();
         let meant = NAMES.iter().filter(|(_, name)| is_meant(name));
@@ -124,7 +128,7 @@
             let names = names.join(", ");
             return Err(format!(
                 "--faults {part}: expected none, all, faulty-servers, server, copy, answer, connection, \
-                 entry, route, store, {names}"
+                 entry, route, evacuate, store, {names}"
             ));
         }
     }
--- a/lentilcart_bench/src/soak/mod.rs
+++ b/lentilcart_bench/src/soak/mod.rs
@@ -4,6 +4,7 @@
 mod checks;
 mod client;
 mod entry;
+mod evacuation;
 mod fault_kind;
 mod message;
 mod options;
@@ -19,6 +20,7 @@
 mod store_state;
 
 pub use self::checks::{SoakFault, find_faults};
+pub use self::evacuation::{Arrival, SoakEvacuation, find_evacuation_faults};
 pub use self::fault_kind::{FaultKind, parse_faults};
 pub use self::options::{SoakOptions, SoakSize};
 pub use self::record::{Outcome, RouteVersion, Run, SentRequest};
--- a/lentilcart_bench/src/soak/record.rs
+++ b/lentilcart_bench/src/soak/record.rs
@@ -3,6 +3,7 @@
 
 use lentilcart_util::{Map, Name, Set};
 
+use super::evacuation::{Arrival, SoakEvacuation};
 use crate::util::unix_micros;
 
 /// Returns the Unix time in milliseconds.
@@ -99,6 +100,11 @@
     pub(super) requests: Vec<SentRequest>,
     pub(super) events: Vec<(u64, String)>,
     pub(super) copies: Vec<AnswerCopy>,
+    /// What servers got, while evacuations are played.
+    pub(super) arrivals: Vec<Arrival>,
+    pub(super) evacuations: Vec<SoakEvacuation>,
+    /// Start and end of each fault of the store.
+    pub(super) store_troubles: Vec<(u64, u64)>,
     /// Server's connections so far.
     pub(super) connections: u64,
     /// Kinds of faults played so far, with their number.
--- a/lentilcart_bench/src/soak/schedule.rs
+++ b/lentilcart_bench/src/soak/schedule.rs
@@ -11,10 +11,11 @@
 use tokio_util::sync::CancellationToken;
 
 use super::entry::Entry;
+use super::evacuation::SoakEvacuation;
 use super::fault_kind::FaultKind;
 use super::record::{Record, RouteVersion, now_ms};
 use super::server::SoakServer;
-use super::site::{FIRST_VERSION, HEARTBEAT, Site};
+use super::site::{DATA_CENTERS, FIRST_VERSION, HEARTBEAT, Site};
 use super::store::Store;
 
 /// Time for which a server that is leaving serves, at least.
@@ -73,6 +74,7 @@
         players.spawn(self.clone().play_servers(stop.clone()));
         players.spawn(self.clone().play_entries(stop.clone()));
         players.spawn(self.clone().play_routes(stop.clone()));
+        players.spawn(self.clone().play_evacuations(stop.clone()));
         players.spawn(self.play_store(stop));
         join_all(players).await
     }
@@ -282,6 +284,51 @@
         Ok(())
     }
 
+    /// Evacuates one or two data centres at a time, for longer than entries may take to obey.
+    async fn play_evacuations(self, stop: CancellationToken) -> Result<(), Error> {
+        let kinds = self.pick_kinds(&[FaultKind::EvacuateSite, FaultKind::CheckEvacuation]);
+        let mut rng = seeded_rng(self.seed ^ 0xeac);
+        while !kinds.is_empty() {
+            tokio::select! {
+                () = sleep(millis(&mut rng, 500, 4000)) => {}
+                () = stop.cancelled() => break,
+            }
+            let kind = kinds[rng.random_range(0..kinds.len())];
+            let (first, count) = (
+                rng.random_range(0..DATA_CENTERS.len()),
+                rng.random_range(1..=2),
+            );
+            let names =
+                (first..first + count).map(|index| DATA_CENTERS[index % DATA_CENTERS.len()]);
+            let names: Vec<_> = names.collect();
+            self.note(kind, &format!("{names:?}"));
+            let mut numbers = Vec::new();
+            for name in &names {
+                if kind != FaultKind::CheckEvacuation {
+                    self.store.evacuate(name);
+                }
+                let mut state = self.record.lock();
+                numbers.push(state.evacuations.len());
+                state.evacuations.push(SoakEvacuation {
+                    data_center: name,
+                    acknowledged: now_ms(),
+                    revoked: None,
+                });
+            }
+            tokio::select! {
+                () = sleep(millis(&mut rng, 6000, 10_000)) => {}
+                () = stop.cancelled() => {}
+            }
+            for (number, name) in numbers.into_iter().zip(&names) {
+                self.record.lock().evacuations[number].revoked = Some(now_ms());
+                self.store.end_evacuation(name);
+            }
+            self.record
+                .add_event(format!("end of the evacuation of {names:?}"));
+        }
+        Ok(())
+    }
+
     async fn play_store(self, stop: CancellationToken) -> Result<(), Error> {
         use FaultKind::{StoreDown, StorePart, StoreSlow, StoreWatch, StoreWrite};
         let kinds = self.pick_kinds(&[StoreWatch, StoreWrite, StoreDown, StorePart, StoreSlow]);
@@ -304,9 +351,11 @@
                 StorePart => faults.refused = some,
                 _ => faults.delay = delay,
             });
+            let began = now_ms();
             sleep(millis(&mut rng, 300, 4000)).await;
             self.store
                 .change_faults(|faults| *faults = super::store::StoreFaults::default());
+            self.record.lock().store_troubles.push((began, now_ms()));
         }
         Ok(())
     }
--- a/lentilcart_bench/src/soak/server.rs
+++ b/lentilcart_bench/src/soak/server.rs
@@ -63,6 +63,7 @@
             id,
             address: self.address,
             service,
+            data_center: self.data_center(),
             service_time,
             faults: self.faults.clone(),
             record: self.record.clone(),
@@ -84,6 +85,10 @@
         Ok(self.registration(false).expect("it has started"))
     }
 
+    fn data_center(&self) -> &'static str {
+        DATA_CENTERS[self.number % DATA_CENTERS.len()]
+    }
+
     fn service(&self) -> (&'static str, Duration) {
         *self.service.lock().expect("no panic under lock")
     }
@@ -107,7 +112,7 @@
             id: started.process.id.clone(),
             service: started.process.service.into(),
             address: self.address,
-            data_center: DATA_CENTERS[self.number % DATA_CENTERS.len()].into(),
+            data_center: self.data_center().into(),
             slots: SLOTS,
             leaving,
             warmup_remaining: Micros::ZERO,
--- a/lentilcart_bench/src/soak/server_process.rs
+++ b/lentilcart_bench/src/soak/server_process.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use super::evacuation::Arrival;
 use super::fault_kind::FaultKind;
 use super::message::{Message, MessageReader, build_body, is_whole_body};
 use super::record::{Record, Run, now_ms};
@@ -46,6 +47,7 @@
     pub(super) id: Name,
     pub(super) address: SocketAddr,
     pub(super) service: &'static str,
+    pub(super) data_center: &'static str,
     pub(super) service_time: Duration,
     pub(super) faults: Arc<Set<FaultKind>>,
     pub(super) record: Record,
@@ -120,6 +122,21 @@
         }
     }
 
+    /// Records what came, where evacuations are played.
+    fn record_arrival(&self, request: &Message, caller: SocketAddr) {
+        let kinds = [FaultKind::EvacuateSite, FaultKind::CheckEvacuation];
+        if kinds.iter().any(|kind| self.faults.contains(kind)) {
+            let id = request.get(HEADER_NAMES.request_id).unwrap_or_default();
+            self.record.lock().arrivals.push(Arrival {
+                at: now_ms(),
+                request: id.into(),
+                server: self.id.clone(),
+                data_center: self.data_center,
+                entry: caller.ip(),
+            });
+        }
+    }
+
     /// Answers a request, or returns `None` where its caller has closed the connection.
     pub(super) async fn answer(
         &self,
@@ -129,6 +146,7 @@
         caller: SocketAddr,
     ) -> Option<Answer> {
         let path = request.first_line.split(' ').nth(1).unwrap_or_default();
+        self.record_arrival(request, caller);
         if path == HEALTH_PATH {
             if self.has_fault(FaultKind::HealthRefused, REFUSED_CHECK_SHARE) {
                 return Some(self.answer_unrun("503 Busy", "", FaultKind::CopyHealthRefused));
--- a/lentilcart_bench/src/soak/soak_run.rs
+++ b/lentilcart_bench/src/soak/soak_run.rs
@@ -15,6 +15,7 @@
 use super::checks::{SoakFault, find_faults, is_around_stop, is_running_on, tell_story};
 use super::client::{CLIENT_RATE, Client};
 use super::entry::Entry;
+use super::evacuation::find_evacuation_faults;
 use super::options::SoakOptions;
 use super::record::{Outcome, Record, RouteVersion, now_ms};
 use super::schedule::Schedule;
@@ -240,6 +241,13 @@
         request: request.clone(),
         detail: "it reached a server changed".to_owned(),
     }));
+    let troubles_of = |ip| {
+        let entry = entries.iter().find(|entry| entry.address.ip() == ip);
+        let pauses = entry.map_or(Vec::new(), Entry::pauses);
+        [pauses, state.store_troubles.clone()].concat()
+    };
+    let late = find_evacuation_faults(&state.arrivals, &state.evacuations, troubles_of);
+    faults.extend(late);
     let mut outcomes = BTreeMap::new();
     for request in &state.requests {
         let name = match &request.outcome {
--- a/lentilcart_bench/src/soak/store.rs
+++ b/lentilcart_bench/src/soak/store.rs
@@ -4,7 +4,7 @@
 
 use lentilcart_platform::{encode_registration, encode_routes};
 use lentilcart_state::{RouteTable, ServerRegistration, StoreCall, StoreReply};
-use lentilcart_util::Set;
+use lentilcart_util::{Name, Set};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -88,6 +88,19 @@
         self.notify_watches();
     }
 
+    /// Writes the key that evacuates a data centre.
+    pub(super) fn evacuate(&self, data_center: &str) {
+        let value = lentilcart_platform::EVACUATION_VALUE.to_vec();
+        self.lock().put(get_evacuation_key(data_center), value, 0);
+        self.notify_watches();
+    }
+
+    /// Removes the key that evacuates a data centre.
+    pub(super) fn end_evacuation(&self, data_center: &str) {
+        self.lock().remove(&get_evacuation_key(data_center));
+        self.notify_watches();
+    }
+
     /// Removes what expired leases hold; never returns.
     pub(super) async fn expire_leases(self) {
         loop {
@@ -138,3 +151,7 @@
         }
     }
 }
+
+fn get_evacuation_key(data_center: &str) -> Name {
+    format!("{}{data_center}", lentilcart_platform::EVACUATIONS_PREFIX).into()
+}
--- a/lentilcart_bench/tests/testsuite/soak.rs
+++ b/lentilcart_bench/tests/testsuite/soak.rs
@@ -5,8 +5,8 @@
 
 use lentilcart_bench::cluster::binary_path;
 use lentilcart_bench::soak::{
-    Outcome, RouteVersion, Run, SentRequest, SoakOptions, SoakReport, SoakSize, find_faults,
-    parse_faults, run_soak,
+    Arrival, Outcome, RouteVersion, Run, SentRequest, SoakEvacuation, SoakOptions, SoakReport,
+    SoakSize, find_evacuation_faults, find_faults, parse_faults, run_soak,
 };
 use tokio::sync::Mutex;
 
@@ -233,8 +233,58 @@
     }
 }
 
+/// Guards against an entry that sends requests or health checks to the servers of an evacuated data centre later than
+/// the bound, while entries are stopped, killed, paused and started.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_evacuated_servers_get_nothing() {
+    let report = play("evacuate,entry", 22, 0.4, 1.0).await;
+    assert!(report.faults.is_empty(), "{}", report.stories);
+    assert!(report.served > 0, "{report:?}");
+    assert!(report.played.contains_key("evacuate-site"), "{report:?}");
+}
+
+/// Guards against a soak that passes though a server got something after the bound, and against one that blames an
+/// entry for what it sent in time, after the end of the evacuation, or after a pause or a fault of the store.
+#[test]
+fn find_evacuation_faults_late_arrivals() {
+    let evacuations = [SoakEvacuation {
+        data_center: "bilbao",
+        acknowledged: 10_000,
+        revoked: Some(40_000),
+    }];
+    let cases = [
+        (9_000, "bilbao", None, false),
+        (15_000, "bilbao", None, false),
+        (15_001, "bilbao", None, true),
+        (15_001, "oviedo", None, false),
+        (39_999, "bilbao", None, true),
+        (40_000, "bilbao", None, false),
+        // 3 s after the trouble the entry is connected, and has the bound once more.
+        (17_000, "bilbao", Some((11_000, 12_000)), false),
+        (20_001, "bilbao", Some((11_000, 12_000)), true),
+        (15_001, "bilbao", Some((2_000, 6_000)), true),
+        (20_000, "bilbao", Some((18_000, 19_000)), true),
+    ];
+    for (at, data_center, trouble, is_late) in cases {
+        let arrival = Arrival {
+            at,
+            request: "r1".into(),
+            server: "i-1".into(),
+            data_center,
+            entry: [127, 0, 0, 1].into(),
+        };
+        let troubles = |_| trouble.into_iter().collect();
+        let faults = find_evacuation_faults(&[arrival], &evacuations, troubles);
+        assert_eq!(
+            !faults.is_empty(),
+            is_late,
+            "{at} {data_center} {trouble:?}"
+        );
+    }
+}
+
 /// Guards against a soak that does not notice answers of other requests, planned stops that cut requests
-/// off, runs at the wrong service, or old routes: a run in which servers or the schedule are wrong on purpose
+/// off, runs at the wrong service, old routes, or evacuations that are not obeyed: a run in which servers or the schedule are wrong on purpose
 /// must fail.
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_broken_stand_in_is_noticed() {
@@ -242,6 +292,7 @@
         ("check-mixed,check-config,route-drop", 6, "CONFIG MIXED"),
         ("check-lost", 8, "LOST"),
         ("check-route,server-move", 4, "ROUTE"),
+        ("check-evacuation", 12, "EVACUATED"),
     ] {
         let report = play(faults, seconds, 1.0, 4.0).await;
         let rules: Vec<_> = report.broken.keys().copied().collect();
@@ -253,7 +304,7 @@
 #[test]
 fn parse_faults_by_name_and_group() {
     assert_eq!(parse_faults("none").unwrap().len(), 0);
-    assert_eq!(parse_faults("all").unwrap().len(), 31);
+    assert_eq!(parse_faults("all").unwrap().len(), 32);
     assert_eq!(parse_faults("faulty-servers,entry-term").unwrap().len(), 21);
     assert_eq!(parse_faults("copy-ok,copy-refused").unwrap().len(), 2);
     let error = parse_faults("server,serfer").unwrap_err();
