--- a/lentilcart_bench/src/soak/checks.rs
+++ b/lentilcart_bench/src/soak/checks.rs
@@ -189,7 +189,13 @@
     for run in state.runs.iter().filter(|run| run.request == fault.request) {
         add(format!("  run: {run:?}"));
     }
-    for entry in entries {
+    // A health check has no identifier to look for.
+    let named = if fault.request.is_empty() {
+        &[]
+    } else {
+        entries
+    };
+    for entry in named {
         let lines = entry.find_log_lines(&fault.request);
         if !lines.is_empty() {
             add(format!("  log of {}:\n{}", entry.name, lines.trim_end()));
