--- a/lentilcart_route/src/pool/config.rs
+++ b/lentilcart_route/src/pool/config.rs
@@ -31,8 +31,8 @@
     /// Part of the limit of each server in another data centre than a request's origin that the
     /// request does not get (trunk reservation). The limit contains the overcommit, so that outside
     /// an overload remote requests may occupy all slots if `overcommit` is at least this. It is
-    /// always reserved; this matters in an overload, when data centres would otherwise only swap
-    /// requests.
+    /// always reserved, unless the origin is evacuated; this matters in an overload, when data centres
+    /// would otherwise only swap requests.
     pub remote_reserve: u32,
     /// Cost of a server in another data centre, as a probability from 0 to 1 that the objective is
     /// missed; only policy `late-paced` reads it.
@@ -46,6 +46,8 @@
     /// slow start until the next tick. The warm-up, in which the server itself is slow, is
     /// independent of the slow start.
     pub slow_start: Micros,
+    /// Duration of the slow start of a server whose data centre was evacuated and is taken back.
+    pub return_slow_start: Micros,
     /// Retry tokens of a new pool, before the first answer.
     pub initial_retries: f64,
     /// Budget of the load probes of policy `probe-pool`.
@@ -68,6 +70,7 @@
             max_connections: 40,
             wait_share: 0.5,
             slow_start: Micros::ZERO,
+            return_slow_start: Micros::ZERO,
             initial_retries: 10.0,
             probe_budget: ProbeBudget::default(),
             retry: RetryLimits::default(),
--- a/lentilcart_route/src/pool/dispatch.rs
+++ b/lentilcart_route/src/pool/dispatch.rs
@@ -2,7 +2,7 @@
 
 use lentilcart_util::Micros;
 
-use super::{Decision, PendingRequest, Rejection, ServerPhase, ServerPool};
+use super::{Decision, PendingRequest, Rejection, ServerPool, ServerState};
 use crate::policy::{LoadSource, PickContext};
 
 impl ServerPool {
@@ -11,10 +11,7 @@
     /// Returns the decisions that follow, also on other requests; no decision on this request means
     /// that it is queued.
     pub fn offer(&mut self, now: Micros, request: PendingRequest) -> Vec<Decision> {
-        let has_server = self
-            .states
-            .iter()
-            .any(|state| state.listed && state.phase != ServerPhase::Leaving);
+        let has_server = self.states.iter().any(ServerState::is_open);
         match () {
             () if !has_server => vec![Decision::Reject {
                 request_id: request.id,
@@ -89,12 +86,7 @@
     fn get_available_servers(&self, now: Micros) -> Vec<(usize, f64)> {
         let states = self.states.iter().enumerate();
         let available = states.filter(|(_, state)| {
-            let is_local = state.config.data_center == self.config.data_center;
-            let reserved = if is_local {
-                0
-            } else {
-                self.config.remote_reserve
-            };
+            let reserved = self.get_reserved(state, &self.config.data_center);
             self.get_counted_requests(now, state) + reserved < self.get_effective_limit(now, state)
         });
         available
--- a/lentilcart_route/src/pool/eligibility.rs
+++ b/lentilcart_route/src/pool/eligibility.rs
@@ -17,13 +17,12 @@
 const MIN_RESERVE_SERVERS: f64 = 8.0;
 
 impl ServerPool {
-    /// Returns whether a server that is listed and not leaving is not excluded by the request and wants
+    /// Returns whether a server that is listed, not leaving and not evacuated is not excluded by the request and wants
     /// requests from its sender now. It may have no room.
     #[must_use]
     pub fn has_wanting_server(&self, now: Micros, request: &PendingRequest) -> bool {
         self.states.iter().any(|state| {
-            state.listed
-                && state.phase != ServerPhase::Leaving
+            state.is_open()
                 && !request.excluded.contains(&state.config.address)
                 && state.get_hold_off_end(request.sender) <= now
         })
@@ -91,11 +90,7 @@
             && state.get_hold_off_end(request.sender) <= now;
         let is_trusted = !request.at_most_once || state.phase != ServerPhase::Probation;
         let origin = request.origin.as_ref().unwrap_or(&self.config.data_center);
-        let reserved = if state.config.data_center == *origin {
-            0
-        } else {
-            self.config.remote_reserve
-        };
+        let reserved = self.get_reserved(state, origin);
         let has_room =
             self.get_counted_requests(now, state) + reserved < self.get_effective_limit(now, state);
         let is_fast = || state.get_latency_factor(now, self.service_times.get_mean()) <= max_factor;
@@ -165,7 +160,7 @@
     /// last slot is used too.
     pub(super) fn update_reduced_limits(&mut self) {
         let is_local = |state: &&ServerState| {
-            state.listed && state.config.data_center == self.config.data_center
+            state.listed && !state.evacuated && state.config.data_center == self.config.data_center
         };
         let servers = self.states.iter().filter(is_local).count() as f64;
         let queued = self.queue.len() as f64;
