feat(gateway): limit the requests of cold servers

A cold server got as many requests as a warm one: the warm-up only doubled its expected latency. Now one entry paces the requests of the cold servers of a data centre, the one that its registration in the store makes responsible, and all others send them none. Coldness comes from the registration, from X-Warmup-Ms in answers, and is assumed of servers that start during operation. Only services whose configuration names a warm-up rate are concerned.

--- a/lentilcart_route/src/lib.rs
+++ b/lentilcart_route/src/lib.rs
@@ -33,11 +33,12 @@
 mod queue;
 
 pub use self::limits::{
-    ByteBudget, ByteClaim, EjectLimits, Hedger, ProbeBudget, RetryLimits, TokenBucket,
+    ByteBudget, ByteClaim, EjectLimits, Hedger, MAX_SEND_DELAY, ProbeBudget, RetryLimits,
+    TokenBucket, WarmthSource, WarmupRules,
 };
 pub use self::policy::{LoadSource, POLICIES, PickContext, Policy, get_policy, get_policy_names};
 pub use self::pool::{
     AttemptOutcome, Decision, LoadReport, MAX_PREFLIGHT_PROBES, NoticeSource, PendingRequest,
     PoolConfig, Rejection, Restriction, ServerConfig, ServerNotice, ServerPhase, ServerPool,
-    ServerState, ServerSummary, Shard, is_latency_much_higher,
+    ServerState, ServerSummary, Shard, WarmthChange, WarmupTerm, is_latency_much_higher,
 };
--- a/lentilcart_route/src/limits/rate_pacer.rs
+++ b/lentilcart_route/src/limits/rate_pacer.rs
@@ -50,6 +50,11 @@
         self.limit.map(|limit| limit.max(MIN_TRIAL_RATE) * share)
     }
 
+    /// Returns when the last request to the server was started.
+    pub(crate) fn get_last_start(&self) -> Option<Micros> {
+        self.last_start
+    }
+
     /// Returns the earliest start of the next request with a share of the limit; `Micros(u64::MAX)` if
     /// the share is 0.
     pub(crate) fn get_next_start(&self, share: f64) -> Micros {
--- a/lentilcart_route/src/pool/eligibility.rs
+++ b/lentilcart_route/src/pool/eligibility.rs
@@ -39,7 +39,7 @@
         sender: Option<SocketAddr>,
         excluded: &[SocketAddr],
     ) -> Option<(Micros, Restriction)> {
-        if !self.has_rate_limits && now >= self.hold_off_end {
+        if !self.has_rate_limits && now >= self.hold_off_end && !self.has_cold_servers(now) {
             return None;
         }
         let usable = self.states.iter().filter(|state| {
@@ -47,11 +47,11 @@
         });
         let starts = usable.map(|state| {
             let held_off = state.get_hold_off_end(sender);
-            let paced = state.pacer.get_next_start(self.rate_share);
+            let (paced, restriction) = self.get_expected_room(now, state);
             if held_off >= paced {
                 (held_off, Restriction::HoldOff)
             } else {
-                (paced, Restriction::RateLimit)
+                (paced, restriction)
             }
         });
         let (start, restriction) = starts.min_by_key(|(start, _)| *start)?;
@@ -146,12 +146,12 @@
 
     /// Returns how many requests a server may have at once. In an overload, that is at most its
     /// slots less `PoolConfig::reserve`, and at least 1 if the server accepts requests. It is 0 until
-    /// the next request may start by the rate limit that the server names.
+    /// the next request may start by the rate limit that the server names and by its warm-up.
     pub(super) fn get_effective_limit(&self, now: Micros, state: &ServerState) -> u32 {
         let limit = state.get_limit(now, &self.config);
         let kept = state.config.slots.saturating_sub(self.config.reserve);
         match () {
-            () if now < state.pacer.get_next_start(self.rate_share) => 0,
+            () if now < self.get_paced_start(now, state).0 => 0,
             () if self.has_reduced_limits => limit.min(kept.max(1)),
             () => limit,
         }
--- a/lentilcart_route/src/pool/mod.rs
+++ b/lentilcart_route/src/pool/mod.rs
@@ -21,6 +21,7 @@
 mod server_pool;
 mod server_state;
 mod service_times;
+mod warmup;
 
 pub use self::config::{PoolConfig, ServerConfig, Shard};
 pub use self::pending_request::{AttemptOutcome, Decision, LoadReport, PendingRequest, Rejection};
@@ -29,3 +30,4 @@
 pub use self::server_phase::ServerPhase;
 pub use self::server_pool::ServerPool;
 pub use self::server_state::{ServerState, ServerSummary};
+pub use self::warmup::{WarmthChange, WarmupTerm};
--- a/lentilcart_route/src/pool/outcomes.rs
+++ b/lentilcart_route/src/pool/outcomes.rs
@@ -206,6 +206,10 @@
         let Some(state) = self.states.get_mut(server) else {
             return false;
         };
+        if let (Some(time), true) = (notice.warmup, self.warmup.is_some()) {
+            self.cold_end = self.cold_end.max(now + time);
+            state.record_warmup(now, time);
+        }
         let has_limit_changed = state.pacer.record_limit(notice.rate_limit, source);
         let is_leaving = notice.leaving && state.phase != ServerPhase::Leaving;
         if is_leaving {
--- a/lentilcart_route/src/pool/queue_wait.rs
+++ b/lentilcart_route/src/pool/queue_wait.rs
@@ -36,31 +36,37 @@
     }
 
     /// Returns how long a request with a number of queued requests `ahead` of it waits at least because
-    /// all servers that it may get name rate limits; zero if one does not, or if there is none.
+    /// all servers that it may get name rate limits or are cold; zero if one does not, or if there is none.
     fn get_paced_wait(&self, now: Micros, request: &PendingRequest, ahead: usize) -> Micros {
-        if !self.has_rate_limits {
+        if !self.has_rate_limits && !self.has_cold_servers(now) {
             return Micros::ZERO;
         }
         let mut next_start = Micros(u64::MAX);
         let mut total_rate = 0.0;
         let mut has_server = false;
+        // Time from which no server is cold, so that warm-ups restrict requests no more.
+        let mut warm_at = Micros::ZERO;
         for state in &self.states {
             if state.get_limit(now, &self.config) == 0
                 || request.excluded.contains(&state.config.address)
             {
                 continue;
             }
-            let Some(rate) = state.pacer.get_rate(self.rate_share) else {
+            let Some(rate) = self.get_paced_rate(now, state) else {
                 return Micros::ZERO;
             };
             has_server = true;
             total_rate += rate;
-            next_start = next_start.min(state.pacer.get_next_start(self.rate_share));
+            warm_at = warm_at.max(self.get_warm_time(state));
+            next_start = next_start.min(self.get_paced_start(now, state).0);
         }
         match () {
             () if !has_server => Micros::ZERO,
-            () if total_rate <= 0.0 => Micros(u64::MAX),
-            () => (next_start - now) + Micros::from_secs(ahead as f64 / total_rate),
+            () if total_rate <= 0.0 => next_start - now,
+            () => {
+                let turn = next_start + Micros::from_secs(ahead as f64 / total_rate);
+                turn.min(warm_at) - now
+            }
         }
     }
 
--- a/lentilcart_route/src/pool/server_notice.rs
+++ b/lentilcart_route/src/pool/server_notice.rs
@@ -15,6 +15,10 @@
         /// if it says nothing of that. Other answers do not end it.
         #[serde(skip_serializing_if = "Option::is_none")]
         pub retry_after: Option<Micros>,
+        /// Time from the answer for which the server is cold; zero if it is not, and `None` if it says nothing
+        /// of that.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub warmup: Option<Micros>,
     }
 }
 
@@ -37,6 +41,8 @@
         RateLimit,
         /// They want no requests from the sender for a time.
         HoldOff,
+        /// They are cold, and take few requests.
+        Warmup,
     }
 }
 
@@ -47,6 +53,7 @@
         match self {
             Self::RateLimit => "rate-limit",
             Self::HoldOff => "hold-off",
+            Self::Warmup => "warm-up",
         }
     }
 }
@@ -57,11 +64,13 @@
         rate_limit: None,
         leaving: false,
         retry_after: None,
+        warmup: None,
     };
 
     /// Returns whether the server says nothing that restricts the requests to it.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        *self == Self::EMPTY
+        let warmup = self.warmup.filter(|time| *time > Micros::ZERO);
+        Self { warmup, ..*self } == Self::EMPTY
     }
 }
--- a/lentilcart_route/src/pool/server_pool.rs
+++ b/lentilcart_route/src/pool/server_pool.rs
@@ -3,8 +3,10 @@
 use lentilcart_util::{Micros, Rng, seeded_rng};
 
 use super::service_times::ServiceTimes;
-use super::{Decision, PoolConfig, ServerConfig, ServerPhase, ServerState, ServerSummary, Shard};
-use crate::limits::{Hedger, TokenBucket};
+use super::{
+    Decision, PoolConfig, ServerConfig, ServerPhase, ServerState, ServerSummary, Shard, WarmupTerm,
+};
+use crate::limits::{Hedger, TokenBucket, WarmupRules};
 use crate::queue::RequestQueue;
 
 /// Servers of one service as one entry knows them, the requests that it sent them, and the queue of
@@ -25,6 +27,12 @@
     pub(super) has_rate_limits: bool,
     /// Latest time until which a server wants no requests from a sender.
     pub(super) hold_off_end: Micros,
+    /// Limit on the requests of cold servers; `None` for no limit.
+    pub(super) warmup: Option<WarmupRules>,
+    /// Which cold servers this entry may send requests to.
+    pub(super) warmup_term: WarmupTerm,
+    /// Latest time until which a server is cold.
+    pub(super) cold_end: Micros,
     /// Moving average of the latency of all servers, in microseconds.
     ///
     /// It starts at 0 and moves by `MEAN_WEIGHT` of the difference with each answer, so that it is
@@ -59,6 +67,9 @@
             rate_share: 1.0,
             has_rate_limits: false,
             hold_off_end: Micros::ZERO,
+            warmup: None,
+            warmup_term: WarmupTerm::default(),
+            cold_end: Micros::ZERO,
             mean_latency: 0.0,
             service_times: ServiceTimes::new(),
             picks: 0,
@@ -108,11 +119,16 @@
                     } else {
                         ServerPhase::Serving
                     };
-                    self.add_server(ServerState::new(server.clone(), phase, now));
+                    let mut state = ServerState::new(server.clone(), phase, now);
+                    if !is_first {
+                        self.record_added(now, &mut state);
+                    }
+                    self.add_server(state);
                 }
             }
         }
         self.has_rate_limits = self.get_rate_limited_count() > 0;
+        self.record_registered_warmups(now);
     }
 
     /// Sets the shard of this entry among the entries that dispatch for the service.
--- a/lentilcart_route/src/pool/server_state.rs
+++ b/lentilcart_route/src/pool/server_state.rs
@@ -3,7 +3,7 @@
 use lentilcart_util::{Map, Micros, Name};
 
 use super::{LoadReport, PendingRequest, PoolConfig, ServerConfig, ServerPhase, Shard};
-use crate::limits::{RatePacer, TokenBucket};
+use crate::limits::{RatePacer, TokenBucket, Warmth};
 
 /// Weight of the newest answer in the mean latency of a server.
 const LATENCY_WEIGHT: f64 = 0.1;
@@ -85,6 +85,8 @@
     pub(crate) last_answered: Option<Micros>,
     /// Rate limit that the server names.
     pub(crate) pacer: RatePacer,
+    /// Whether the server is cold; it never is in a pool without rules for cold servers.
+    pub(crate) warmth: Warmth,
     /// Until when the server wants no requests from each sender, an entry by its address.
     pub(crate) hold_offs: Map<Option<SocketAddr>, Micros>,
     /// Budget of load probes.
@@ -104,6 +106,8 @@
     pub(crate) latency_objective: Option<Micros>,
     /// Expected latency at its start, in base service times.
     pub(crate) latency_factor: f64,
+    /// Whether the server was known to be cold when it was chosen.
+    pub(crate) is_paced: bool,
 }
 
 /// Load report of a server, with the time and the requests of this entry when it came.
@@ -156,6 +160,7 @@
             failed: 0,
             last_answered: None,
             pacer: RatePacer::default(),
+            warmth: Warmth::default(),
             hold_offs: Map::default(),
             probe_tokens: TokenBucket::new(0.0, PROBE_BURST, now),
             byte_tokens: TokenBucket::new(0.0, PROBE_BURST * PROBE_BYTES, now),
@@ -216,7 +221,7 @@
             Some(ASSUMED_SLOWDOWN + (slowdown - ASSUMED_SLOWDOWN) * weight)
         });
         let slowdown = reported.unwrap_or(ASSUMED_SLOWDOWN);
-        if now < self.config.warmup_until {
+        if now < self.config.warmup_until || self.warmth.is_cold(now) {
             slowdown * WARMUP_FACTOR
         } else {
             slowdown
@@ -326,7 +331,7 @@
         request: &PendingRequest,
         base_service_time: f64,
     ) {
-        self.remove_attempt(request.id);
+        let replaced = self.remove_attempt(request.id);
         self.pacer.record_start(now);
         let attempt = Attempt {
             request_id: request.id,
@@ -334,6 +339,7 @@
             sender: request.sender,
             latency_objective: request.latency_objective,
             latency_factor: self.get_latency_factor(now, base_service_time),
+            is_paced: replaced.map_or(self.warmth.is_cold(now), |replaced| replaced.is_paced),
         };
         self.attempts.push(attempt);
     }
--- a/lentilcart_state/src/routing/headers.rs
+++ b/lentilcart_state/src/routing/headers.rs
@@ -20,4 +20,6 @@
     pub retry_after: &'static str,
     /// Header with the rate limit that the server names.
     pub rate_limit: &'static str,
+    /// Header with the time for which the server is still cold.
+    pub warmup: &'static str,
 }
--- a/src/entry/permit.rs
+++ b/src/entry/permit.rs
@@ -37,6 +37,9 @@
     pub(crate) hedge_after: Option<Micros>,
     /// What the server was selected by; the default if another entry selected it.
     pub(crate) selection: SelectionInputs,
+    /// Time by which the attempt must be sent if another entry granted the permit for a cold server; see
+    /// [`get_send_limit`](Self::get_send_limit).
+    send_limit: Option<Micros>,
     source: PermitSource,
     is_released: bool,
 }
@@ -103,6 +106,7 @@
             server_id,
             hedge_after,
             selection,
+            send_limit: None,
             source: PermitSource::Dispatcher {
                 dispatcher,
                 request_id,
@@ -124,6 +128,7 @@
             server_id: Name::default(),
             hedge_after,
             selection: SelectionInputs::default(),
+            send_limit: None,
             source: PermitSource::Link { outbox, id },
             is_released: false,
         }
@@ -142,6 +147,7 @@
             server_id,
             hedge_after,
             selection: SelectionInputs::default(),
+            send_limit: None,
             source: PermitSource::Callback(ReleaseCallback(Box::new(on_release))),
             is_released: false,
         }
@@ -156,6 +162,26 @@
         }
     }
 
+    /// Sets the time by which the attempt must be sent, of a permit that another entry granted for a server
+    /// that is cold.
+    pub(crate) fn with_send_limit(mut self, limit: Option<Micros>) -> Self {
+        self.send_limit = limit;
+        self
+    }
+
+    /// Returns the time by which the attempt must be sent, on the dispatcher's clock, if the permit was granted
+    /// for a server that was known to be cold.
+    pub(crate) fn get_send_limit(&self) -> Option<Micros> {
+        match &self.source {
+            PermitSource::Dispatcher {
+                dispatcher,
+                request_id,
+                server,
+            } => dispatcher.read_pool(|pool| pool.get_send_limit(*request_id, *server)),
+            PermitSource::Link { .. } | PermitSource::Callback(_) => self.send_limit,
+        }
+    }
+
     /// Ends the attempt with an outcome.
     pub(crate) fn release(mut self, outcome: AttemptOutcome) {
         self.send_outcome(outcome);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use futures::FutureExt;
@@ -388,7 +389,7 @@
         give_up: give_up.clone(),
         ..context
     };
-    let second = Box::pin(send_attempt(gateway, context, permit, request));
+    let second = Box::pin(send_checked_hedge(gateway, context, permit, request));
     let (result, has_won) = match select(first, second).await {
         Either::Left((first @ AttemptResult::Response(_), second)) => {
             // The head of the hedge's response may have come since it was polled; it may hold a notice.
@@ -411,10 +412,42 @@
     result
 }
 
+/// Sends a hedge unless a check of its server says that it must not have it, as a server that has become cold.
+async fn send_checked_hedge(
+    gateway: &Arc<Gateway>,
+    context: AttemptContext,
+    permit: Permit,
+    request: Request<HttpBody>,
+) -> AttemptResult {
+    if !gateway.check_hedge(&context.dispatcher, &permit).await {
+        permit.release(AttemptOutcome::Cancelled);
+        return AttemptResult::NotSent("the server of the hedge is cold or does not answer".into());
+    }
+    send_attempt(gateway, context, permit, request).await
+}
+
 /// Returns whether the server of a permit still wants requests from this entry, as far as this entry knows.
 fn is_wanted(gateway: &Gateway, dispatcher: &Dispatcher, permit: &Permit) -> bool {
     let own_address = gateway.settings.load().listen.peer;
-    is_serving(gateway, &permit.server_id) && !dispatcher.is_held_off(permit.address, own_address)
+    is_serving(gateway, &permit.server_id)
+        && !dispatcher.is_held_off(permit.address, own_address)
+        && gateway.is_within_warmup(dispatcher, permit)
+}
+
+/// Waits until an attempt must not be sent any more: it was given up, or its server is cold and the permit is
+/// too old.
+async fn wait_for_give_up(gateway: &Gateway, give_up: &CancellationToken, limit: Option<Micros>) {
+    let Some(limit) = limit else {
+        return give_up.cancelled().await;
+    };
+    let end = Instant::from_std(gateway.clock.to_instant(limit));
+    let mut waiting = std::pin::pin!(timeout_at(end, give_up.cancelled()));
+    // A process that was suspended may poll this before its timers have fired.
+    std::future::poll_fn(|context| match waiting.as_mut().poll(context) {
+        Poll::Pending if gateway.clock.now() < limit => Poll::Pending,
+        _ => Poll::Ready(()),
+    })
+    .await;
 }
 
 /// Returns for how long a connection may have been idle before it carries a request of a class, and how
@@ -478,6 +511,7 @@
     let attempt_log = AttemptLog::new(&request_id, attempt, &permit);
     // What the pool knew of the server when it selected it; default values if an owner selected it.
     let (selection, started) = (permit.selection, gateway.clock.now());
+    let send_limit = permit.get_send_limit();
     let received = match gateway
         .server_client
         .send_checked(
@@ -485,7 +519,7 @@
             request,
             max_idle_time,
             check.as_ref(),
-            give_up.cancelled(),
+            wait_for_give_up(gateway, &give_up, send_limit),
         )
         .await
     {
@@ -493,7 +527,9 @@
         Err(SendError::NotSent(reason, _)) => {
             attempt_log.write_not_sent(&reason);
             // The connection may have been given up or declined, which says nothing about the server.
-            let is_cancelled = give_up.is_cancelled() || !is_wanted(gateway, &dispatcher, &permit);
+            let is_late = send_limit.is_some_and(|limit| gateway.clock.now() >= limit);
+            let is_cancelled =
+                give_up.is_cancelled() || is_late || !is_wanted(gateway, &dispatcher, &permit);
             permit.release(if is_cancelled {
                 AttemptOutcome::Cancelled
             } else {
--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -100,6 +100,9 @@
             .keys()
             .map(|service| (service.clone(), get_or_create(service)))
             .collect();
+        for dispatcher in dispatchers.values() {
+            self.set_warmup_rules(&table, dispatcher);
+        }
         let added = dispatchers
             .keys()
             .filter(|name| !old.dispatchers.contains_key(*name));
@@ -244,13 +247,14 @@
                     address: registration.address,
                     id: registration.id.clone(),
                     started_ms: registration.started_ms,
-                    warmup_until: now + registration.warmup_remaining,
+                    warmup_until: self.get_warmup_end(now, registration),
                     data_center: registration.data_center.clone(),
                     slots: registration.slots,
                 })
                 .collect();
             dispatcher.update_pool(|pool, now| pool.set_servers(now, &servers));
         }
+        self.fit_warmup_ends();
     }
 
     /// Applies changed registrations of entries to the member table.
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -98,6 +98,9 @@
             #[serde(rename = "instance")]
             server_id: Name,
             hedge_after: Option<Micros>,
+            /// Whether the server was known to be cold: the request must be sent soon.
+            #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+            paced: bool,
         },
         /// The owner rejects a permit request: `no_server` is true if the owner knows no server of the
         /// service or does not know the service, and false if no server would be free in time.
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 
 use arc_swap::ArcSwap;
-use lentilcart_state::{Member, MemberTable, Mirror, RouteTable, ServerDirectory};
+use lentilcart_state::{Member, MemberTable, Mirror, PacerLease, RouteTable, ServerDirectory};
 use lentilcart_util::{Map, Name};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, Semaphore, watch};
@@ -16,6 +16,7 @@
 use super::drain::DrainSchedule;
 use super::permit_table::PermitTable;
 use super::store_contact::{LatestWatcher, StoreContact};
+use super::warmup::WarmupEnds;
 use crate::entry::Dispatcher;
 use crate::http::{ConnectTimeouts, HttpClient};
 use crate::platform::StoreClient;
@@ -102,6 +103,8 @@
     directory: Mutex<ServerDirectory>,
     members: Mutex<MemberTable>,
     permits: Mutex<PermitTable>,
+    pub(super) pacer_lease: Mutex<PacerLease>,
+    pub(super) warmup_ends: Mutex<WarmupEnds>,
     /// Socket for datagrams to and from other entries.
     socket: Arc<UdpSocket>,
     pub(super) latest_watcher: Mutex<LatestWatcher>,
@@ -161,6 +164,8 @@
             directory: Mutex::default(),
             members: Mutex::new(MemberTable::new(settings.name.clone(), own, peer_timeout)),
             permits: Mutex::default(),
+            pacer_lease: Mutex::default(),
+            warmup_ends: Mutex::default(),
             socket,
             latest_watcher: Mutex::default(),
             is_fetching: [const { AtomicBool::new(false) }; 3],
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,7 +14,7 @@
 //! State that requests read: `mirror` watches the store, `changes` puts routes, servers and entries in
 //! force, `store_contact` tracks whether the store answers, `peers` and `datagram` exchange state with
 //! other entries, `probe` keeps the load of servers current, `register` keeps this entry listed in the
-//! store, and `tick` runs periodic work.
+//! store, `warmup` limits the requests of cold servers, and `tick` runs periodic work.
 //!
 //! `handle` starts and stops a gateway, `drain` has the times of a stop, and `ops` serves its health and metrics.
 
@@ -41,6 +41,7 @@
 mod serve;
 mod store_contact;
 mod tick;
+mod warmup;
 
 pub use self::handle::{GatewayHandle, start_gateway};
 pub use self::response::{ResponseVerdict, classify_response};
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use hyper::Response;
-use lentilcart_platform::{HEADER_NAMES, decode_leaving, decode_rate_limit, decode_retry_after};
+use lentilcart_platform::{
+    HEADER_NAMES, decode_leaving, decode_rate_limit, decode_retry_after, decode_warmup_remaining,
+};
 use lentilcart_route::{NoticeSource, ServerNotice, ServerPool};
 use lentilcart_util::Name;
 
@@ -16,7 +18,7 @@
 
 impl Gateway {
     /// Reads the notice in the head of a server's answer.
-    fn read_notice<B>(&self, response: &Response<B>) -> ServerNotice {
+    fn read_notice<B>(&self, dispatcher: &Dispatcher, response: &Response<B>) -> ServerNotice {
         let get_values = |name| {
             let values = response.headers().get_all(name).iter();
             values.filter_map(|value| value.to_str().ok())
@@ -29,6 +31,9 @@
             retry_after: retry_after
                 .filter(|_| is_refusal(response.status()))
                 .map(|time| time.min(longest)),
+            // Without a limit for cold servers, nothing depends on it.
+            warmup: decode_warmup_remaining(get_values(HEADER_NAMES.warmup))
+                .filter(|_| dispatcher.read_pool(ServerPool::limits_cold_servers)),
         }
     }
 
@@ -40,7 +45,7 @@
         response: &Response<B>,
         verdict: ResponseVerdict,
     ) -> ServerNotice {
-        let notice = self.read_notice(response);
+        let notice = self.read_notice(dispatcher, response);
         let is_of_server = match verdict {
             // Another server has answered, or the server has answered another request.
             ResponseVerdict::Misdirected | ResponseVerdict::Foreign(_) => false,
@@ -61,7 +66,7 @@
         server: SocketAddr,
         response: &Response<B>,
     ) -> ServerNotice {
-        let notice = self.read_notice(response);
+        let notice = self.read_notice(dispatcher, response);
         self.handle_notice(dispatcher, server, notice, NoticeSource::Probe);
         notice
     }
@@ -76,7 +81,10 @@
         notice: ServerNotice,
         source: NoticeSource,
     ) {
-        if notice.is_empty() && !dispatcher.read_pool(ServerPool::has_rate_limits) {
+        let now = self.clock.now();
+        let is_restricted =
+            |pool: &ServerPool| pool.has_rate_limits() || pool.has_cold_servers(now);
+        if notice.is_empty() && !dispatcher.read_pool(is_restricted) {
             return;
         }
         let own_address = self.settings.load().listen.peer;
--- a/src/gateway/on_demand_probe.rs
+++ b/src/gateway/on_demand_probe.rs
@@ -9,6 +9,7 @@
 //! `queued_age` (`wait-check`) applies while requests wait, and `probe_timeout` (`probe-wait`) is the
 //! timeout of any probe. A probe right before a request is also called a preflight probe.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use lentilcart_route::{
@@ -33,6 +34,12 @@
 ) -> Result<Permit, Rejection> {
     loop {
         let permit = acquire_probed_permit(gateway, dispatcher, &mut request).await?;
+        if !gateway.is_within_warmup(dispatcher, &permit) {
+            // The probe has shown that the server is cold. The request may have its turn there later.
+            gateway.count_held_back(dispatcher);
+            permit.release(AttemptOutcome::Cancelled);
+            continue;
+        }
         if is_serving(gateway, &permit.server_id) {
             return Ok(permit);
         }
@@ -101,6 +108,29 @@
     Ok(permit)
 }
 
+/// Probes a server right before it gets a request that its owner has not granted a permit for, if its load
+/// report is older than `preflight_age`. Returns whether the report is fresh then.
+pub(crate) async fn preflight(
+    gateway: &Arc<Gateway>,
+    dispatcher: &Arc<Dispatcher>,
+    address: SocketAddr,
+) -> bool {
+    let settings = gateway.settings.load_full();
+    let max_age = settings.servers.preflight_age;
+    if !dispatcher.is_load_stale(address, max_age) {
+        return true;
+    }
+    let Some(path) = gateway.get_health_path(&dispatcher.service) else {
+        return false;
+    };
+    let target = ProbeTarget {
+        dispatcher: dispatcher.clone(),
+        address,
+        path,
+    };
+    !probe_times_out(gateway, target, settings.servers.preflight_timeout.into()).await
+}
+
 /// Probes servers with load reports older than `queued_age` that waiting requests might get, since
 /// they may have become fast. `path` is the path of the service's health endpoint.
 pub(crate) fn probe_stale_servers(
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lentilcart_route::{AttemptOutcome, PendingRequest, Rejection};
+use lentilcart_route::{AttemptOutcome, MAX_SEND_DELAY, PendingRequest, Rejection};
 use lentilcart_state::rendezvous_rank;
 use lentilcart_util::{Map, Micros, Name};
 use tokio::sync::oneshot;
@@ -47,6 +47,10 @@
     address: SocketAddr,
     server_id: Name,
     hedge_after: Option<Micros>,
+    /// Whether the owner knew that the server is cold.
+    paced: bool,
+    /// Time after which the owner granted the permit.
+    granted_after: Micros,
 }
 
 /// The permit requests and permits that this entry exchanges with others.
@@ -67,6 +71,21 @@
     reply: oneshot::Sender<PermitResult>,
     /// Whether the owner has reported the request as queued since that was last checked.
     queued: bool,
+    /// When the first permit request was sent, and when the last one.
+    asked: (Micros, Micros),
+    /// Number of permit requests sent that the owner has not yet reported as queued.
+    unconfirmed: u32,
+}
+
+impl PendingPermit {
+    /// Returns a time before which the owner did not grant the permit: the last permit request was sent then,
+    /// if the owner had queued the request when it arrived there. Otherwise it may be as old as the first one.
+    fn get_grant_bound(&self) -> Micros {
+        match self.unconfirmed {
+            0 => self.asked.1,
+            _ => self.asked.0,
+        }
+    }
 }
 
 /// A permit request of another entry, queued or granted.
@@ -124,10 +143,19 @@
         let is_held_off = dispatcher.is_held_off(permit.address, own_address);
         // Owners of an earlier version do not exclude another instance at the same address.
         let is_excluded = request.excluded.contains(&permit.address);
-        if is_serving(gateway, &permit.server_id) && !is_held_off && !is_excluded {
+        // The owner may not know yet that the server is cold, or its permit may be late.
+        let is_within_warmup = gateway.is_within_warmup(dispatcher, &permit);
+        if is_serving(gateway, &permit.server_id)
+            && !is_held_off
+            && !is_excluded
+            && is_within_warmup
+        {
             return Ok(permit);
         }
-        log::info!(owner:% = owner, server:% = permit.server_id, is_held_off, is_excluded; "server of the granted permit is not serving");
+        if !is_within_warmup {
+            gateway.count_held_back(dispatcher);
+        }
+        log::info!(owner:% = owner, server:% = permit.server_id, is_held_off, is_excluded, is_within_warmup; "server of the granted permit is not serving");
         permit.release(AttemptOutcome::Cancelled);
     }
     acquire_local_permit(gateway, dispatcher, pool_request).await
@@ -178,6 +206,8 @@
     let pending = PendingPermit {
         reply,
         queued: false,
+        asked: (gateway.clock.now(), gateway.clock.now()),
+        unconfirmed: 1,
     };
     gateway.lock_permits().unanswered.insert(id, pending);
     let guard = WithdrawGuard { gateway, owner, id };
@@ -186,6 +216,7 @@
     while result.is_err() && take_queued_notice(gateway, id) {
         result = timeout(QUEUE_CHECK_INTERVAL, &mut received).await;
         if result.is_err() {
+            record_repeated_request(gateway, id);
             gateway.send_datagram(&Datagram::PermitRequest(request.clone()), owner);
             result = timeout(REPLY_TIMEOUT, &mut received).await;
         }
@@ -200,6 +231,15 @@
     result.ok()?.ok()
 }
 
+/// Records that a permit request is about to be sent again.
+fn record_repeated_request(gateway: &Gateway, id: u64) {
+    let now = gateway.clock.now();
+    if let Some(pending) = gateway.lock_permits().unanswered.get_mut(&id) {
+        pending.asked.1 = now;
+        pending.unconfirmed += 1;
+    }
+}
+
 /// Returns whether the owner has reported a request as queued since the last call, and resets that.
 fn take_queued_notice(gateway: &Gateway, id: u64) -> bool {
     let mut permits = gateway.lock_permits();
@@ -218,6 +258,7 @@
     let (shared, dispatcher) = (gateway.clone(), dispatcher.clone());
     let (id, latency_objective) = (request.id, get_latency_objective(request));
     let started = gateway.clock.now();
+    let send_limit = reply.paced.then_some(reply.granted_after + MAX_SEND_DELAY);
     Permit::with_callback(
         reply.address,
         reply.server_id,
@@ -230,6 +271,7 @@
             shared.send_datagram(&Datagram::Release(id, outcome), owner);
         },
     )
+    .with_send_limit(send_limit)
 }
 
 /// Converts a permit request, whose times are relative, into a request of a dispatcher's pool.
@@ -351,6 +393,7 @@
         address: permit.address,
         server_id: permit.server_id.clone(),
         hedge_after: permit.hedge_after,
+        paced: permit.get_send_limit().is_some(),
     }
 }
 
@@ -361,6 +404,7 @@
         Datagram::Queued(id) => {
             if let Some(pending) = gateway.lock_permits().unanswered.get_mut(&id) {
                 pending.queued = true;
+                pending.unconfirmed = pending.unconfirmed.saturating_sub(1);
             }
             return;
         }
@@ -369,11 +413,15 @@
             address,
             server_id,
             hedge_after,
+            paced,
         } => {
             let reply = PermitReply {
                 address,
                 server_id,
                 hedge_after,
+                paced,
+                // Known where the reply is delivered.
+                granted_after: Micros::ZERO,
             };
             (id, Ok(reply))
         }
@@ -386,7 +434,14 @@
     };
     let is_grant = reply.is_ok();
     let pending = gateway.lock_permits().unanswered.remove(&id);
-    let is_delivered = pending.is_some_and(|pending| pending.reply.send(reply).is_ok());
+    let is_delivered = pending.is_some_and(|pending| {
+        let granted_after = pending.get_grant_bound();
+        let reply = reply.map(|reply| PermitReply {
+            granted_after,
+            ..reply
+        });
+        pending.reply.send(reply).is_ok()
+    });
     if is_grant && !is_delivered {
         gateway.send_datagram(&Datagram::Release(id, AttemptOutcome::Cancelled), owner);
     }
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -26,6 +26,7 @@
         };
         sleep_unless_stopped(&gateway, get_renewal_interval(&gateway).into()).await;
     }
+    gateway.lock_pacer_lease().record_lost();
     if let Some(lease) = lease
         && let Err(reason) = (gateway.store.call)(StoreCall::EndLease(lease)).await
     {
@@ -48,6 +49,7 @@
 /// then, or `None` if it was lost or the registration was not written.
 async fn renew_or_open(gateway: &Gateway, lease: Option<u64>) -> Result<Option<u64>, String> {
     let call = &gateway.store.call;
+    let sent = gateway.clock.now();
     let Some(lease) = lease else {
         let duration = gateway.settings.load().store.lease_ttl;
         let StoreReply::LeaseOpened(lease) = call(StoreCall::OpenLease(duration)).await? else {
@@ -65,7 +67,13 @@
             deletes: Vec::new(),
         };
         return match call(write).await? {
-            StoreReply::Written(_) => Ok(Some(lease)),
+            StoreReply::Written(revision) => {
+                let now = gateway.clock.now();
+                gateway
+                    .lock_pacer_lease()
+                    .record_written(now, sent, revision);
+                Ok(Some(lease))
+            }
             _ => Ok(None),
         };
     };
@@ -74,9 +82,13 @@
     Ok(match reply {
         StoreReply::LeaseNotFound => {
             log::info!("lease lost");
+            gateway.lock_pacer_lease().record_lost();
             None
         }
-        _ => Some(lease),
+        _ => {
+            gateway.lock_pacer_lease().record_renewed(sent);
+            Some(lease)
+        }
     })
 }
 
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use lentilcart_route::ServerPool;
 use lentilcart_util::Micros;
 
 use super::gateway::Gateway;
@@ -55,6 +56,7 @@
         let routes = gateway.get_active_routes();
         for (service, dispatcher) in &routes.dispatchers {
             gateway.update_rate_share(dispatcher);
+            gateway.update_warmup(dispatcher);
             dispatcher.tick();
             if let Some(service_settings) = routes.table.services.get(service) {
                 probe_stale_servers(&gateway, dispatcher, &service_settings.health_path);
@@ -106,6 +108,11 @@
             .set(limited as f64);
         metrics::gauge!("lentilcart_servers_held_off", "service" => service.clone())
             .set(held_off as f64);
+        if dispatcher.read_pool(ServerPool::limits_cold_servers) {
+            let cold = dispatcher.read_pool(|pool| pool.get_cold_count(now));
+            metrics::gauge!("lentilcart_servers_cold", "service" => service.clone())
+                .set(cold as f64);
+        }
         metrics::gauge!("lentilcart_servers_leaving", "service" => service).set(leaving as f64);
     }
     gateway.bodies.record_gauges();
