test(route): sum the requests of a cold server over all entries

Entries that the store does not answer, that are cut off from each other, paused, killed and restarted are simulated on virtual time, with permits that are sent with any delay up to the longest allowed one. The model showed that an entry whose registration was removed while its heartbeats came stayed the one that paces: the member table now remembers who is unlisted.

Without the check of the lease, entries_that_lose_store_pace_one_after_the_other fails; with every entry pacing, arrivals_of_all_entries_keep_limit fails (16 requests in a second, 14.9 allowed).

--- a/lentilcart_state/src/member/member_table.rs
+++ b/lentilcart_state/src/member/member_table.rs
@@ -27,6 +27,8 @@
     own_name: Name,
     heartbeat_timeout: Micros,
     members: Map<Name, Member>,
+    /// Entries that the host list no longer names, of those in the table.
+    unlisted: Set<Name>,
 }
 
 impl MemberTable {
@@ -39,6 +41,7 @@
             own_name,
             heartbeat_timeout,
             members,
+            unlisted: Set::default(),
         }
     }
 
@@ -73,9 +76,24 @@
     pub fn remove_unlisted(&mut self, name: &Name, now: Micros) {
         if *name != self.own_name && !self.is_live(name, now) {
             self.members.remove(name);
+            self.unlisted.remove(name);
+        } else {
+            self.unlisted.insert(name.clone());
         }
     }
 
+    /// Records that the host list names an entry.
+    pub fn record_listed(&mut self, name: &Name) {
+        self.unlisted.remove(name);
+    }
+
+    /// Returns whether the host list has named an entry, or its heartbeats have come before that, and the list
+    /// has not removed it since.
+    #[must_use]
+    pub fn is_listed(&self, name: &Name) -> bool {
+        self.members.contains_key(name) && !self.unlisted.contains(name)
+    }
+
     /// Records a heartbeat of a known entry, which reports the number in force there and whether
     /// the entry is leaving.
     pub fn record_heartbeat(
--- a/lentilcart_state/src/member/pacer.rs
+++ b/lentilcart_state/src/member/pacer.rs
@@ -6,7 +6,7 @@
 
 use lentilcart_util::{Micros, Name, Set};
 
-use super::{MemberTable, rendezvous_rank};
+use super::{Member, MemberTable, rendezvous_rank};
 
 /// Share of the lease of its registration, from the sending of the last renewal, for which an entry paces. The
 /// rest is for clocks that run at different speeds and for requests that are on their way.
@@ -58,7 +58,9 @@
     /// data centre without any, it is one of another data centre, also chosen by rendezvous hashing.
     #[must_use]
     pub fn get_pacer(&self, service: &str, data_center: &Name) -> Option<&Name> {
-        let registered = || self.iter().filter(|(_, member)| !member.leaving);
+        let is_registered =
+            |(name, member): &(&Name, &Member)| !member.leaving && self.is_listed(name);
+        let registered = || self.iter().filter(is_registered);
         let data_centers: Set<&Name> = registered().map(|(_, m)| &m.data_center).collect();
         let home = if data_centers.contains(data_center) {
             data_center
--- a/lentilcart_state/tests/testsuite/main.rs
+++ b/lentilcart_state/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod kv_service;
 mod members;
 mod mirror;
+mod pacer;
 mod parse;
 mod routing;
 mod submit;
--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -266,12 +266,15 @@
                 MirrorChange::Put(item) => match GatewayHeartbeat::decode(&item.value) {
                     // Whether an entry is leaving is known from its heartbeats only: the registration
                     // is not updated.
-                    Ok(heartbeat) => members.upsert(
-                        &heartbeat.name,
-                        &heartbeat.data_center,
-                        heartbeat.peer,
-                        false,
-                    ),
+                    Ok(heartbeat) => {
+                        members.upsert(
+                            &heartbeat.name,
+                            &heartbeat.data_center,
+                            heartbeat.peer,
+                            false,
+                        );
+                        members.record_listed(&heartbeat.name);
+                    }
                     Err(error) => log::warn!(key:% = item.key; "entry ignored: {error}"),
                 },
                 MirrorChange::Removed(key) => {
