--- a/lentilcart_bench/tests/testsuite/main.rs
+++ b/lentilcart_bench/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod cluster;
+mod cold_data_center;
 mod cold_servers;
 mod examples;
 mod layout;
--- a/lentilcart_route/src/pool/queue_wait.rs
+++ b/lentilcart_route/src/pool/queue_wait.rs
@@ -57,7 +57,7 @@
             };
             has_server = true;
             total_rate += rate;
-            warm_at = warm_at.max(self.get_warm_time(state));
+            warm_at = warm_at.max(state.get_warm_time());
             next_start = next_start.min(self.get_paced_start(now, state).0);
         }
         match () {
--- a/lentilcart_route/src/pool/warmup.rs
+++ b/lentilcart_route/src/pool/warmup.rs
@@ -40,6 +40,14 @@
             self.warmth.record_warm(now);
         }
     }
+
+    /// Returns from when the server has no limit by its warm-up; `Micros(u64::MAX)` if it names a rate limit.
+    pub(super) fn get_warm_time(&self) -> Micros {
+        match self.pacer.get_limit() {
+            Some(_) => Micros(u64::MAX),
+            None => self.warmth.get_end(),
+        }
+    }
 }
 
 /// Settings.
@@ -208,14 +216,6 @@
         }
     }
 
-    /// Returns from when a server has no limit by its warm-up; `Micros(u64::MAX)` if it names a rate limit.
-    pub(super) fn get_warm_time(&self, state: &ServerState) -> Micros {
-        match state.pacer.get_limit() {
-            Some(_) => Micros(u64::MAX),
-            None => state.warmth.get_end(),
-        }
-    }
-
     /// Returns when a server is expected to have room for a request of this data centre, by its rate limit and
     /// its warm-up, and which of them restricts it. Another entry may pace its requests.
     pub(super) fn get_expected_room(
