test(bench): cold servers in the soak of real processes

Servers restart cold or become cold while they run; the routes limit them then, and a checker counts what each cold server gets in any span of a second. With servers that hide that they are cold, the soak fails (COLD).

--- a/lentilcart_bench/src/soak/checks.rs
+++ b/lentilcart_bench/src/soak/checks.rs
@@ -5,7 +5,7 @@
 
 use super::client::PROMISES;
 use super::entry::{Entry, EntryEvent};
-use super::record::{Outcome, RecordState, RouteVersion, Run, SentRequest};
+use super::record::{ColdArrival, Outcome, RecordState, RouteVersion, Run, SentRequest};
 use super::site::{CONFIG_APPLY, GRACE};
 
 /// Time before a stop of an entry within which a request counts as sent around it, in milliseconds.
@@ -14,6 +14,8 @@
 /// Time after which an entry has read a request and must not end its connection without an answer, in
 /// milliseconds.
 const LOSS_SLACK_MS: u64 = 200;
+/// Span in which the requests of cold servers are limited, in milliseconds.
+const COLD_SPAN_MS: u64 = 1000;
 /// Time before a request from which copies of answers belong to its story, in milliseconds.
 const COPY_MS: u64 = 1000;
 
@@ -21,7 +23,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SoakFault {
     /// Name: `TWICE`, `REFUSED`, `ROUTE`, `CONFIG`, `MIXED`, `LOST`, `UNASKED` for a request that was changed on
-    /// its way, or `ENDED` for an entry that ended by itself.
+    /// its way, `COLD` for a cold server that got too many requests, or `ENDED` for an entry that ended by itself.
     pub rule: &'static str,
     /// Identifier of the request; the name of the entry that has ended.
     pub request: Name,
@@ -115,6 +117,49 @@
     faults
 }
 
+/// Returns a fault for each server that got more than `allowed` requests in a second while it was cold; its request
+/// is the last of them.
+#[must_use]
+pub fn find_cold_faults(arrivals: &[ColdArrival], allowed: f64) -> Vec<SoakFault> {
+    let peaks = find_cold_peaks(arrivals).into_iter();
+    let too_high = peaks.filter(|peak| peak.len() as f64 > allowed);
+    too_high
+        .filter_map(|peak| {
+            let (first, last) = (peak.first()?, peak.last()?);
+            let (server, count, start) = (&first.server, peak.len(), first.at);
+            Some(SoakFault {
+                rule: "COLD",
+                request: last.request.clone(),
+                detail: format!("{server} got {count} requests from {start}, allowed {allowed}"),
+            })
+        })
+        .collect()
+}
+
+/// Returns the requests of the second in which each cold server got most, in the order of their arrival.
+pub(super) fn find_cold_peaks(arrivals: &[ColdArrival]) -> Vec<Vec<&ColdArrival>> {
+    let mut arrivals_of: Map<&Name, Vec<&ColdArrival>> = Map::default();
+    for arrival in arrivals {
+        arrivals_of
+            .entry(&arrival.server)
+            .or_default()
+            .push(arrival);
+    }
+    arrivals_of.into_values().map(find_peak).collect()
+}
+
+fn find_peak(mut arrivals: Vec<&ColdArrival>) -> Vec<&ColdArrival> {
+    arrivals.sort_by_key(|arrival| arrival.at);
+    let seconds = (0..arrivals.len()).map(|index| {
+        let end = arrivals[index].at + COLD_SPAN_MS;
+        let later = arrivals[index..].iter().copied();
+        later
+            .take_while(|arrival| arrival.at < end)
+            .collect::<Vec<_>>()
+    });
+    seconds.max_by_key(Vec::len).unwrap_or_default()
+}
+
 /// Returns the versions that may be in force at a request: that of [`CONFIG_APPLY`] before it was sent, and all
 /// later ones.
 fn select_versions<'a>(versions: &'a [RouteVersion], request: &SentRequest) -> &'a [RouteVersion] {
--- a/lentilcart_bench/src/soak/entry.rs
+++ b/lentilcart_bench/src/soak/entry.rs
@@ -12,7 +12,7 @@
 
 use super::options::SoakOptions;
 use super::record::now_ms;
-use super::site::{DATA_CENTERS, GRACE, Site};
+use super::site::{COLD_LIMIT, DATA_CENTERS, GRACE, Site};
 use crate::cluster::{Process, binary_path};
 
 /// Variable with the path of an entry's settings file.
@@ -77,6 +77,13 @@
             site.retry_burst,
             GRACE.as_secs()
         );
+        let warmup = if site.limits_cold {
+            let (_, overage, slack) = COLD_LIMIT;
+            format!("\n[warmup]\noverage = {overage:?}\nslack = {slack:?}\n")
+        } else {
+            String::new()
+        };
+        let text = text + &warmup;
         let settings = options.logs.join(format!("{name}.toml"));
         std::fs::write(&settings, text)?;
         Ok(Self {
--- a/lentilcart_bench/src/soak/fault_kind.rs
+++ b/lentilcart_bench/src/soak/fault_kind.rs
@@ -36,6 +36,11 @@
     ServerMove = "server-move",
     /// A server takes several times as long for a while.
     ServerSlow = "server-slow",
+    /// A server ends and starts again at its address under a new identifier, and is cold then. With this or the
+    /// next kind, the routes limit the requests of cold servers.
+    ColdStart = "cold-start",
+    /// A server becomes cold while it runs.
+    ColdAgain = "cold-again",
     /// Answers with status 200 are sent twice.
     CopyOk = "copy-ok",
     /// Answers with status 421 are sent twice.
@@ -96,10 +101,17 @@
     CheckRoute = "check-route",
     /// Shows that the versions of routes are checked: the store does not get them.
     CheckConfig = "check-config",
+    /// Shows that the requests of cold servers are checked: servers do not say that they are cold.
+    CheckCold = "check-cold",
 }
 
-/// Parses a list of kinds and groups of faults, separated by commas: `server`, `copy`, `answer`,
-/// `connection`, `entry`, `route` and `store` are groups, `faulty-servers` the first four of them, `all` all
+/// Returns whether a kind of fault makes servers cold.
+pub(super) fn has_cold_servers(faults: &Set<FaultKind>) -> bool {
+    faults.contains(&FaultKind::ColdStart) || faults.contains(&FaultKind::ColdAgain)
+}
+
+/// Parses a list of kinds and groups of faults, separated by commas: `server`, `cold`, `copy`, `answer`,
+/// `connection`, `entry`, `route` and `store` are groups, `faulty-servers` the first five of them without `cold`, `all` all
 /// and `none` none. The kinds of the group `check` show that a soak fails; `all` does not hold them.
 ///
 /// # Errors
@@ -114,7 +126,7 @@
                 || part == name
                 || part == group
                 || (part == "faulty-servers"
-                    && !["entry", "route", "store", "check"].contains(&group))
+                    && !["cold", "entry", "route", "store", "check"].contains(&group))
         };
         let before = faults.len();
         let meant = NAMES.iter().filter(|(_, name)| is_meant(name));
@@ -123,7 +135,7 @@
             let names: Vec<_> = NAMES.iter().map(|(_, name)| *name).collect();
             let names = names.join(", ");
             return Err(format!(
-                "--faults {part}: expected none, all, faulty-servers, server, copy, answer, connection, \
+                "--faults {part}: expected none, all, faulty-servers, server, cold, copy, answer, connection, \
                  entry, route, store, {names}"
             ));
         }
--- a/lentilcart_bench/src/soak/mod.rs
+++ b/lentilcart_bench/src/soak/mod.rs
@@ -18,10 +18,10 @@
 mod store_server;
 mod store_state;
 
-pub use self::checks::{SoakFault, find_faults};
+pub use self::checks::{SoakFault, find_cold_faults, find_faults};
 pub use self::fault_kind::{FaultKind, parse_faults};
 pub use self::options::{SoakOptions, SoakSize};
-pub use self::record::{Outcome, RouteVersion, Run, SentRequest};
+pub use self::record::{ColdArrival, Outcome, RouteVersion, Run, SentRequest};
 pub use self::soak_run::{SoakReport, run_soak};
 pub(crate) use self::store::Store;
 pub(crate) use self::store_server::serve_store;
--- a/lentilcart_bench/src/soak/record.rs
+++ b/lentilcart_bench/src/soak/record.rs
@@ -105,6 +105,19 @@
     pub(super) counts: std::collections::BTreeMap<&'static str, u64>,
     /// Requests that reached a server changed.
     pub(super) unasked: Set<Name>,
+    /// Requests that reached a server while it was cold.
+    pub(super) cold_arrivals: Vec<ColdArrival>,
+}
+
+/// A request that reached a server while it was cold, and was not misdirected.
+#[derive(Debug, Clone)]
+pub struct ColdArrival {
+    /// Identifier of the server.
+    pub server: Name,
+    /// Identifier of the request.
+    pub request: Name,
+    /// Time, in Unix milliseconds.
+    pub at: u64,
 }
 
 /// What clients, servers and the schedule have seen; clones share it.
--- a/lentilcart_bench/src/soak/schedule.rs
+++ b/lentilcart_bench/src/soak/schedule.rs
@@ -14,7 +14,7 @@
 use super::fault_kind::FaultKind;
 use super::record::{Record, RouteVersion, now_ms};
 use super::server::SoakServer;
-use super::site::{FIRST_VERSION, HEARTBEAT, Site};
+use super::site::{FIRST_VERSION, HEARTBEAT, Site, WARMUP};
 use super::store::Store;
 
 /// Time for which a server that is leaving serves, at least.
@@ -89,8 +89,17 @@
     }
 
     async fn play_servers(self, stop: CancellationToken) -> Result<(), Error> {
+        use FaultKind::{ColdAgain, ColdStart};
         use FaultKind::{ServerEnd, ServerLeave, ServerMove, ServerSame, ServerSlow};
-        let kinds = self.pick_kinds(&[ServerEnd, ServerSame, ServerLeave, ServerMove, ServerSlow]);
+        let kinds = self.pick_kinds(&[
+            ServerEnd,
+            ServerSame,
+            ServerLeave,
+            ServerMove,
+            ServerSlow,
+            ColdStart,
+            ColdAgain,
+        ]);
         let mut rng = seeded_rng(self.seed ^ 0x5e17);
         let mut actions = JoinSet::new();
         let pause_ms = (SERVER_FAULT_MS / self.servers.len() as f64 / self.pace) as u64;
@@ -127,6 +136,11 @@
             server.set_slowness(100);
             return Ok(());
         }
+        if kind == FaultKind::ColdAgain {
+            server.set_cold(WARMUP);
+            sleep(WARMUP).await;
+            return Ok(());
+        }
         if kind == FaultKind::ServerLeave {
             self.store
                 .put_registration(&server.registration(true).expect("it has started"));
@@ -152,22 +166,25 @@
         let other = async {
             match &taken {
                 Some((_, other, old)) => {
-                    self.restart_server(other, old, None, &mut action_rng).await
+                    self.restart_server(other, old, (None, false), &mut action_rng)
+                        .await
                 }
                 None => Ok(()),
             }
         };
         let id = (kind == FaultKind::ServerSame).then(|| old.id.clone());
-        let (ended, other) = tokio::join!(self.restart_server(server, &old, id, &mut rng), other);
+        let start = (id, kind == FaultKind::ColdStart);
+        let restart = self.restart_server(server, &old, start, &mut rng);
+        let (ended, other) = tokio::join!(restart, other);
         ended.and(other)
     }
 
-    /// Ends a server and starts it again, under `id` or a new identifier.
+    /// Ends a server and starts it again, under an identifier or a new one, and cold or not.
     async fn restart_server(
         &self,
         server: &SoakServer,
         old: &ServerRegistration,
-        id: Option<Name>,
+        (id, is_cold): (Option<Name>, bool),
         rng: &mut Rng,
     ) -> Result<(), Error> {
         server.end().await;
@@ -182,11 +199,15 @@
         let is_renamed = id.is_none();
         let restart = async {
             sleep(down).await;
-            let new = server.start(id).map_err(|error| {
+            server.start(id).map_err(|error| {
                 Error::other(format!("{}: server not started: {error}", server.address))
             })?;
+            if is_cold {
+                server.set_cold(WARMUP);
+            }
             sleep(unknown).await;
-            self.store.put_registration(&new);
+            self.store
+                .put_registration(&server.registration(false).expect("it has started"));
             Ok(())
         };
         let forget = async {
--- a/lentilcart_bench/src/soak/server.rs
+++ b/lentilcart_bench/src/soak/server.rs
@@ -1,10 +1,10 @@
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use lentilcart_state::ServerRegistration;
-use lentilcart_util::{Micros, Name, Set, seeded_rng};
+use lentilcart_util::{Name, Set, seeded_rng};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::Semaphore;
 use tokio::task::{JoinHandle, JoinSet};
@@ -71,6 +71,7 @@
             running: AtomicU32::new(0),
             waiting: AtomicU32::new(0),
             slowness: AtomicU32::new(100),
+            cold_until: AtomicU64::new(0),
         });
         let (end, born) = (CancellationToken::new(), now_ms());
         let accepting = tokio::spawn(accept(listener, process.clone(), end.clone()));
@@ -110,7 +111,7 @@
             data_center: DATA_CENTERS[self.number % DATA_CENTERS.len()].into(),
             slots: SLOTS,
             leaving,
-            warmup_remaining: Micros::ZERO,
+            warmup_remaining: started.process.named_warmup().into(),
             started_ms: started.born,
             // Each start writes once when it is ready, and once more when it leaves.
             sequence: Some(1 + u64::from(leaving)),
@@ -125,6 +126,15 @@
         }
     }
 
+    /// Makes the server cold for a time from now.
+    pub(super) fn set_cold(&self, time: Duration) {
+        let current = self.current.lock().expect("no panic under lock");
+        if let Some(started) = &*current {
+            let until = now_ms() + time.as_millis() as u64;
+            started.process.cold_until.store(until, Ordering::Relaxed);
+        }
+    }
+
     /// Ends the server: it accepts no connections, and those that it has are reset or closed.
     pub(super) async fn end(&self) {
         let started = self.current.lock().expect("no panic under lock").take();
--- a/lentilcart_bench/src/soak/server_process.rs
+++ b/lentilcart_bench/src/soak/server_process.rs
@@ -1,5 +1,5 @@
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 
 use super::fault_kind::FaultKind;
 use super::message::{Message, MessageReader, build_body, is_whole_body};
-use super::record::{Record, Run, now_ms};
+use super::record::{ColdArrival, Record, Run, now_ms};
 use super::site::{HEALTH_PATH, QUEUE, SLOTS};
 
 /// Share of the health checks that are refused, with [`FaultKind::HealthRefused`].
@@ -24,6 +24,9 @@
 /// Most of the usual service time that a request takes at a server of usual speed.
 const MAX_WORK: f64 = 1.8;
 
+/// Factor on the service time of a cold server.
+const COLD_FACTOR: f64 = 2.0;
+
 /// What becomes of a connection after an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum After {
@@ -55,6 +58,8 @@
     pub(super) waiting: AtomicU32,
     /// Service time in percent of the usual one.
     pub(super) slowness: AtomicU32,
+    /// Until when it is cold, in Unix milliseconds.
+    pub(super) cold_until: AtomicU64,
 }
 
 /// Raises a counter for as long as it lives.
@@ -88,6 +93,27 @@
         rng.random_range(start..end)
     }
 
+    /// Returns for how long it is still cold.
+    pub(super) fn cold_remaining(&self) -> Duration {
+        let until = self.cold_until.load(Ordering::Relaxed);
+        Duration::from_millis(until.saturating_sub(now_ms()))
+    }
+
+    /// Returns for how long it says that it is still cold.
+    pub(super) fn named_warmup(&self) -> Duration {
+        match self.cold_remaining() {
+            _ if self.faults.contains(&FaultKind::CheckCold) => Duration::ZERO,
+            remaining => remaining,
+        }
+    }
+
+    fn warmup_line(&self) -> String {
+        match self.named_warmup() {
+            Duration::ZERO => String::new(),
+            remaining => format!("{}: {}\r\n", HEADER_NAMES.warmup, remaining.as_millis()),
+        }
+    }
+
     fn load_line(&self) -> String {
         let report = LoadReport {
             running: self.running.load(Ordering::Relaxed),
@@ -134,7 +160,7 @@
                 return Some(self.answer_unrun("503 Busy", "", FaultKind::CopyHealthRefused));
             }
             return Some(Answer {
-                bytes: self.format("200 OK", "", b""),
+                bytes: self.format("200 OK", &self.warmup_line(), b""),
                 copied_by: Some(FaultKind::CopyHealth),
                 run: None,
                 after: After::Keep,
@@ -148,6 +174,15 @@
             let status = "421 Misdirected Request";
             return Some(self.answer_unrun(status, id, FaultKind::CopyMisdirected));
         }
+        let is_cold = !self.cold_remaining().is_zero();
+        if is_cold {
+            self.record.count("reached a cold server");
+            self.record.lock().cold_arrivals.push(ColdArrival {
+                server: self.id.clone(),
+                request: id.into(),
+                at: now_ms(),
+            });
+        }
         if path.split('/').nth(2) != Some(id)
             || !(request.body.is_empty() || is_whole_body(id, &request.body))
         {
@@ -192,7 +227,8 @@
             end: None,
             answer: "none, the server ended",
         });
-        let slowness = f64::from(self.slowness.load(Ordering::Relaxed)) / 100.0;
+        let cold_factor = if is_cold { COLD_FACTOR } else { 1.0 };
+        let slowness = f64::from(self.slowness.load(Ordering::Relaxed)) / 100.0 * cold_factor;
         let work = self
             .service_time
             .mul_f64(self.pick(0.4, MAX_WORK) * slowness);
--- a/lentilcart_bench/src/soak/site.rs
+++ b/lentilcart_bench/src/soak/site.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use lentilcart_state::{
-    AccountTable, CallerLimits, PathRoute, RequestClass, RouteTable, ServiceLimits, WeightedService,
+    AccountTable, CallerLimits, PathRoute, RequestClass, RouteTable, ServiceLimits, WarmupLimit,
+    WeightedService,
 };
 use lentilcart_util::{Map, Micros, Name};
 
+use super::fault_kind::has_cold_servers;
 use super::options::{SoakOptions, SoakSize};
 
 /// Host of all routes.
@@ -25,6 +27,10 @@
 pub(super) const CONFIG_APPLY: Duration = Duration::from_secs(2);
 /// Number of requests that a server runs concurrently.
 pub(super) const SLOTS: u32 = 3;
+/// Time for which a server is cold, and its limit then: the rate, the factor on it and the requests beyond that it may
+/// get in any second.
+pub(super) const WARMUP: Duration = Duration::from_secs(3);
+pub(super) const COLD_LIMIT: (f64, f64, f64) = (4.6, 1.5, 8.0);
 /// Number of requests that a server queues.
 pub(super) const QUEUE: u32 = 6;
 
@@ -49,6 +55,8 @@
     pub(super) load: f64,
     /// Most retries that may be saved up, by all entries together.
     pub(super) retry_burst: u32,
+    /// Whether the routes limit the requests of cold servers.
+    pub(super) limits_cold: bool,
     /// Second byte of the site's addresses, and first of its ports; they differ between processes.
     network: u8,
     pub(super) first_port: u16,
@@ -99,6 +107,7 @@
             entries: options.entries.unwrap_or(entries),
             load: options.load.unwrap_or(load),
             retry_burst,
+            limits_cold: has_cold_servers(&options.faults),
             network: 64 + (process % 128) as u8,
             first_port: 20_000 + (process / 128 % 1000 * 10) as u16,
         }
@@ -166,7 +175,10 @@
         let services = self.kinds.iter().map(|kind| {
             let limits = ServiceLimits {
                 health_path: HEALTH_PATH.into(),
-                warmup: None,
+                warmup: self.limits_cold.then(|| WarmupLimit {
+                    duration: micros(WARMUP),
+                    rate: COLD_LIMIT.0,
+                }),
                 max_connections: 220,
             };
             (Name::from(kind.name), limits)
--- a/lentilcart_bench/src/soak/soak_run.rs
+++ b/lentilcart_bench/src/soak/soak_run.rs
@@ -12,14 +12,17 @@
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
-use super::checks::{SoakFault, find_faults, is_around_stop, is_running_on, tell_story};
+use super::checks::{
+    SoakFault, find_cold_faults, find_cold_peaks, find_faults, is_around_stop, is_running_on,
+    tell_story,
+};
 use super::client::{CLIENT_RATE, Client};
 use super::entry::Entry;
 use super::options::SoakOptions;
 use super::record::{Outcome, Record, RouteVersion, now_ms};
 use super::schedule::Schedule;
 use super::server::SoakServer;
-use super::site::{FIRST_VERSION, Site};
+use super::site::{COLD_LIMIT, FIRST_VERSION, Site};
 use super::store::Store;
 use super::store_server::serve_store;
 
@@ -45,6 +48,8 @@
     pub broken: BTreeMap<&'static str, usize>,
     /// Faults that were played and other events, by name.
     pub played: BTreeMap<&'static str, u64>,
+    /// Most requests that a cold server got in a second.
+    pub cold_peak: usize,
     /// Share of the machine's processor time that was in use, by all programs on it.
     pub busy: f64,
     /// Whether it was ended early by a signal.
@@ -235,6 +240,9 @@
         |request| has_store && is_running_on(&entries[request.entry], request),
         |request| is_around_stop(&entries[request.entry], request),
     );
+    let (rate, overage, slack) = COLD_LIMIT;
+    let allowed = rate * overage + slack;
+    faults.extend(find_cold_faults(&state.cold_arrivals, allowed));
     faults.extend(state.unasked.iter().map(|request| SoakFault {
         rule: "UNASKED",
         request: request.clone(),
@@ -271,6 +279,11 @@
         outcomes,
         broken,
         played: state.counts.clone(),
+        cold_peak: find_cold_peaks(&state.cold_arrivals)
+            .iter()
+            .map(Vec::len)
+            .max()
+            .unwrap_or_default(),
         busy,
         is_stopped,
         faults,
--- a/lentilcart_bench/tests/testsuite/cold_data_center.rs
+++ b/lentilcart_bench/tests/testsuite/cold_data_center.rs
@@ -53,136 +53,164 @@
     Micros::from_millis(millis)
 }
 
-/// Runs the load from the moment when the servers of the own data centre become cold; `remote` is the number of
-/// warm servers in another one.
-fn run(has_limit: bool, remote: u8) -> Tally {
-    let config = PoolConfig {
-        policy: get_policy("late-paced").unwrap(),
-        data_center: "a".into(),
-        overcommit: 0,
-        reserve: 1,
-        remote_reserve: 1,
-        remote_cost: 0.25,
-        ..PoolConfig::default()
-    };
-    let count = usize::from(SERVERS + remote);
-    let servers: Vec<ServerConfig> = (0..SERVERS + remote)
-        .map(|number| ServerConfig {
-            data_center: if number < SERVERS {
-                "a".into()
-            } else {
-                "b".into()
-            },
-            ..ServerConfig::new(SocketAddr::from(([10, 0, 0, number], 80)), 3)
-        })
-        .collect();
-    let mut pool = ServerPool::new(config, 1);
-    if has_limit {
-        let (rate, overage, slack) = LIMIT;
-        let rules = WarmupRules::new(WARMUP, rate, overage, slack);
-        pool.set_warmup(ms(0), Some(rules));
+/// A run: the dispatcher's pool, the servers, and when each request arrived.
+struct Model {
+    pool: ServerPool,
+    servers: Vec<Server>,
+    arrivals: Map<u64, Micros>,
+    tally: Tally,
+    now: Micros,
+}
+
+impl Model {
+    /// Creates a run; `remote` is the number of warm servers in another data centre.
+    fn new(has_limit: bool, remote: u8) -> Self {
+        let config = PoolConfig {
+            policy: get_policy("late-paced").unwrap(),
+            data_center: "a".into(),
+            overcommit: 0,
+            reserve: 1,
+            remote_reserve: 1,
+            remote_cost: 0.25,
+            ..PoolConfig::default()
+        };
+        let servers: Vec<ServerConfig> = (0..SERVERS + remote)
+            .map(|number| ServerConfig {
+                data_center: if number < SERVERS { "a" } else { "b" }.into(),
+                ..ServerConfig::new(SocketAddr::from(([10, 0, 0, number], 80)), 3)
+            })
+            .collect();
+        let mut pool = ServerPool::new(config, 1);
+        if has_limit {
+            let (rate, overage, slack) = LIMIT;
+            let rules = WarmupRules::new(WARMUP, rate, overage, slack);
+            pool.set_warmup(ms(0), Some(rules));
+        }
+        pool.set_servers(ms(0), &servers);
+        let term = WarmupTerm {
+            data_centers: vec!["a".into()],
+            until: Micros(u64::MAX),
+        };
+        pool.set_warmup_term(ms(0), term);
+        Self {
+            pool,
+            servers: vec![Server::default(); servers.len()],
+            arrivals: Map::default(),
+            tally: Tally::default(),
+            now: ms(0),
+        }
     }
-    pool.set_servers(ms(0), &servers);
-    let term = WarmupTerm {
-        data_centers: vec!["a".into()],
-        until: Micros(u64::MAX),
-    };
-    pool.set_warmup_term(ms(0), term);
-    let mut states = vec![Server::default(); count];
-    let mut tally = Tally::default();
-    let mut arrivals: Map<u64, Micros> = Map::default();
-    let mut rng = seeded_rng(1);
-    let (cold_at, end) = TIMES;
-    let (mut now, mut next_id) = (ms(0), 0);
-    while now < end {
-        now += STEP;
-        if now == cold_at {
-            for state in &mut states[..usize::from(SERVERS)] {
-                state.cold_until = now + WARMUP;
+
+    /// Runs the load, during which the servers of the own data centre become cold at once.
+    fn run(&mut self) {
+        let (cold_at, end) = TIMES;
+        let mut rng = seeded_rng(1);
+        let mut next_id = 0;
+        while self.now < end {
+            self.now += STEP;
+            if self.now == cold_at {
+                for server in &mut self.servers[..usize::from(SERVERS)] {
+                    server.cold_until = cold_at + WARMUP;
+                }
+            }
+            self.report_warmth();
+            let mut decisions = self.pool.tick(self.now);
+            decisions.extend(self.end_requests());
+            let load = LOAD * f64::from(SERVERS) * STEP.as_secs();
+            if rng.random_range(0.0..1.0) < load {
+                next_id += 1;
+                self.arrivals.insert(next_id, self.now);
+                self.tally.sent += usize::from(self.now >= cold_at);
+                let request = PendingRequest::new(next_id, self.now, self.now + DEADLINE);
+                decisions.extend(self.pool.offer(self.now, request));
+            }
+            while let Some(decision) = decisions.pop() {
+                match decision {
+                    Decision::Start { request_id, server } => {
+                        decisions.extend(self.start_request(request_id, server));
+                    }
+                    Decision::Reject { request_id, .. } => self.record_rejection(request_id),
+                }
             }
         }
-        // Probes and answers tell the pool.
-        for (index, state) in states.iter().enumerate() {
+    }
+
+    /// Tells the pool how long each server is cold, as probes and answers do.
+    fn report_warmth(&mut self) {
+        for (index, server) in self.servers.iter().enumerate() {
             let notice = ServerNotice {
-                warmup: Some(state.cold_until - now),
+                warmup: Some(server.cold_until - self.now),
                 ..ServerNotice::EMPTY
             };
-            pool.record_notice(now, index, None, notice, NoticeSource::Probe);
+            let source = NoticeSource::Probe;
+            self.pool
+                .record_notice(self.now, index, None, notice, source);
         }
-        let mut decisions = pool.tick(now);
-        for (index, state) in states.iter_mut().enumerate() {
-            let (ended, running): (Vec<_>, Vec<_>) = std::mem::take(&mut state.running)
+    }
+
+    fn end_requests(&mut self) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        for (index, server) in self.servers.iter_mut().enumerate() {
+            let (ended, running): (Vec<_>, Vec<_>) = std::mem::take(&mut server.running)
                 .into_iter()
-                .partition(|(end, _)| *end <= now);
-            state.running = running;
+                .partition(|(end, _)| *end <= self.now);
+            server.running = running;
             for (_, id) in ended {
-                tally.served += usize::from(arrivals[&id] >= cold_at);
+                self.tally.served += usize::from(self.arrivals[&id] >= TIMES.0);
                 let outcome = AttemptOutcome::answered(None);
-                decisions.extend(pool.finish_attempt(now, id, index, outcome));
+                decisions.extend(self.pool.finish_attempt(self.now, id, index, outcome));
             }
         }
-        let load = LOAD * f64::from(SERVERS) * STEP.as_secs();
-        if rng.random_range(0.0..1.0) < load {
-            next_id += 1;
-            arrivals.insert(next_id, now);
-            tally.sent += usize::from(now >= cold_at);
-            decisions.extend(pool.offer(now, PendingRequest::new(next_id, now, now + DEADLINE)));
-        }
-        while let Some(decision) = decisions.pop() {
-            let (id, index) = match decision {
-                Decision::Start { request_id, server } => (request_id, server),
-                Decision::Reject { request_id, .. } => {
-                    let arrived = arrivals[&request_id];
-                    if arrived >= cold_at {
-                        tally.refused += 1;
-                        tally.held += usize::from(now - arrived > DEADLINE.scaled(0.25));
-                    }
-                    continue;
-                }
-            };
-            let state = &mut states[index];
-            if now < state.down_until {
-                tally.lost += 1;
-                let outcome = AttemptOutcome::Unreachable;
-                decisions.extend(pool.finish_attempt(now, id, index, outcome));
-                continue;
-            }
-            let is_cold = now < state.cold_until;
-            let factor = if is_cold { COLD_FACTOR } else { 1.0 };
-            state.running.push((now + SERVICE_TIME.scaled(factor), id));
-            if !is_cold {
-                continue;
-            }
-            state.recent.push_back(now);
-            state.recent.retain(|at| *at + ms(1000) > now);
-            tally.largest_count = tally.largest_count.max(state.recent.len());
-            if state.recent.len() > CRASH_COUNT {
-                tally.crashes += 1;
-                state.recent.clear();
-                state.down_until = now + DOWN_TIME;
-                state.cold_until = now + DOWN_TIME + WARMUP;
-                for (_, id) in std::mem::take(&mut state.running) {
-                    tally.lost += 1;
-                    let outcome = AttemptOutcome::Failed;
-                    decisions.extend(pool.finish_attempt(now, id, index, outcome));
-                }
-            }
+        decisions
+    }
+
+    fn record_rejection(&mut self, id: u64) {
+        let arrived = self.arrivals[&id];
+        if arrived >= TIMES.0 {
+            self.tally.refused += 1;
+            self.tally.held += usize::from(self.now - arrived > DEADLINE.scaled(0.25));
         }
     }
-    if remote == 0 && has_limit {
-        // While the servers are cold, those that are refused learn when there is room.
-        for index in 0..count {
-            let notice = ServerNotice {
-                warmup: Some(WARMUP),
-                ..ServerNotice::EMPTY
-            };
-            pool.record_notice(now, index, None, notice, NoticeSource::Probe);
+
+    /// Starts a request at a server, which crashes if it gets too many while it is cold.
+    fn start_request(&mut self, id: u64, index: usize) -> Vec<Decision> {
+        let now = self.now;
+        let server = &mut self.servers[index];
+        if now < server.down_until {
+            self.tally.lost += 1;
+            let outcome = AttemptOutcome::Unreachable;
+            return self.pool.finish_attempt(now, id, index, outcome);
+        }
+        let is_cold = now < server.cold_until;
+        let factor = if is_cold { COLD_FACTOR } else { 1.0 };
+        server.running.push((now + SERVICE_TIME.scaled(factor), id));
+        if !is_cold {
+            return Vec::new();
         }
-        let (room, restriction) = pool.get_restriction(now, None, &[]).unwrap();
-        assert_eq!(restriction, Restriction::Warmup);
-        assert!(room <= ms(500), "{room:?}");
+        server.recent.push_back(now);
+        server.recent.retain(|at| *at + ms(1000) > now);
+        self.tally.largest_count = self.tally.largest_count.max(server.recent.len());
+        if server.recent.len() <= CRASH_COUNT {
+            return Vec::new();
+        }
+        self.tally.crashes += 1;
+        server.recent.clear();
+        server.down_until = now + DOWN_TIME;
+        server.cold_until = now + DOWN_TIME + WARMUP;
+        let mut decisions = Vec::new();
+        for (_, id) in std::mem::take(&mut server.running) {
+            self.tally.lost += 1;
+            let outcome = AttemptOutcome::Failed;
+            decisions.extend(self.pool.finish_attempt(now, id, index, outcome));
+        }
+        decisions
     }
-    tally
+}
+
+fn run(has_limit: bool, remote: u8) -> Tally {
+    let mut model = Model::new(has_limit, remote);
+    model.run();
+    model.tally
 }
 
 /// Guards against servers that crash again and again since they get the load of warm ones, and against requests
@@ -213,3 +241,16 @@
     println!("{after:?}");
     assert_eq!((after.crashes, after.lost, after.refused), (0, 0, 0));
 }
+
+/// Guards against a `Retry-After` that ignores when the servers of a cold data centre have room.
+#[test]
+fn refused_request_learns_when_cold_servers_have_room() {
+    let mut model = Model::new(true, 0);
+    for server in &mut model.servers {
+        server.cold_until = WARMUP;
+    }
+    model.report_warmth();
+    let (room, restriction) = model.pool.get_restriction(ms(0), None, &[]).unwrap();
+    assert_eq!(restriction, Restriction::Warmup);
+    assert!(ms(200) <= room && room <= ms(500), "{room:?}");
+}
--- a/lentilcart_bench/tests/testsuite/soak.rs
+++ b/lentilcart_bench/tests/testsuite/soak.rs
@@ -5,8 +5,8 @@
 
 use lentilcart_bench::cluster::binary_path;
 use lentilcart_bench::soak::{
-    Outcome, RouteVersion, Run, SentRequest, SoakOptions, SoakReport, SoakSize, find_faults,
-    parse_faults, run_soak,
+    ColdArrival, Outcome, RouteVersion, Run, SentRequest, SoakOptions, SoakReport, SoakSize,
+    find_cold_faults, find_faults, parse_faults, run_soak,
 };
 use tokio::sync::Mutex;
 
@@ -183,6 +183,36 @@
     assert_eq!(find_rules(&late, &[], true), "LOST");
 }
 
+/// Guards against a soak that passes though a cold server got too many requests in a span of a second that is not a
+/// calendar second, and against one that adds up servers or longer spans.
+#[test]
+fn find_cold_faults_by_server_and_second() {
+    let arrival = |server: &str, at| ColdArrival {
+        server: server.into(),
+        request: "r1".into(),
+        at,
+    };
+    let bunched: Vec<_> = (0..15)
+        .map(|number| arrival("i-1", 600 + number * 60))
+        .collect();
+    assert_eq!(find_cold_faults(&bunched, 14.9)[0].rule, "COLD");
+    assert_eq!(find_cold_faults(&bunched, 15.0), []);
+    let spread = (0..30).map(|number| arrival(["i-1", "i-2"][number % 2], number as u64 * 35));
+    let spread: Vec<_> = spread.collect();
+    assert_eq!(find_cold_faults(&spread, 15.0), []);
+}
+
+/// Guards against cold servers that get more requests than their limit from entries as processes of their own, while
+/// servers restart cold, or become cold while they run, and entries are stopped, killed and paused.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_cold_servers_get_few_requests() {
+    let report = play("cold,entry-term,entry-kill,entry-stop", 14, 1.0, 4.0).await;
+    assert!(report.faults.is_empty(), "{}", report.stories);
+    for played in ["cold-start", "cold-again", "reached a cold server"] {
+        assert!(report.played.contains_key(played), "{played}: {report:?}");
+    }
+}
+
 /// Returns the number of the next soak of this process, for the name of its folder.
 fn take_number() -> usize {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
@@ -242,6 +272,7 @@
         ("check-mixed,check-config,route-drop", 6, "CONFIG MIXED"),
         ("check-lost", 8, "LOST"),
         ("check-route,server-move", 4, "ROUTE"),
+        ("check-cold,cold-again", 6, "COLD"),
     ] {
         let report = play(faults, seconds, 1.0, 4.0).await;
         let rules: Vec<_> = report.broken.keys().copied().collect();
@@ -253,7 +284,8 @@
 #[test]
 fn parse_faults_by_name_and_group() {
     assert_eq!(parse_faults("none").unwrap().len(), 0);
-    assert_eq!(parse_faults("all").unwrap().len(), 31);
+    assert_eq!(parse_faults("all").unwrap().len(), 33);
+    assert_eq!(parse_faults("cold").unwrap().len(), 2);
     assert_eq!(parse_faults("faulty-servers,entry-term").unwrap().len(), 21);
     assert_eq!(parse_faults("copy-ok,copy-refused").unwrap().len(), 2);
     let error = parse_faults("server,serfer").unwrap_err();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -426,12 +426,16 @@
     send_attempt(gateway, context, permit, request).await
 }
 
-/// Returns whether the server of a permit still wants requests from this entry, as far as this entry knows.
+/// Returns whether the server of a permit still wants requests from this entry, as far as this entry knows, and the
+/// permit is not too old for a cold one.
 fn is_wanted(gateway: &Gateway, dispatcher: &Dispatcher, permit: &Permit) -> bool {
     let own_address = gateway.settings.load().listen.peer;
     is_serving(gateway, &permit.server_id)
         && !dispatcher.is_held_off(permit.address, own_address)
         && gateway.is_within_warmup(dispatcher, permit)
+        && permit
+            .get_send_limit()
+            .is_none_or(|limit| gateway.clock.now() < limit)
 }
 
 /// Waits until an attempt must not be sent any more: it was given up, or its server is cold and the permit is
@@ -527,9 +531,7 @@
         Err(SendError::NotSent(reason, _)) => {
             attempt_log.write_not_sent(&reason);
             // The connection may have been given up or declined, which says nothing about the server.
-            let is_late = send_limit.is_some_and(|limit| gateway.clock.now() >= limit);
-            let is_cancelled =
-                give_up.is_cancelled() || is_late || !is_wanted(gateway, &dispatcher, &permit);
+            let is_cancelled = give_up.is_cancelled() || !is_wanted(gateway, &dispatcher, &permit);
             permit.release(if is_cancelled {
                 AttemptOutcome::Cancelled
             } else {
--- a/src/gateway/on_demand_probe.rs
+++ b/src/gateway/on_demand_probe.rs
@@ -20,6 +20,7 @@
 use super::gateway::Gateway;
 use super::permit_table::is_serving;
 use super::probe::{ProbeTarget, probe};
+use super::warmup::count_held_back;
 use crate::entry::{Dispatcher, Permit};
 
 /// Gets a permit from this entry's own dispatcher, for a server that is serving after the probes.
@@ -36,7 +37,7 @@
         let permit = acquire_probed_permit(gateway, dispatcher, &mut request).await?;
         if !gateway.is_within_warmup(dispatcher, &permit) {
             // The probe has shown that the server is cold. The request may have its turn there later.
-            gateway.count_held_back(dispatcher);
+            count_held_back(dispatcher);
             permit.release(AttemptOutcome::Cancelled);
             continue;
         }
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -21,6 +21,7 @@
 use super::datagram::{Datagram, PermitRequest};
 use super::gateway::Gateway;
 use super::on_demand_probe::acquire_local_permit;
+use super::warmup::count_held_back;
 use crate::entry::{Dispatcher, Permit};
 
 /// Timeout for any reply of an owner: long enough for several scheduling pauses of an owner whose host
@@ -153,7 +154,7 @@
             return Ok(permit);
         }
         if !is_within_warmup {
-            gateway.count_held_back(dispatcher);
+            count_held_back(dispatcher);
         }
         log::info!(owner:% = owner, server:% = permit.server_id, is_held_off, is_excluded, is_within_warmup; "server of the granted permit is not serving");
         permit.release(AttemptOutcome::Cancelled);
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -79,17 +79,13 @@
     };
     let reply = call(StoreCall::RenewLease(lease)).await?;
     gateway.record_store_reply();
-    Ok(match reply {
-        StoreReply::LeaseNotFound => {
-            log::info!("lease lost");
-            gateway.lock_pacer_lease().record_lost();
-            None
-        }
-        _ => {
-            gateway.lock_pacer_lease().record_renewed(sent);
-            Some(lease)
-        }
-    })
+    if reply == StoreReply::LeaseNotFound {
+        log::info!("lease lost");
+        gateway.lock_pacer_lease().record_lost();
+        return Ok(None);
+    }
+    gateway.lock_pacer_lease().record_renewed(sent);
+    Ok(Some(lease))
 }
 
 /// Returns the key of this entry's registration.
--- a/src/gateway/warmup.rs
+++ b/src/gateway/warmup.rs
@@ -147,12 +147,6 @@
         !is_cold || permit.get_send_limit().is_some_and(|limit| now < limit)
     }
 
-    /// Counts a permit that is given back because its server is cold.
-    pub(crate) fn count_held_back(&self, dispatcher: &Dispatcher) {
-        let service = dispatcher.service.to_string();
-        metrics::counter!("lentilcart_warmup_held_back_total", "service" => service).increment(1);
-    }
-
     /// Checks the server of a hedge: the owner, which chooses the servers of all other attempts, probes them
     /// itself. Returns whether the hedge may be sent.
     pub(crate) async fn check_hedge(
@@ -168,8 +162,14 @@
             && is_answered
             && self.is_within_warmup(dispatcher, permit);
         if !may_send {
-            self.count_held_back(dispatcher);
+            count_held_back(dispatcher);
         }
         may_send
     }
 }
+
+/// Counts a permit that is given back because its server is cold.
+pub(crate) fn count_held_back(dispatcher: &Dispatcher) {
+    let service = dispatcher.service.to_string();
+    metrics::counter!("lentilcart_warmup_held_back_total", "service" => service).increment(1);
+}
