--- a/lentilcart_state/src/lib.rs
+++ b/lentilcart_state/src/lib.rs
@@ -43,7 +43,7 @@
 pub use self::directory::{ServerDirectory, ServerRegistration};
 pub use self::error::{FieldError, StateError, TicketFileError};
 pub use self::evacuation::{Evacuation, EvacuationChange, EvacuationSource, EvacuationTable};
-pub use self::member::{Member, MemberTable, rendezvous_rank};
+pub use self::member::{Member, MemberTable, PacerLease, rendezvous_rank};
 pub use self::mirror::{
     Mirror, MirrorChange, MirrorSnapshot, Precondition, StoreCall, StoreEvent, StoreItem, StorePut,
     StoreReply,
--- a/lentilcart_state/tests/testsuite/main.rs
+++ b/lentilcart_state/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod kv_service;
 mod members;
 mod mirror;
+mod pacer;
 mod parse;
 mod routing;
 mod submit;
--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -104,6 +104,9 @@
             .keys()
             .map(|service| (service.clone(), get_or_create(service)))
             .collect();
+        for dispatcher in dispatchers.values() {
+            self.set_warmup_rules(&table, dispatcher);
+        }
         let added = dispatchers
             .keys()
             .filter(|name| !old.dispatchers.contains_key(*name));
@@ -251,13 +254,14 @@
                     address: registration.address,
                     id: registration.id.clone(),
                     started_ms: registration.started_ms,
-                    warmup_until: now + registration.warmup_remaining,
+                    warmup_until: self.get_warmup_end(now, registration),
                     data_center: registration.data_center.clone(),
                     slots: registration.slots,
                 })
                 .collect();
             dispatcher.update_pool(|pool, now| pool.set_servers(now, &servers));
         }
+        self.fit_warmup_ends();
     }
 
     /// Applies changed registrations of entries to the member table.
@@ -277,6 +281,7 @@
                             false,
                         );
                         self.record_registered_entry(&heartbeat);
+                        members.record_listed(&heartbeat.name);
                     }
                     Err(error) => log::warn!(key:% = item.key; "entry ignored: {error}"),
                 },
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -27,6 +27,7 @@
         };
         sleep_unless_stopped(&gateway, get_renewal_interval(&gateway).into()).await;
     }
+    gateway.lock_pacer_lease().record_lost();
     if let Some(lease) = lease
         && let Err(reason) = (gateway.store.call)(StoreCall::EndLease(lease)).await
     {
@@ -49,6 +50,7 @@
 /// then, or `None` if it was lost or the registration was not written.
 async fn renew_or_open(gateway: &Gateway, lease: Option<u64>) -> Result<Option<u64>, String> {
     let call = &gateway.store.call;
+    let sent = gateway.clock.now();
     let Some(lease) = lease else {
         let duration = gateway.settings.load().store.lease_ttl;
         let StoreReply::LeaseOpened(lease) = call(StoreCall::OpenLease(duration)).await? else {
@@ -70,19 +72,25 @@
             deletes: Vec::new(),
         };
         return match call(write).await? {
-            StoreReply::Written(_) => Ok(Some(lease)),
+            StoreReply::Written(revision) => {
+                let now = gateway.clock.now();
+                gateway
+                    .lock_pacer_lease()
+                    .record_written(now, sent, revision);
+                Ok(Some(lease))
+            }
             _ => Ok(None),
         };
     };
     let reply = call(StoreCall::RenewLease(lease)).await?;
     gateway.record_store_reply();
-    Ok(match reply {
-        StoreReply::LeaseNotFound => {
-            log::info!("lease lost");
-            None
-        }
-        _ => Some(lease),
-    })
+    if reply == StoreReply::LeaseNotFound {
+        log::info!("lease lost");
+        gateway.lock_pacer_lease().record_lost();
+        return Ok(None);
+    }
+    gateway.lock_pacer_lease().record_renewed(sent);
+    Ok(Some(lease))
 }
 
 /// Returns the key of this entry's registration.
