feat(gateway): identify client accounts by their keys

A route that is not public gets its client account before the body is read; a missing, malformed or unknown key is refused with 401, or with 503 while a live entry has newer routes. The account's rank replaces that of the route. Metric lentilcart_account_requests_total counts by account, with one name for all unknown keys.

--- a/lentilcart_state/src/routing/account_table.rs
+++ b/lentilcart_state/src/routing/account_table.rs
@@ -1,26 +1,23 @@
-use std::collections::HashMap;
-use std::collections::hash_map::RandomState;
 use std::fmt;
 use std::sync::Arc;
 
-use lentilcart_util::Name;
+use lentilcart_util::Map;
 
-use super::Account;
+use super::{Account, AccountKey};
 
 /// The client accounts of one version of the routes, by their keys.
 ///
-/// Keys are secrets: the debug output does not contain them.
+/// Keys are secrets: the table holds a keyed hash of each, and the debug output does not contain them.
 #[derive(Default)]
 pub struct AccountTable {
     accounts: Vec<Arc<Account>>,
-    // Hashed with a random key, so that the time of a look-up tells nothing of the keys in the table.
-    by_key: HashMap<Name, Arc<Account>, RandomState>,
+    by_key: Map<AccountKey, Arc<Account>>,
 }
 
 impl AccountTable {
     /// Creates a table of accounts and their keys. A key that two accounts have belongs to the last one.
     #[must_use]
-    pub fn new(accounts: impl IntoIterator<Item = (Account, Vec<Name>)>) -> Self {
+    pub fn new(accounts: impl IntoIterator<Item = (Account, Vec<AccountKey>)>) -> Self {
         let mut table = Self::default();
         for (account, keys) in accounts {
             let account = Arc::new(account);
@@ -45,7 +42,13 @@
     /// Returns the account that has a key.
     #[must_use]
     pub fn find(&self, key: &str) -> Option<&Arc<Account>> {
-        self.by_key.get(key)
+        self.find_hashed(AccountKey::new(key.as_bytes()))
+    }
+
+    /// Returns the account that has the key with this hash.
+    #[must_use]
+    pub fn find_hashed(&self, key: AccountKey) -> Option<&Arc<Account>> {
+        self.by_key.get(&key)
     }
 }
 
--- a/lentilcart_state/src/routing/headers.rs
+++ b/lentilcart_state/src/routing/headers.rs
@@ -5,6 +5,8 @@
     pub request_id: &'static str,
     /// Header with the time that remains for the request, in milliseconds.
     pub deadline: &'static str,
+    /// Header in which an entry tells the server the client account of a request.
+    pub account: &'static str,
     /// Header with the identifier of the server that a request is meant for, as in its
     /// registration.
     pub expected_instance: &'static str,
--- a/lentilcart_state/src/routing/mod.rs
+++ b/lentilcart_state/src/routing/mod.rs
@@ -2,6 +2,7 @@
 //! change tickets are in `ticket`.
 
 mod account;
+mod account_key;
 mod account_table;
 mod headers;
 mod limits;
@@ -9,6 +10,7 @@
 mod table;
 
 pub use self::account::{Account, AccountLimit};
+pub use self::account_key::AccountKey;
 pub use self::account_table::AccountTable;
 pub use self::headers::HeaderNames;
 pub use self::limits::CallerLimits;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use lentilcart_platform::{HEADER_NAMES, decode_load_report};
 use lentilcart_route::{AttemptOutcome, Rejection, Restriction, ServerPool};
-use lentilcart_state::{PathRoute, RequestClass};
+use lentilcart_state::{Account, PathRoute, RequestClass};
 use lentilcart_util::{Micros, Name};
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -45,6 +45,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: bytes::Bytes,
     pub(crate) route: Arc<PathRoute>,
+    /// Client account of the request; `None` where it needs none.
+    pub(crate) account: Option<Arc<Account>>,
     /// Arrival time by the gateway's clock.
     pub(crate) arrived: Micros,
     /// Time by the gateway's clock at which the request, its body included, had been read.
@@ -121,6 +123,13 @@
         self.route.class == RequestClass::Idempotent
     }
 
+    /// Returns the dispatch rank: that of the client account, if it has one, takes precedence over that of
+    /// the route.
+    fn get_rank(&self) -> u8 {
+        let account_rank = self.account.as_ref().and_then(|account| account.rank);
+        account_rank.unwrap_or(self.route.rank)
+    }
+
     /// Combines the results of an attempt and its hedge. If one of them was not sent, it is taken off the
     /// attempts; if neither was, [`dispatch`] takes off the other with the result.
     fn combine_results(&mut self, first: AttemptResult, second: AttemptResult) -> AttemptResult {
@@ -156,8 +165,8 @@
         PermitRequest {
             id: gateway.next_attempt_id(),
             service: dispatcher.service.clone(),
-            // A route's rank counts the other way: a lower rank is dispatched first.
-            priority: MAX_PRIORITY.saturating_sub(self.route.rank),
+            // Ranks count the other way: a lower rank is dispatched first.
+            priority: MAX_PRIORITY.saturating_sub(self.get_rank()),
             at_most_once: !self.is_idempotent(),
             age: now - self.arrived,
             until_objective: self.arrived + self.route.latency_objective - now,
--- a/src/gateway/error_reply.rs
+++ b/src/gateway/error_reply.rs
@@ -1,4 +1,4 @@
-use hyper::header::RETRY_AFTER;
+use hyper::header::{RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
 use lentilcart_util::{Micros, common};
 use serde_json::json;
@@ -20,8 +20,11 @@
         NoRoutes,
         /// No route in force matches.
         UnknownRoute,
-        /// No route in force matches, and a live entry has newer routes that this one has yet to get.
+        /// No route in force matches, or the key is not in force, and a live entry has newer routes that this
+        /// one has yet to get.
         RoutesBehind,
+        /// The route is not public, and the key of a client account is missing, malformed or not in force.
+        UnknownKey,
         /// The service has no server that may get requests.
         NoServer,
         /// No server would be free in time.
@@ -70,6 +73,7 @@
             Self::NoRoutes => "no-routes",
             Self::UnknownRoute => "unknown-route",
             Self::RoutesBehind => "routes-behind",
+            Self::UnknownKey => "unknown-key",
             Self::NoServer => "no-server",
             Self::Overload => "overload",
             Self::Stopping => "stopping",
@@ -91,6 +95,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoUsableResponse => StatusCode::BAD_GATEWAY,
             Self::StoppingMayHaveRun | Self::TimeoutMayHaveRun => StatusCode::GATEWAY_TIMEOUT,
             Self::NoMemory
@@ -128,6 +133,9 @@
             // Seconds with three decimals, though HTTP defines whole seconds: most values are below one.
             builder = builder.header(RETRY_AFTER, format!("{:.3}", retry_after.as_secs()));
         }
+        if status == StatusCode::UNAUTHORIZED {
+            builder = builder.header(WWW_AUTHENTICATE, "Bearer");
+        }
         builder
             .body(full_body(format!("{body}\n")))
             .expect("the parts are valid")
--- /dev/null
+++ b/src/gateway/identity.rs
@@ -0,0 +1,77 @@
+//! Finds the client account of a request by its key.
+
+use std::sync::Arc;
+
+use hyper::header::{AUTHORIZATION, HeaderMap, HeaderValue};
+use lentilcart_state::{Account, AccountKey, PathRoute, RouteTable};
+use lentilcart_util::common;
+
+/// Scheme of the header with the key (RFC 6750, section 2.1), of which the case does not matter.
+const KEY_SCHEME: &[u8] = b"bearer";
+
+common! { value,
+    /// Why a request has no client account, though its route needs one.
+    pub(crate) enum KeyRefusal {
+        /// There is no key.
+        Missing,
+        /// There is something else than one key, or several different keys.
+        Malformed,
+        /// No account in force has the key.
+        Unknown,
+    }
+}
+
+impl KeyRefusal {
+    /// Returns the text for callers and logs.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Missing => "the key is missing",
+            Self::Malformed => "the key is malformed",
+            Self::Unknown => "the key is unknown",
+        }
+    }
+}
+
+/// Returns the client account of a request by its key, or `None` where it needs none: its route is public,
+/// or there are no accounts.
+///
+/// # Errors
+///
+/// Returns why the key is refused.
+pub(crate) fn find_account(
+    table: &RouteTable,
+    route: &PathRoute,
+    headers: &HeaderMap,
+) -> Result<Option<Arc<Account>>, KeyRefusal> {
+    if route.public || table.accounts.is_empty() {
+        return Ok(None);
+    }
+    let key = find_key(headers)?;
+    let account = table.accounts.find_hashed(key);
+    account.cloned().map(Some).ok_or(KeyRefusal::Unknown)
+}
+
+/// Returns the key of a request. Several headers with the same key count as one.
+fn find_key(headers: &HeaderMap) -> Result<AccountKey, KeyRefusal> {
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let first = values.next().ok_or(KeyRefusal::Missing)?;
+    let key = parse_key(first).ok_or(KeyRefusal::Malformed)?;
+    if values.all(|value| parse_key(value) == Some(key)) {
+        Ok(key)
+    } else {
+        Err(KeyRefusal::Malformed)
+    }
+}
+
+/// Returns the key of a header value such as `Bearer KEY`, or `None` for a value of another form. A key has
+/// neither spaces nor commas.
+fn parse_key(value: &HeaderValue) -> Option<AccountKey> {
+    let value = value.as_bytes().trim_ascii();
+    let (scheme, rest) = value.split_at_checked(KEY_SCHEME.len())?;
+    let key = rest.strip_prefix(b" ")?.trim_ascii_start();
+    let is_whole = !key
+        .iter()
+        .any(|byte| byte.is_ascii_whitespace() || *byte == b',');
+    let is_valid = scheme.eq_ignore_ascii_case(KEY_SCHEME) && !key.is_empty() && is_whole;
+    is_valid.then(|| AccountKey::new(key))
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! this one included; peers are the others.
 //!
 //! Requests: `serve` reads a caller's request and matches a route, `body_memory` bounds the memory of all
-//! bodies, `attempt` sends it and retries,
+//! bodies, `identity` finds the client account of a request by its key, `attempt` sends it and retries,
 //! `permit_table` gets the permit for each attempt, `on_demand_probe` probes the chosen server, if its
 //! load report is old, before the request is sent, `response` classifies what the server sends back,
 //! `notice` reads what the server says of itself there, and `error_reply` is the reply if no server's response can be passed on.
@@ -28,6 +28,7 @@
 #[allow(clippy::module_inception)]
 mod gateway;
 mod handle;
+mod identity;
 mod listing_size;
 mod mirror;
 mod notice;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -18,6 +18,7 @@
 use super::body_memory::NoRoom;
 use super::error_reply::{ErrorReason, ErrorReply};
 use super::gateway::{ActiveRoutes, Gateway};
+use super::identity::find_account;
 use super::response::is_refusal;
 use crate::http::{
     BodyEnd, HttpBody, NotifyOnEnd, find_request_error, get_header_duration, get_header_text,
@@ -46,6 +47,9 @@
 /// Remaining time assumed when computing `Retry-After` if no route has been matched and the caller sets
 /// no deadline.
 const DEFAULT_REMAINING: Micros = Micros::from_millis(1000);
+/// What logs and metrics show instead of the account of a request whose key is refused. One name for all of
+/// them, so that callers cannot add series to the metrics.
+const UNKNOWN_ACCOUNT: &str = "unknown";
 
 /// What the log line and the metrics of a request report, and the remaining time, which bounds
 /// `Retry-After`.
@@ -53,6 +57,8 @@
     id: Name,
     route: Name,
     service: Name,
+    /// Name of the client account, or [`UNKNOWN_ACCOUNT`] if its key is refused; `None` where none is needed.
+    account: Option<Name>,
     /// Attempts, counted like [`GatewayRequest::attempts`].
     attempts: u32,
     /// Length of this entry's own queue for the service when the request was rejected, else 0.
@@ -79,6 +85,7 @@
             .into(),
         route: "none".into(),
         service: "none".into(),
+        account: None,
         attempts: 0,
         queue_len: 0,
         restriction: None,
@@ -89,6 +96,7 @@
     let guard = InFlightGuard(gateway.clone());
     let result = handle_request(&gateway, request, started, &mut summary).await;
     let elapsed = gateway.clock.now() - started;
+    let account = summary.account.as_deref().unwrap_or("none");
     let mut response = match result {
         Ok(mut response) => {
             if is_refusal(response.status()) {
@@ -96,7 +104,7 @@
                 response.headers_mut().remove(HEADER_NAMES.retry_after);
             }
             record_metrics(&summary, "answered", elapsed);
-            log::debug!(request:% = summary.id, route:% = summary.route, took_ms = elapsed.as_millis(); "answered");
+            log::debug!(request:% = summary.id, route:% = summary.route, account, took_ms = elapsed.as_millis(); "answered");
             response
         }
         Err(mut reply) => {
@@ -113,7 +121,7 @@
                 .increment(1);
             }
             log::info!(
-                request:% = summary.id, route:% = summary.route, service:% = summary.service,
+                request:% = summary.id, route:% = summary.route, service:% = summary.service, account,
                 reason = reply.reason.as_str(), status = reply.reason.get_status().as_u16(),
                 sent = summary.attempts, waiting = summary.queue_len, restricted, number = summary.routes_version, took_ms = elapsed.as_millis(),
                 detail = reply.detail.as_str();
@@ -151,6 +159,13 @@
         "route" => route, "service" => service.clone(), "outcome" => outcome
     )
     .increment(1);
+    if let Some(account) = &summary.account {
+        metrics::counter!(
+            "lentilcart_account_requests_total",
+            "account" => account.to_string(), "outcome" => outcome
+        )
+        .increment(1);
+    }
     metrics::histogram!("lentilcart_request_seconds", "service" => service)
         .record(elapsed.as_secs());
 }
@@ -200,11 +215,24 @@
     let route = match routes.table.find_route(&host, request.uri().path()) {
         _ if routes.table.version == 0 => return Err(ErrorReply::new(ErrorReason::NoRoutes, "")),
         Some(route) => route.clone(),
-        None => return Err(ErrorReply::new(get_unmatched_reason(gateway, &routes), "")),
+        None => {
+            let reason = get_missing_reason(gateway, &routes, ErrorReason::UnknownRoute);
+            return Err(ErrorReply::new(reason, ""));
+        }
     };
     summary.route = route.name.clone();
     summary.remaining = requested.map_or(route.timeout, |requested| requested.min(route.timeout));
     let deadline = arrived + summary.remaining;
+    let account = match find_account(&routes.table, &route, request.headers()) {
+        Ok(account) => account,
+        Err(refusal) => {
+            summary.account = Some(UNKNOWN_ACCOUNT.into());
+            let reason = get_missing_reason(gateway, &routes, ErrorReason::UnknownKey);
+            return Err(ErrorReply::new(reason, refusal.as_str()));
+        }
+    };
+    // From here on the account is known, and nothing of the body has been read.
+    summary.account = account.as_ref().map(|account| account.name.clone());
     let service = route.pick_service().clone();
     summary.service = service.clone();
     let to_instant = |time| Instant::from_std(gateway.clock.to_instant(time));
@@ -247,6 +275,7 @@
         headers: parts.headers,
         body,
         route,
+        account,
         arrived,
         received: gateway.clock.now(),
         deadline,
@@ -263,9 +292,13 @@
     result
 }
 
-/// Returns the error reason for a request that no route matches: [`ErrorReason::RoutesBehind`] if a
-/// live entry has newer routes, which may contain the route, else [`ErrorReason::UnknownRoute`].
-fn get_unmatched_reason(gateway: &Gateway, routes: &ActiveRoutes) -> ErrorReason {
+/// Returns the error reason for a request whose route or key is not in force: [`ErrorReason::RoutesBehind`]
+/// if a live entry has newer routes, which may contain it, else `reason`.
+fn get_missing_reason(
+    gateway: &Gateway,
+    routes: &ActiveRoutes,
+    reason: ErrorReason,
+) -> ErrorReason {
     let now = gateway.clock.now();
     let members = gateway.lock_members();
     let newer = members.iter().any(|(name, member)| {
@@ -274,7 +307,7 @@
     if newer {
         ErrorReason::RoutesBehind
     } else {
-        ErrorReason::UnknownRoute
+        reason
     }
 }
 
