--- a/lentilcart_state/src/lib.rs
+++ b/lentilcart_state/src/lib.rs
@@ -49,8 +49,8 @@
 pub use self::parse::parse_ticket;
 pub use self::platform::{KvReply, KvRequest, VersionedValue};
 pub use self::routing::{
-    Account, AccountKey, AccountLimit, AccountTable, CallerLimits, HeaderNames, PathRoute,
-    RouteTable, ServiceLimits, WarmupLimit, WeightedService,
+    Account, AccountKey, AccountLimit, AccountTable, CallerLimits, HeaderNames, KeyState,
+    PathRoute, RouteTable, ServiceLimits, WarmupLimit, WeightedService,
 };
 pub use self::ticket::{
     EjectLimits, ProbeBudget, RequestClass, RetryLimits, Route, Server, Service, Ticket,
--- a/lentilcart_state/src/mirror/call.rs
+++ b/lentilcart_state/src/mirror/call.rs
@@ -1,16 +1,29 @@
-use lentilcart_util::{Micros, Name, common};
+use std::fmt;
 
-common! { message,
-    /// A key of the store with its value.
-    #[derive(Eq)]
-    pub struct StoreItem {
-        /// Key.
-        pub key: Name,
-        /// Value.
-        #[serde(with = "serde_bytes")]
-        pub value: Vec<u8>,
-        /// Revision of the store at which the key was last written.
-        pub revision: u64,
+use lentilcart_util::{Micros, Name};
+use serde::{Deserialize, Serialize};
+
+/// A key of the store with its value. The debug output has only the length of the value, which may hold the keys
+/// of client accounts.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreItem {
+    /// Key.
+    pub key: Name,
+    /// Value.
+    #[serde(with = "serde_bytes")]
+    pub value: Vec<u8>,
+    /// Revision of the store at which the key was last written.
+    pub revision: u64,
+}
+
+impl fmt::Debug for StoreItem {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("StoreItem")
+            .field("key", &self.key)
+            .field("value", &format_args!("{} bytes", self.value.len()))
+            .field("revision", &self.revision)
+            .finish()
     }
 }
 
@@ -32,8 +45,9 @@
     pub revision: u64,
 }
 
-/// A key to write, with its new value.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// A key to write, with its new value. The debug output has only the length of the value, as that of
+/// [`StoreItem`].
+#[derive(Clone, PartialEq, Eq)]
 pub struct StorePut {
     /// Key.
     pub key: Name,
@@ -43,6 +57,17 @@
     pub lease: u64,
 }
 
+impl fmt::Debug for StorePut {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("StorePut")
+            .field("key", &self.key)
+            .field("value", &format_args!("{} bytes", self.value.len()))
+            .field("lease", &self.lease)
+            .finish()
+    }
+}
+
 /// A call to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreCall {
--- a/lentilcart_state/src/routing/account.rs
+++ b/lentilcart_state/src/routing/account.rs
@@ -3,7 +3,7 @@
 /// Client account: whose requests a key allows, how urgent they are and how many are allowed.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Account {
-    /// Name of the account, which servers are told.
+    /// Name of the account, which servers are told; valid as the value of a header.
     pub name: Name,
     /// Dispatch rank of the account's requests, which takes precedence over that of the route; 0 is dispatched
     /// first. `None` where the route's rank counts.
