feat(gateway): tell servers the account, and check keys before each attempt

Where there are accounts, the entry removes Authorization and every spelling of X-Tenant from requests, also on public routes, and sets X-Tenant itself. Before each attempt and hedge the key is looked up again: if no account has it any more the request gets 401, if another account has it 503, unless something may have run. Responses of what runs already are delivered. Routes are compared with those in force and replaced under a lock: two threads that decode at the same time could put the older ones in force.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use lentilcart_platform::{HEADER_NAMES, decode_load_report};
 use lentilcart_route::{AttemptOutcome, Rejection, Restriction, ServerPool};
-use lentilcart_state::{Account, PathRoute, RequestClass};
+use lentilcart_state::{Account, AccountKey, KeyState, PathRoute, RequestClass};
 use lentilcart_util::{Micros, Name};
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -18,6 +18,7 @@
 use super::datagram::PermitRequest;
 use super::error_reply::{ErrorReason, ErrorReply};
 use super::gateway::Gateway;
+use super::identity::{remove_account_headers, set_account_header};
 use super::permit_table::{acquire_permit, is_serving, to_pool_request};
 use super::response::{ResponseVerdict, classify_response, read_response};
 use crate::entry::{Dispatcher, Permit};
@@ -47,6 +48,10 @@
     pub(crate) route: Arc<PathRoute>,
     /// Client account of the request; `None` where it needs none.
     pub(crate) account: Option<Arc<Account>>,
+    /// Key by which the account was found.
+    pub(crate) key: Option<AccountKey>,
+    /// Host that the route was found by.
+    pub(crate) host: String,
     /// Arrival time by the gateway's clock.
     pub(crate) arrived: Micros,
     /// Time by the gateway's clock at which the request, its body included, had been read.
@@ -149,6 +154,26 @@
         })
     }
 
+    /// Checks the request against the client accounts in force right before it is sent, and removes from its
+    /// headers what servers must not see if there are any accounts.
+    ///
+    /// Returns why it must not be sent, or `None` if it may: its key may have been taken away while it waited.
+    fn check_account(&mut self, gateway: &Gateway) -> Option<ErrorReason> {
+        let routes = gateway.get_active_routes();
+        if !routes.table.accounts.is_empty() {
+            remove_account_headers(&mut self.headers);
+        }
+        let (account, key) = (self.account.as_ref()?, self.key?);
+        let state = routes
+            .table
+            .get_key_state(key, account, &self.host, self.uri.path());
+        match state {
+            KeyState::Held => None,
+            KeyState::Moved => Some(ErrorReason::AccountChanged),
+            KeyState::Removed => Some(gateway.get_missing_reason(&routes, ErrorReason::UnknownKey)),
+        }
+    }
+
     /// Returns the request for a permit to send the next attempt to a server that is not `excluded` and
     /// wants requests from this entry.
     fn get_permit_request(
@@ -184,6 +209,9 @@
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
         let headers = request.headers_mut();
+        if let Some(account) = &self.account {
+            set_account_header(headers, account);
+        }
         let remaining_ms = (self.deadline - now).0 / 1000;
         headers.insert(HEADER_NAMES.deadline, HeaderValue::from(remaining_ms));
         set_header(headers, HEADER_NAMES.expected_instance, server_id);
@@ -294,6 +322,9 @@
         if !inbound.may_begin_attempt(gateway, dispatcher) {
             return inbound.finish(last, ErrorReason::Stopping);
         }
+        if let Some(reason) = inbound.check_account(gateway) {
+            return inbound.finish(last, reason);
+        }
         excluded.push(permit.address);
         inbound.attempts += 1;
         let sending = send_with_hedge(gateway, dispatcher, inbound, permit, &mut excluded);
@@ -377,6 +408,9 @@
         Either::Left((result, _)) => return result,
         Either::Right(((), first)) => first,
     };
+    if inbound.check_account(gateway).is_some() {
+        return first.await;
+    }
     let permit_request = inbound.get_permit_request(gateway, dispatcher, excluded);
     let own_address = gateway.settings.load().listen.peer;
     let now = gateway.clock.now();
--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -63,6 +63,11 @@
             }
             Ok(table) => {
                 let version = table.version;
+                // Of two threads that decode at the same time, the later may hold the older routes.
+                let _guard = self.routes_change.lock().expect("no panic under lock");
+                if version <= self.get_active_routes().table.version {
+                    return;
+                }
                 self.fit_bodies(table.limits.body_bytes);
                 self.replace_routes(table);
                 log::info!(number = version, revision; "routes in force");
--- a/src/gateway/error_reply.rs
+++ b/src/gateway/error_reply.rs
@@ -25,6 +25,8 @@
         RoutesBehind,
         /// The route is not public, and the key of a client account is missing, malformed or not in force.
         UnknownKey,
+        /// While the request waited, its key became that of another client account; no server has run it.
+        AccountChanged,
         /// The service has no server that may get requests.
         NoServer,
         /// No server would be free in time.
@@ -74,6 +76,7 @@
             Self::UnknownRoute => "unknown-route",
             Self::RoutesBehind => "routes-behind",
             Self::UnknownKey => "unknown-key",
+            Self::AccountChanged => "account-changed",
             Self::NoServer => "no-server",
             Self::Overload => "overload",
             Self::Stopping => "stopping",
@@ -101,6 +104,7 @@
             Self::NoMemory
             | Self::NoRoutes
             | Self::RoutesBehind
+            | Self::AccountChanged
             | Self::NoServer
             | Self::Overload
             | Self::Stopping
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -14,6 +14,7 @@
 use super::body_memory::BodyMemory;
 use super::datagram::{Datagram, GatewayHeartbeat, LoadUpdate};
 use super::drain::DrainSchedule;
+use super::error_reply::ErrorReason;
 use super::permit_table::PermitTable;
 use super::store_contact::{LatestWatcher, StoreContact};
 use crate::entry::Dispatcher;
@@ -98,6 +99,8 @@
     pub(crate) load_updates: Mutex<VecDeque<LoadUpdate>>,
     /// The routes in force; the inner `Arc` is what requests hold.
     pub(super) active_routes: ArcSwap<Arc<ActiveRoutes>>,
+    /// Held while routes are compared with those in force and replace them.
+    pub(super) routes_change: Mutex<()>,
     leaving: AtomicBool,
     directory: Mutex<ServerDirectory>,
     members: Mutex<MemberTable>,
@@ -157,6 +160,7 @@
             store_revision: watch::Sender::new(0),
             load_updates: Mutex::default(),
             active_routes: ArcSwap::default(),
+            routes_change: Mutex::default(),
             leaving: AtomicBool::new(false),
             directory: Mutex::default(),
             members: Mutex::new(MemberTable::new(settings.name.clone(), own, peer_timeout)),
@@ -182,6 +186,25 @@
         Arc::clone(&self.active_routes.load())
     }
 
+    /// Returns the error reason for a request whose route or key is not in `routes`:
+    /// [`ErrorReason::RoutesBehind`] if a live entry has newer routes, which may contain it, else `reason`.
+    pub(crate) fn get_missing_reason(
+        &self,
+        routes: &ActiveRoutes,
+        reason: ErrorReason,
+    ) -> ErrorReason {
+        let now = self.clock.now();
+        let members = self.lock_members();
+        let newer = members.iter().any(|(name, member)| {
+            member.applied_number > routes.table.version && members.is_live(name, now)
+        });
+        if newer {
+            ErrorReason::RoutesBehind
+        } else {
+            reason
+        }
+    }
+
     /// Returns the path of the health endpoint of a service's servers, if the service is known.
     pub(crate) fn get_health_path(&self, service: &Name) -> Option<Name> {
         let routes = self.get_active_routes();
--- a/src/gateway/identity.rs
+++ b/src/gateway/identity.rs
@@ -1,8 +1,9 @@
-//! Finds the client account of a request by its key.
+//! Finds the client account of a request by its key, and keeps what callers say of it from servers.
 
 use std::sync::Arc;
 
-use hyper::header::{AUTHORIZATION, HeaderMap, HeaderValue};
+use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
+use lentilcart_platform::HEADER_NAMES;
 use lentilcart_state::{Account, AccountKey, PathRoute, RouteTable};
 use lentilcart_util::common;
 
@@ -32,6 +33,13 @@
     }
 }
 
+/// The client account of a request, and the key by which it was found.
+#[derive(Debug, Clone)]
+pub(crate) struct Identity {
+    pub(crate) account: Arc<Account>,
+    pub(crate) key: AccountKey,
+}
+
 /// Returns the client account of a request by its key, or `None` where it needs none: its route is public,
 /// or there are no accounts.
 ///
@@ -42,13 +50,14 @@
     table: &RouteTable,
     route: &PathRoute,
     headers: &HeaderMap,
-) -> Result<Option<Arc<Account>>, KeyRefusal> {
+) -> Result<Option<Identity>, KeyRefusal> {
     if route.public || table.accounts.is_empty() {
         return Ok(None);
     }
     let key = find_key(headers)?;
     let account = table.accounts.find_hashed(key);
-    account.cloned().map(Some).ok_or(KeyRefusal::Unknown)
+    let account = account.cloned().ok_or(KeyRefusal::Unknown)?;
+    Ok(Some(Identity { account, key }))
 }
 
 /// Returns the key of a request. Several headers with the same key count as one.
@@ -75,3 +84,30 @@
     let is_valid = scheme.eq_ignore_ascii_case(KEY_SCHEME) && !key.is_empty() && is_whole;
     is_valid.then(|| AccountKey::new(key))
 }
+
+/// Removes the key and every account name that the caller set. Underscores count as hyphens, since some
+/// servers do not tell them apart.
+pub(crate) fn remove_account_headers(headers: &mut HeaderMap) {
+    let is_account = |name: &HeaderName| name.as_str().replace('_', "-") == HEADER_NAMES.account;
+    let names: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| is_account(name))
+        .cloned()
+        .collect();
+    for name in names.iter().chain(&[AUTHORIZATION]) {
+        headers.remove(name);
+    }
+}
+
+/// Sets the header that tells the server the account of a request. Its name is a valid value, unless the
+/// platform's decoding allows others than it should; the header is left out then, and that is logged.
+pub(crate) fn set_account_header(headers: &mut HeaderMap, account: &Account) {
+    match HeaderValue::from_bytes(account.name.as_bytes()) {
+        Ok(value) => {
+            headers.insert(HEADER_NAMES.account, value);
+        }
+        Err(error) => {
+            log::warn!(account:% = account.name; "account not told to the server: {error}");
+        }
+    }
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -18,7 +18,7 @@
 use super::body_memory::NoRoom;
 use super::error_reply::{ErrorReason, ErrorReply};
 use super::gateway::{ActiveRoutes, Gateway};
-use super::identity::find_account;
+use super::identity::{KeyRefusal, find_account, remove_account_headers};
 use super::response::is_refusal;
 use crate::http::{
     BodyEnd, HttpBody, NotifyOnEnd, find_request_error, get_header_duration, get_header_text,
@@ -208,29 +208,26 @@
     summary.routes_version = routes.table.version;
     let requested = get_header_duration(request.headers(), HEADER_NAMES.deadline);
     summary.remaining = requested.unwrap_or(DEFAULT_REMAINING);
-    let authority = request.uri().authority().map(ToString::to_string);
-    let host =
-        authority.or_else(|| get_header_text(request.headers(), HOST.as_str()).map(str::to_owned));
-    let host = host.unwrap_or_default();
+    let host = get_host(&request);
     let route = match routes.table.find_route(&host, request.uri().path()) {
         _ if routes.table.version == 0 => return Err(ErrorReply::new(ErrorReason::NoRoutes, "")),
         Some(route) => route.clone(),
         None => {
-            let reason = get_missing_reason(gateway, &routes, ErrorReason::UnknownRoute);
+            let reason = gateway.get_missing_reason(&routes, ErrorReason::UnknownRoute);
             return Err(ErrorReply::new(reason, ""));
         }
     };
     summary.route = route.name.clone();
     summary.remaining = requested.map_or(route.timeout, |requested| requested.min(route.timeout));
     let deadline = arrived + summary.remaining;
-    let account = match find_account(&routes.table, &route, request.headers()) {
-        Ok(account) => account,
+    let identity = match find_account(&routes.table, &route, request.headers()) {
+        Ok(identity) => identity,
         Err(refusal) => {
             summary.account = Some(UNKNOWN_ACCOUNT.into());
-            let reason = get_missing_reason(gateway, &routes, ErrorReason::UnknownKey);
-            return Err(ErrorReply::new(reason, refusal.as_str()));
+            return Err(refuse_key(gateway, &routes, refusal, request, deadline));
         }
     };
+    let (account, key) = identity.map(|found| (found.account, found.key)).unzip();
     // From here on the account is known, and nothing of the body has been read.
     summary.account = account.as_ref().map(|account| account.name.clone());
     let service = route.pick_service().clone();
@@ -264,6 +261,9 @@
     let Some(dispatcher) = routes.dispatchers.get(&service) else {
         return Err(ErrorReply::new(ErrorReason::NoServer, ""));
     };
+    if !routes.table.accounts.is_empty() {
+        remove_account_headers(&mut parts.headers);
+    }
     parts.headers.remove(TRANSFER_ENCODING);
     strip_hop_by_hop(&mut parts.headers);
     let path_and_query = parts.uri.path_and_query().cloned();
@@ -276,6 +276,8 @@
         body,
         route,
         account,
+        key,
+        host,
         arrived,
         received: gateway.clock.now(),
         deadline,
@@ -292,23 +294,29 @@
     result
 }
 
-/// Returns the error reason for a request whose route or key is not in force: [`ErrorReason::RoutesBehind`]
-/// if a live entry has newer routes, which may contain it, else `reason`.
-fn get_missing_reason(
-    gateway: &Gateway,
+/// Returns the host that a request is for; empty if it names none.
+fn get_host<B>(request: &Request<B>) -> String {
+    let authority = request.uri().authority().map(ToString::to_string);
+    let host =
+        authority.or_else(|| get_header_text(request.headers(), HOST.as_str()).map(str::to_owned));
+    host.unwrap_or_default()
+}
+
+/// Returns the reply to a request whose key is refused. The body is dropped unread, unless the request may be
+/// accepted soon: its caller needs to read the reply.
+fn refuse_key(
+    gateway: &Arc<Gateway>,
     routes: &ActiveRoutes,
-    reason: ErrorReason,
-) -> ErrorReason {
-    let now = gateway.clock.now();
-    let members = gateway.lock_members();
-    let newer = members.iter().any(|(name, member)| {
-        member.applied_number > routes.table.version && members.is_live(name, now)
-    });
-    if newer {
-        ErrorReason::RoutesBehind
-    } else {
-        reason
+    refusal: KeyRefusal,
+    request: Request<Incoming>,
+    deadline: Micros,
+) -> ErrorReply {
+    let reason = gateway.get_missing_reason(routes, ErrorReason::UnknownKey);
+    if reason == ErrorReason::RoutesBehind {
+        let deadline = Instant::from_std(gateway.clock.to_instant(deadline));
+        discard_body(gateway, request.into_body(), deadline);
     }
+    ErrorReply::new(reason, refusal.as_str())
 }
 
 /// Limits of a request body.
