--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,7 +10,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use lentilcart_platform::{HEADER_NAMES, decode_load_report};
 use lentilcart_route::{AttemptOutcome, Rejection, Restriction, ServerPool};
-use lentilcart_state::{PathRoute, RequestClass};
+use lentilcart_state::{Account, AccountKey, KeyState, PathRoute, RequestClass};
 use lentilcart_util::{Micros, Name};
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -20,6 +20,7 @@
 use super::error_reply::{ErrorReason, ErrorReply};
 use super::evacuations::count_evacuation_refusal;
 use super::gateway::Gateway;
+use super::identity::{remove_account_headers, set_account_header};
 use super::permit_table::{acquire_permit, is_serving, to_pool_request};
 use super::response::{ResponseVerdict, classify_response, read_response};
 use crate::entry::{Dispatcher, Permit};
@@ -47,6 +48,12 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: bytes::Bytes,
     pub(crate) route: Arc<PathRoute>,
+    /// Client account of the request; `None` where it needs none.
+    pub(crate) account: Option<Arc<Account>>,
+    /// Key by which the account was found.
+    pub(crate) key: Option<AccountKey>,
+    /// Host that the route was found by.
+    pub(crate) host: String,
     /// Arrival time by the gateway's clock.
     pub(crate) arrived: Micros,
     /// Time by the gateway's clock at which the request, its body included, had been read.
@@ -123,6 +130,13 @@
         self.route.class == RequestClass::Idempotent
     }
 
+    /// Returns the dispatch rank: that of the client account, if it has one, takes precedence over that of
+    /// the route.
+    fn get_rank(&self) -> u8 {
+        let account_rank = self.account.as_ref().and_then(|account| account.rank);
+        account_rank.unwrap_or(self.route.rank)
+    }
+
     /// Combines the results of an attempt and its hedge. If one of them was not sent, it is taken off the
     /// attempts; if neither was, [`dispatch`] takes off the other with the result.
     fn combine_results(&mut self, first: AttemptResult, second: AttemptResult) -> AttemptResult {
@@ -142,6 +156,26 @@
         })
     }
 
+    /// Checks the request against the client accounts in force right before it is sent, and removes from its
+    /// headers what servers must not see if there are any accounts.
+    ///
+    /// Returns why it must not be sent, or `None` if it may: its key may have been taken away while it waited.
+    fn check_account(&mut self, gateway: &Gateway) -> Option<ErrorReason> {
+        let routes = gateway.get_active_routes();
+        if !routes.table.accounts.is_empty() {
+            remove_account_headers(&mut self.headers);
+        }
+        let (account, key) = (self.account.as_ref()?, self.key?);
+        let state = routes
+            .table
+            .get_key_state(key, account, &self.host, self.uri.path());
+        match state {
+            KeyState::Held => None,
+            KeyState::Moved => Some(ErrorReason::AccountChanged),
+            KeyState::Removed => Some(gateway.get_missing_reason(&routes, ErrorReason::UnknownKey)),
+        }
+    }
+
     /// Returns the request for a permit to send the next attempt to a server that is not `excluded` and
     /// wants requests from this entry.
     fn get_permit_request(
@@ -158,8 +192,8 @@
         PermitRequest {
             id: gateway.next_attempt_id(),
             service: dispatcher.service.clone(),
-            // A route's rank counts the other way: a lower rank is dispatched first.
-            priority: MAX_PRIORITY.saturating_sub(self.route.rank),
+            // Ranks count the other way: a lower rank is dispatched first.
+            priority: MAX_PRIORITY.saturating_sub(self.get_rank()),
             at_most_once: !self.is_idempotent(),
             age: now - self.arrived,
             until_objective: self.arrived + self.route.latency_objective - now,
@@ -177,6 +211,9 @@
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
         let headers = request.headers_mut();
+        if let Some(account) = &self.account {
+            set_account_header(headers, account);
+        }
         let remaining_ms = (self.deadline - now).0 / 1000;
         headers.insert(HEADER_NAMES.deadline, HeaderValue::from(remaining_ms));
         set_header(headers, HEADER_NAMES.expected_instance, server_id);
@@ -290,6 +327,9 @@
         if !inbound.may_begin_attempt(gateway, dispatcher) {
             return inbound.finish(last, ErrorReason::Stopping);
         }
+        if let Some(reason) = inbound.check_account(gateway) {
+            return inbound.finish(last, reason);
+        }
         excluded.push(permit.address);
         inbound.attempts += 1;
         let sending = send_with_hedge(gateway, dispatcher, inbound, permit, &mut excluded);
@@ -373,6 +413,9 @@
         Either::Left((result, _)) => return result,
         Either::Right(((), first)) => first,
     };
+    if inbound.check_account(gateway).is_some() {
+        return first.await;
+    }
     let permit_request = inbound.get_permit_request(gateway, dispatcher, excluded);
     let own_address = gateway.settings.load().listen.peer;
     let now = gateway.clock.now();
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -16,6 +16,7 @@
 use super::body_memory::BodyMemory;
 use super::datagram::{Datagram, GatewayHeartbeat, LoadUpdate};
 use super::drain::DrainSchedule;
+use super::error_reply::ErrorReason;
 use super::permit_table::PermitTable;
 use super::store_contact::{LatestWatcher, StoreContact};
 use super::warmup::WarmupEnds;
@@ -121,6 +122,8 @@
     /// Entries whose mirror, when it was fetched, did not bring this entry's up to date, and when. Only
     /// entries of an earlier version are among them.
     pub(super) partial_fetches: Mutex<Map<Name, Micros>>,
+    /// Held while routes are compared with those in force and replace them.
+    pub(super) routes_change: Mutex<()>,
     leaving: AtomicBool,
     directory: Mutex<ServerDirectory>,
     members: Mutex<MemberTable>,
@@ -186,6 +189,7 @@
             evacuated: watch::Sender::default(),
             earlier_entries: Mutex::default(),
             partial_fetches: Mutex::default(),
+            routes_change: Mutex::default(),
             leaving: AtomicBool::new(false),
             directory: Mutex::default(),
             members: Mutex::new(MemberTable::new(settings.name.clone(), own, peer_timeout)),
@@ -213,6 +217,25 @@
         Arc::clone(&self.active_routes.load())
     }
 
+    /// Returns the error reason for a request whose route or key is not in `routes`:
+    /// [`ErrorReason::RoutesBehind`] if a live entry has newer routes, which may contain it, else `reason`.
+    pub(crate) fn get_missing_reason(
+        &self,
+        routes: &ActiveRoutes,
+        reason: ErrorReason,
+    ) -> ErrorReason {
+        let now = self.clock.now();
+        let members = self.lock_members();
+        let newer = members.iter().any(|(name, member)| {
+            member.applied_number > routes.table.version && members.is_live(name, now)
+        });
+        if newer {
+            ErrorReason::RoutesBehind
+        } else {
+            reason
+        }
+    }
+
     /// Returns the path of the health endpoint of a service's servers, if the service is known.
     pub(crate) fn get_health_path(&self, service: &Name) -> Option<Name> {
         let routes = self.get_active_routes();
