feat(http): start idempotent requests that callers send ahead

A request that arrives on an HTTP/1.1 connection while an earlier one is served waited until that was answered. A stream below hyper now hands on one request at a time, keeps reading, and starts plain requests of idempotent routes behind the one that is served. Their results are taken when hyper reaches them.

--- a/src/entry/handle.rs
+++ b/src/entry/handle.rs
@@ -67,6 +67,7 @@
             move || limits,
             stop,
             tracker,
+            None,
             serve_caller,
         )),
         tokio::spawn(serve_listener(
@@ -74,6 +75,7 @@
             move || limits,
             stop_internal.clone(),
             background.clone(),
+            None,
             serve_peer,
         )),
         tokio::spawn(serve_listener(
@@ -81,6 +83,7 @@
             move || limits,
             stop_internal,
             background,
+            None,
             serve_operator,
         )),
         tokio::spawn(maintain_links(entry.clone())),
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout_at;
 use tokio_util::task::TaskTracker;
 
+use super::ahead::create_look_ahead;
 use super::drain::DrainSchedule;
 use super::gateway::{Gateway, MirrorKind};
 use super::mirror::keep_mirror;
@@ -77,6 +78,7 @@
     let serve_ready = move |_: SocketAddr, request| serve_ready(ready_gateway.clone(), request);
     let serve_peer = move |_: SocketAddr, request| serve_peer(peer_gateway.clone(), request);
     let serve_ops = move |_: SocketAddr, request| serve_ops(ops_gateway.clone(), request);
+    let look_ahead = Arc::new(create_look_ahead(&gateway));
     let internal_limits = || INTERNAL_LIMITS;
     let mut join_handles = vec![
         // On the tracker of its connections, so that a stop waits for those that it accepts last.
@@ -85,6 +87,7 @@
             caller_limits,
             caller_shutdown.clone(),
             caller_connections.clone(),
+            Some(look_ahead),
             serve_caller,
         )),
         tokio::spawn(serve_listener(
@@ -92,6 +95,7 @@
             internal_limits,
             ready_shutdown.clone(),
             tasks.clone(),
+            None,
             serve_ready,
         )),
         tokio::spawn(serve_listener(
@@ -99,6 +103,7 @@
             internal_limits,
             stop_internal.clone(),
             tasks.clone(),
+            None,
             serve_peer,
         )),
         tokio::spawn(serve_listener(
@@ -106,6 +111,7 @@
             internal_limits,
             stop_internal,
             tasks,
+            None,
             serve_ops,
         )),
         tokio::spawn(send_heartbeats(gateway.clone(), socket.clone())),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 //!
 //! `handle` starts and stops a gateway, `drain` has the times of a stop, and `ops` serves its health and metrics.
 
+mod ahead;
 mod attempt;
 mod attempt_log;
 mod body_memory;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -1,3 +1,4 @@
+use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use hyper::{Request, Response, Uri};
 use lentilcart_platform::HEADER_NAMES;
 use lentilcart_route::Restriction;
+use lentilcart_state::PathRoute;
 use lentilcart_util::{Micros, Name};
 use rand::RngExt;
 use tokio::time::{Instant, timeout_at};
@@ -20,8 +22,8 @@
 use super::gateway::{ActiveRoutes, Gateway};
 use super::response::is_refusal;
 use crate::http::{
-    BodyEnd, HttpBody, NotifyOnEnd, find_request_error, get_header_duration, get_header_text,
-    set_header, stream_body, strip_hop_by_hop,
+    ArrivalTime, BodyEnd, HttpBody, NotifyOnEnd, find_request_error, get_header_duration,
+    get_header_text, set_header, stream_body, strip_hop_by_hop,
 };
 
 /// Upper bound of the time until a rejected caller may retry, as a share of its remaining time.
@@ -72,7 +74,26 @@
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
 ) -> Response<HttpBody> {
-    let started = gateway.clock.now();
+    let routes = gateway.get_active_routes();
+    serve_by_routes(gateway, routes, request).await
+}
+
+/// Serves a caller's request by a version of the routes. The request arrived now, unless its extension says
+/// when.
+pub(super) async fn serve_by_routes<B>(
+    gateway: Arc<Gateway>,
+    routes: Arc<ActiveRoutes>,
+    request: Request<B>,
+) -> Response<HttpBody>
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Display,
+{
+    let arrival = request.extensions().get::<ArrivalTime>();
+    let started = arrival.map_or_else(
+        || gateway.clock.now(),
+        |arrival| gateway.clock.to_micros(arrival.0),
+    );
     let mut summary = RequestSummary {
         id: get_header_text(request.headers(), HEADER_NAMES.request_id)
             .unwrap_or_default()
@@ -87,7 +108,7 @@
     };
     gateway.in_flight.fetch_add(1, Ordering::Relaxed);
     let guard = InFlightGuard(gateway.clone());
-    let result = handle_request(&gateway, request, started, &mut summary).await;
+    let result = handle_request(&gateway, &routes, request, started, &mut summary).await;
     let elapsed = gateway.clock.now() - started;
     let mut response = match result {
         Ok(mut response) => {
@@ -176,12 +197,17 @@
 /// Checks a request, matches its route, reads its body and dispatches it.
 ///
 /// Fills in `summary` on the way, also if the request fails.
-async fn handle_request(
+async fn handle_request<B>(
     gateway: &Arc<Gateway>,
-    request: Request<Incoming>,
+    routes: &Arc<ActiveRoutes>,
+    request: Request<B>,
     arrived: Micros,
     summary: &mut RequestSummary,
-) -> Result<Response<HttpBody>, ErrorReply> {
+) -> Result<Response<HttpBody>, ErrorReply>
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Display,
+{
     if let Some(reason) = find_request_error(&request) {
         return Err(ErrorReply::new(ErrorReason::BadRequest, reason));
     }
@@ -189,18 +215,13 @@
         let detail = format!("{} is missing", HEADER_NAMES.request_id);
         return Err(ErrorReply::new(ErrorReason::BadRequest, detail));
     }
-    let routes = gateway.get_active_routes();
     summary.routes_version = routes.table.version;
     let requested = get_header_duration(request.headers(), HEADER_NAMES.deadline);
     summary.remaining = requested.unwrap_or(DEFAULT_REMAINING);
-    let authority = request.uri().authority().map(ToString::to_string);
-    let host =
-        authority.or_else(|| get_header_text(request.headers(), HOST.as_str()).map(str::to_owned));
-    let host = host.unwrap_or_default();
-    let route = match routes.table.find_route(&host, request.uri().path()) {
+    let route = match find_route(routes, &request) {
         _ if routes.table.version == 0 => return Err(ErrorReply::new(ErrorReason::NoRoutes, "")),
         Some(route) => route.clone(),
-        None => return Err(ErrorReply::new(get_unmatched_reason(gateway, &routes), "")),
+        None => return Err(ErrorReply::new(get_unmatched_reason(gateway, routes), "")),
     };
     summary.route = route.name.clone();
     summary.remaining = requested.map_or(route.timeout, |requested| requested.min(route.timeout));
@@ -263,6 +284,18 @@
     result
 }
 
+/// Returns the route of a request, by its host and path.
+pub(super) fn find_route<'a, B>(
+    routes: &'a ActiveRoutes,
+    request: &Request<B>,
+) -> Option<&'a Arc<PathRoute>> {
+    let authority = request.uri().authority().map(ToString::to_string);
+    let host =
+        authority.or_else(|| get_header_text(request.headers(), HOST.as_str()).map(str::to_owned));
+    let host = host.unwrap_or_default();
+    routes.table.find_route(&host, request.uri().path())
+}
+
 /// Returns the error reason for a request that no route matches: [`ErrorReason::RoutesBehind`] if a
 /// live entry has newer routes, which may contain the route, else [`ErrorReason::UnknownRoute`].
 fn get_unmatched_reason(gateway: &Gateway, routes: &ActiveRoutes) -> ErrorReason {
@@ -299,12 +332,16 @@
 /// # Errors
 ///
 /// Returns an error reply if the body exceeds the limit, cannot be read or gets no memory in time.
-async fn read_request_body(
+async fn read_request_body<B>(
     gateway: &Arc<Gateway>,
     service: &Name,
-    body: &mut Incoming,
+    body: &mut B,
     limits: BodyLimits,
-) -> Result<Bytes, ErrorReply> {
+) -> Result<Bytes, ErrorReply>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Display,
+{
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
@@ -349,7 +386,11 @@
 /// Reads and drops the rest of the body of a rejected request, one body at a time: many callers read the
 /// reply only when they have written the whole request, and a connection that is closed with unread bytes
 /// is reset. It ends at the request's deadline, or soon after the last attempts of a stopping entry.
-fn discard_body(gateway: &Arc<Gateway>, mut body: Incoming, deadline: Instant) {
+fn discard_body<B>(gateway: &Arc<Gateway>, mut body: B, deadline: Instant)
+where
+    B: Body + Send + Unpin + 'static,
+    B::Data: Send,
+{
     let shared = gateway.clone();
     gateway.tasks.spawn(async move {
         let discard = async {
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -5,6 +5,7 @@
 use std::task::Context;
 use std::time::Duration;
 
+use futures::future::Either;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response, Version};
@@ -14,11 +15,15 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
+use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 
 use super::active_requests::ActiveRequests;
+use super::ahead_reader::AheadReader;
+use super::ahead_state::AheadState;
+use super::ahead_stream::AheadStream;
 use super::body::HttpBody;
 use super::head_timer::HeadTimer;
+use super::look_ahead::LookAhead;
 use super::observed_stream::ObservedStream;
 use crate::error::DaemonError;
 
@@ -68,11 +73,14 @@
 /// that the last ones are not missed. `limits` is called
 /// when a connection starts, and its result holds for that connection; its `max_connections` counts
 /// only when the listener starts. `serve` gets the address of the remote and the request.
+///
+/// With `look_ahead`, requests of an HTTP/1.1 connection that it allows run while earlier ones are served.
 pub async fn serve_listener<L, S, F>(
     listener: TcpListener,
     limits: L,
     shutdown: ShutdownTokens,
     tasks: TaskTracker,
+    look_ahead: Option<Arc<LookAhead>>,
     serve: S,
 ) where
     L: Fn() -> ListenerLimits + Send + 'static,
@@ -82,7 +90,9 @@
     let semaphore = Arc::new(Semaphore::new(limits().max_connections));
     let spawn = |(stream, remote, guard)| {
         let close = shutdown.close_connections.clone();
-        let connection = serve_connection(stream, remote, limits(), close, serve.clone());
+        let ahead = look_ahead.clone();
+        let ahead = ahead.map(|rules| Arc::new(AheadState::new(rules, remote, tasks.clone())));
+        let connection = serve_connection(stream, remote, limits(), close, ahead, serve.clone());
         tasks.spawn(async move {
             connection.await;
             drop(guard);
@@ -106,6 +116,7 @@
     remote: SocketAddr,
     limits: ListenerLimits,
     close: CancellationToken,
+    ahead: Option<Arc<AheadState>>,
     serve: S,
 ) where
     S: Fn(SocketAddr, Request<Incoming>) -> F + Send + 'static,
@@ -127,12 +138,22 @@
     }
     let active_requests = ActiveRequests::default();
     let counted = active_requests.clone();
-    let service = service_fn(move |request: Request<Incoming>| {
+    let turns = ahead.clone();
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let is_http2 = request.version() == Version::HTTP_2;
         let active = is_http2.then(|| counted.begin());
-        let response = serve(remote, request);
+        let turns = turns.clone().filter(|_| !is_http2);
+        let started = turns.as_ref().and_then(|turns| turns.begin(&mut request));
+        let response = match started {
+            Some(started) => Either::Left(wait_for_response(started)),
+            None => Either::Right(serve(remote, request)),
+        };
         async move {
             let response = response.await;
+            let response = match turns {
+                Some(turns) => turns.finish(response),
+                None => response,
+            };
             Ok::<_, std::convert::Infallible>(match active {
                 Some(active) => response.map(|body| active.end_with(body)),
                 None => response,
@@ -149,12 +170,17 @@
             Ok(())
         },
     };
+    let stream = AheadStream::new(stream, ahead.clone().map(AheadReader::new));
     let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let close = async {
         close.cancelled().await;
         // The runtime looks at all connections before a timer ends.
         sleep(CLOSE_DELAY).await;
+        if let Some(ahead) = &ahead {
+            // What has been started is answered.
+            ahead.wait_until_taken().await;
+        }
     };
     let result = tokio::select! {
         // In this order, a request that has arrived is read before the connection is told to close.
@@ -183,6 +209,16 @@
     }
 }
 
+/// Waits for the response to a request that was started before its turn.
+async fn wait_for_response(started: AbortOnDropHandle<Response<HttpBody>>) -> Response<HttpBody> {
+    match started.await {
+        Ok(response) => response,
+        Err(error) if error.is_panic() => std::panic::resume_unwind(error.into_panic()),
+        // The runtime ends.
+        Err(_) => std::future::pending().await,
+    }
+}
+
 /// Waits until bytes have arrived on a connection, which are left there; returns false if it ends or fails
 /// before.
 async fn has_bytes(stream: &TcpStream) -> bool {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,14 +1,19 @@
 //! HTTP: bodies, headers, a client with connection pools, and listeners.
 
 mod active_requests;
+mod ahead_reader;
+mod ahead_state;
+mod ahead_stream;
 mod body;
 mod connect;
 mod head_timer;
 mod headers;
 mod http_client;
 mod listener;
+mod look_ahead;
 mod observed_stream;
 mod read_limit;
+mod request_head;
 
 pub use self::body::{
     BodyEnd, BoxError, HttpBody, NotifyOnEnd, build_get, collect_body, empty_body, full_body,
@@ -24,3 +29,4 @@
     ConnectionCheck, ConnectionUse, HttpClient, MAX_HEALTH_BYTES, SendError, ServerResponse,
 };
 pub use self::listener::{ListenerLimits, ShutdownTokens, bind_listener, serve_listener};
+pub use self::look_ahead::{ArrivalTime, EarlyRequest, LookAhead};
--- a/src/util/clock.rs
+++ b/src/util/clock.rs
@@ -23,6 +23,12 @@
         self.origin.elapsed().into()
     }
 
+    /// Returns the time from the start of the clock to an instant; zero if that lies before.
+    #[must_use]
+    pub fn to_micros(&self, instant: Instant) -> Micros {
+        instant.saturating_duration_since(self.origin).into()
+    }
+
     /// Returns the instant that lies `time` after the start of the clock.
     #[must_use]
     pub fn to_instant(&self, time: Micros) -> Instant {
