feat(http): look ahead behind bodies that tell their end themselves

The end of a chunked body is found as strictly as hyper decodes it, so that a caller that leaves behind one is noticed, too. Adds a bench command that sends requests ahead.

--- a/lentilcart_bench/src/bin/lentilcart-bench.rs
+++ b/lentilcart_bench/src/bin/lentilcart-bench.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use lentilcart_bench::ahead::{AheadOptions, SendMode, measure_ahead};
 use lentilcart_bench::cluster::{Variant, binary_path, get_firm};
 use lentilcart_bench::demo::run_demo;
 use lentilcart_bench::model::{LoadPhase, ModelConfig, simulate};
@@ -57,6 +58,11 @@
                                       one entry, a process of its own that is killed above SIZE
                                       (650MB if absent), for each number of uploads (0,5,8,50,200
                                       if absent); prints a JSON line for each
+  ahead [--program PATH] [--mode MODE] [--rate N] [--seconds N] [--work-ms N] [--folder PATH]
+                                      send requests two at once to one entry, a process of its
+                                      own: over one connection (MODE pairs, if absent) or one
+                                      each (separate); N requests a second (200), for 20 s, which
+                                      take 260 ms; prints a JSON line
   servers --listen ADDRESSES [--one-way-us N]
                                       run stubs of servers
   platform --listen ADDRESS           run the stub of the platform
@@ -91,6 +97,7 @@
         Some("model") => model(args),
         Some("soak") => soak(args).await,
         Some("uploads") => uploads(args).await,
+        Some("ahead") => ahead(args).await,
         Some("servers") => servers(args).await,
         Some("platform") => {
             let address: SocketAddr = args.value_from_str("--listen")?;
@@ -196,6 +203,33 @@
     Ok(())
 }
 
+/// Measures callers that send requests ahead and prints a JSON line.
+async fn ahead(mut args: Arguments) -> Result<(), Box<dyn Error>> {
+    let program: Option<String> = args.opt_value_from_str("--program")?;
+    let folder: Option<String> = args.opt_value_from_str("--folder")?;
+    let mode: Option<String> = args.opt_value_from_str("--mode")?;
+    let mode = mode.unwrap_or_else(|| SendMode::Pairs.as_str().to_owned());
+    let known = SendMode::ALL
+        .into_iter()
+        .find(|known| known.as_str() == mode);
+    let options = AheadOptions {
+        program: program.map_or_else(|| binary_path("lentilcartd"), PathBuf::from),
+        folder: folder.map_or_else(
+            || std::env::temp_dir().join("lentilcart-ahead"),
+            PathBuf::from,
+        ),
+        mode: known.ok_or_else(|| format!("--mode {mode}: expected pairs or separate"))?,
+        rate: args.opt_value_from_str("--rate")?.unwrap_or(200.0),
+        duration: Duration::from_secs(args.opt_value_from_str("--seconds")?.unwrap_or(20)),
+        service_time: Duration::from_millis(args.opt_value_from_str("--work-ms")?.unwrap_or(260)),
+    };
+    println!(
+        "{}",
+        serde_json::to_string(&measure_ahead(&options).await?)?
+    );
+    Ok(())
+}
+
 /// Runs stubs of servers with 3 slots each until one fails.
 async fn servers(mut args: Arguments) -> Result<(), Box<dyn Error>> {
     let listen: String = args.value_from_str("--listen")?;
--- a/lentilcart_bench/src/lib.rs
+++ b/lentilcart_bench/src/lib.rs
@@ -4,6 +4,7 @@
 //! Hosts are addresses in 127.0.0.0/8; the second octet of an address gives the data centre.
 //! Nothing here is published or part of the product.
 
+pub mod ahead;
 pub mod cluster;
 pub mod demo;
 pub mod load;
--- a/lentilcart_bench/src/uploads/entry.rs
+++ b/lentilcart_bench/src/uploads/entry.rs
@@ -1,6 +1,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use lentilcart_util::Micros;
+
 use crate::cluster::Process;
 use crate::util::host_address;
 
@@ -8,7 +10,7 @@
 const SETTINGS_VARIABLE: &str = "LENTILCART_SETTINGS";
 
 /// The entry under load, as a process of its own; it is killed when dropped.
-pub(super) struct Entry {
+pub(crate) struct Entry {
     program: PathBuf,
     settings: PathBuf,
     process: Process,
@@ -20,7 +22,7 @@
     /// # Errors
     ///
     /// Fails if the settings cannot be written or the program cannot be started.
-    pub(super) fn start(
+    pub(crate) fn start(
         program: &Path,
         folder: &Path,
         number: u8,
@@ -48,14 +50,19 @@
     /// # Errors
     ///
     /// Fails if the program cannot be started.
-    pub(super) fn restart(&mut self) -> std::io::Result<()> {
+    pub(crate) fn restart(&mut self) -> std::io::Result<()> {
         self.process.kill();
         self.process = spawn(&self.program, &self.settings)?;
         Ok(())
     }
 
+    /// Returns the processor time that the process has used.
+    pub(crate) fn get_cpu_time(&self) -> Micros {
+        self.process.get_cpu_time()
+    }
+
     /// Returns a field of the process's memory in bytes, such as `VmRSS`; 0 if it cannot be read.
-    pub(super) fn get_memory(&self, field: &str) -> u64 {
+    pub(crate) fn get_memory(&self, field: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.get_id()));
         let status = status.unwrap_or_default();
         let line = status.lines().find_map(|line| line.strip_prefix(field));
--- a/lentilcart_bench/src/uploads/mod.rs
+++ b/lentilcart_bench/src/uploads/mod.rs
@@ -6,4 +6,5 @@
 mod server;
 mod upload_run;
 
+pub(crate) use self::entry::Entry;
 pub use self::upload_run::{UploadOptions, UploadRow, measure_uploads};
--- a/src/http/ahead_reader.rs
+++ b/src/http/ahead_reader.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use super::ahead_state::AheadState;
+use super::chunked_body::{ChunkedBody, ChunkedProgress};
 use super::request_head::{BodyLength, ParsedHead, build_request, may_end_head, parse_head};
 
 /// Largest number of bytes that wait behind the request that is served: many times the header sections of
@@ -10,7 +11,8 @@
 pub(super) const MAX_WAITING_BYTES: usize = 16 * 1024;
 /// Largest number of arrival times that are kept for the bytes that wait.
 const MAX_ARRIVALS: usize = 32;
-/// Largest header section whose memory is kept for the next one of its connection, in bytes.
+/// Memory that is kept for header sections between the requests of a connection, in bytes, unless the last one
+/// was larger.
 const MAX_KEPT_HEAD: usize = 2 * 1024;
 
 /// What the next byte that is passed on belongs to.
@@ -20,6 +22,8 @@
     Head,
     /// A body, of which this number of bytes is missing; at least 1.
     Body(u64),
+    /// A body that tells its end itself.
+    Chunked(ChunkedBody),
     /// Not known; all bytes are passed on.
     Unknown,
 }
@@ -139,6 +143,20 @@
                 };
                 count as usize
             }
+            Position::Chunked(mut body) => match body.advance(bytes) {
+                ChunkedProgress::Unfinished => {
+                    self.position = Position::Chunked(body);
+                    bytes.len()
+                }
+                ChunkedProgress::Ended(count) => {
+                    self.position = Position::Head;
+                    count
+                }
+                ChunkedProgress::Unclear => {
+                    self.become_transparent();
+                    bytes.len()
+                }
+            },
             Position::Unknown => bytes.len(),
         };
         self.passed += count as u64;
@@ -150,7 +168,6 @@
             self.is_complete = false;
             self.may_overlap = None;
             self.head.clear();
-            self.head.shrink_to(MAX_KEPT_HEAD);
         }
         let before = self.head.len();
         self.head.extend_from_slice(bytes);
@@ -168,6 +185,7 @@
         let count = head.length - before;
         let end = self.passed + count as u64;
         self.head.truncate(head.length);
+        self.head.shrink_to(MAX_KEPT_HEAD);
         self.is_complete = true;
         self.may_overlap = (!head.is_plain).then_some(false);
         if self.started == 0 {
@@ -182,6 +200,10 @@
                 self.position = Position::Body(length);
                 count
             }
+            BodyLength::Chunked => {
+                self.position = Position::Chunked(ChunkedBody::new());
+                count
+            }
             BodyLength::Unknown => {
                 self.become_transparent();
                 bytes.len()
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod ahead_state;
 mod ahead_stream;
 mod body;
+mod chunked_body;
 mod connect;
 mod head_timer;
 mod headers;
--- a/src/http/request_head.rs
+++ b/src/http/request_head.rs
@@ -16,7 +16,9 @@
 pub(super) enum BodyLength {
     /// A number of bytes, which may be 0.
     Known(u64),
-    /// Told by the body itself, or not HTTP/1 afterwards.
+    /// Told by the body itself.
+    Chunked,
+    /// Not known, or not HTTP/1 afterwards.
     Unknown,
 }
 
@@ -67,31 +69,36 @@
         Err(_) => return ParsedHead::Invalid,
     };
     let is_http11 = request.version == Some(1);
-    let mut lengths = 0;
-    let mut body = BodyLength::Known(0);
+    let mut body = None;
+    let mut is_clear = request.method != Some("CONNECT");
     let mut stays_open = true;
+    let mut expects = false;
     for header in &*request.headers {
         let is = |name: &str| header.name.eq_ignore_ascii_case(name);
-        if is("content-length") {
-            lengths += 1;
-            let value = parse_length(header.value);
-            body = match (body, value) {
-                (BodyLength::Known(_), Some(value)) if lengths == 1 => BodyLength::Known(value),
-                _ => BodyLength::Unknown,
-            };
-        } else if is("transfer-encoding") || is("upgrade") || is("expect") {
-            body = BodyLength::Unknown;
-        } else if is("connection") {
-            stays_open &= header.value.eq_ignore_ascii_case(b"keep-alive");
-        }
-    }
-    if request.method == Some("CONNECT") {
-        body = BodyLength::Unknown;
+        let length = if is("content-length") {
+            parse_length(header.value).map_or(BodyLength::Unknown, BodyLength::Known)
+        } else if is("transfer-encoding") {
+            let is_chunked = is_http11 && header.value.eq_ignore_ascii_case(b"chunked");
+            if is_chunked {
+                BodyLength::Chunked
+            } else {
+                BodyLength::Unknown
+            }
+        } else {
+            is_clear &= !is("upgrade");
+            expects |= is("expect");
+            stays_open &= !is("connection") || header.value.eq_ignore_ascii_case(b"keep-alive");
+            continue;
+        };
+        // What several of these fields mean together is left to hyper.
+        is_clear &= body.replace(length).is_none();
     }
+    let body = body.unwrap_or(BodyLength::Known(0));
+    let body = if is_clear { body } else { BodyLength::Unknown };
     ParsedHead::Complete(RequestHead {
         length,
         body,
-        is_plain: is_http11 && stays_open && body == BodyLength::Known(0),
+        is_plain: is_http11 && stays_open && !expects && body == BodyLength::Known(0),
     })
 }
 
