--- a/lentilcart_bench/src/bin/lentilcart-bench.rs
+++ b/lentilcart_bench/src/bin/lentilcart-bench.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use lentilcart_bench::ahead::{AheadOptions, SendMode, measure_ahead};
 use lentilcart_bench::cluster::{Variant, binary_path, get_firm};
--- a/src/http/chunked_body.rs
+++ b/src/http/chunked_body.rs
@@ -15,8 +15,10 @@
     /// The beginning of a line behind the last chunk, and its rest.
     Trailer,
     TrailerRest,
-    /// The end of the body.
+    /// The last byte.
     EndLf,
+    /// Behind the body.
+    Ended,
 }
 
 /// What is known of a chunked body after some of its bytes.
@@ -59,11 +61,11 @@
             let Some(next) = self.0.step(bytes[index]) else {
                 return ChunkedProgress::Unclear;
             };
+            self.0 = next;
             index += 1;
-            if self.0 == Part::EndLf {
+            if next == Part::Ended {
                 return ChunkedProgress::Ended(index);
             }
-            self.0 = next;
         }
         ChunkedProgress::Unfinished
     }
@@ -77,19 +79,17 @@
             (Self::Size(size, digits), _) if digit.is_some() && digits < MAX_SIZE_DIGITS => {
                 digit.map(|digit| Self::Size(size << 4 | u64::from(digit), digits + 1))
             }
-            (Self::Size(size, 1..), b'\r') | (Self::Extension(size), b'\r') => {
-                Some(Self::SizeEnd(size))
+            (Self::Size(size, 1..) | Self::Extension(size), b'\r') => Some(Self::SizeEnd(size)),
+            (Self::Size(size, 1..), b';') | (Self::Extension(size), ..=b'\t' | b'\x0b'..) => {
+                Some(Self::Extension(size))
             }
-            (Self::Size(size, 1..), b';') => Some(Self::Extension(size)),
-            (Self::Extension(_), b'\n') => None,
-            (Self::Extension(size), _) => Some(Self::Extension(size)),
-            (Self::SizeEnd(0), b'\n') | (Self::TrailerRest, b'\n') => Some(Self::Trailer),
+            (Self::SizeEnd(0) | Self::TrailerRest, b'\n') => Some(Self::Trailer),
             (Self::SizeEnd(size), b'\n') => Some(Self::Data(size)),
             (Self::DataCr, b'\r') => Some(Self::DataLf),
             (Self::DataLf, b'\n') => Some(Self::Size(0, 0)),
             (Self::Trailer, b'\r') => Some(Self::EndLf),
             (Self::Trailer | Self::TrailerRest, _) => Some(Self::TrailerRest),
-            (Self::EndLf, b'\n') => Some(Self::EndLf),
+            (Self::EndLf, b'\n') => Some(Self::Ended),
             _ => None,
         }
     }
