--- a/lentilcart_bench/src/soak/soak_run.rs
+++ b/lentilcart_bench/src/soak/soak_run.rs
@@ -266,6 +266,14 @@
     for fault in faults.iter().take(MAX_STORIES) {
         stories += &tell_story(fault, &state, entries);
     }
+    for fault in faults.iter().skip(MAX_STORIES) {
+        writeln!(
+            stories,
+            "{} {}: {}",
+            fault.rule, fault.request, fault.detail
+        )
+        .expect("writing to a string succeeds");
+    }
     if !faults.is_empty() {
         stories += "schedule:\n";
         for (at, event) in &state.events {
