--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -17,7 +17,7 @@
 use super::attempt_log::AttemptLog;
 use super::datagram::PermitRequest;
 use super::error_reply::{ErrorReason, ErrorReply};
-use super::evacuations::count_evacuation_refusal;
+use super::evacuations::{count_evacuation_refusal, get_no_server_reason};
 use super::gateway::Gateway;
 use super::permit_table::{acquire_permit, is_serving, to_pool_request};
 use super::response::{ResponseVerdict, classify_response, read_response};
@@ -268,7 +268,7 @@
         let permit = match acquired {
             Ok(Ok(permit)) => permit,
             Ok(Err(Rejection::NoServer)) => {
-                let reason = gateway.get_no_server_reason(dispatcher);
+                let reason = get_no_server_reason(dispatcher);
                 count_evacuation_refusal(dispatcher, reason);
                 return inbound.finish(last, reason);
             }
--- a/src/gateway/evacuations.rs
+++ b/src/gateway/evacuations.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, MutexGuard};
 
 use lentilcart_platform::{EVACUATIONS_PREFIX, check_evacuation, parse_evacuated_data_center};
+use lentilcart_route::ServerPool;
 use lentilcart_state::{
     Evacuation, EvacuationChange, EvacuationSource, EvacuationTable, MirrorChange,
 };
@@ -55,7 +56,7 @@
             let is_evacuated = |names: &Set<Name>| names.contains(&data_center);
             if evacuated.wait_for(is_evacuated).await.is_err() {
                 // The gateway has ended.
-                std::future::pending().await
+                std::future::pending::<()>().await;
             }
         }
     }
@@ -174,15 +175,6 @@
         metrics::gauge!("lentilcart_evacuations_revision").set(evacuations.get_revision() as f64);
     }
 
-    /// Returns why the pool of a service has no server for any request.
-    pub(super) fn get_no_server_reason(&self, dispatcher: &Arc<Dispatcher>) -> ErrorReason {
-        if dispatcher.read_pool(lentilcart_route::ServerPool::is_all_evacuated) {
-            ErrorReason::Evacuated
-        } else {
-            ErrorReason::NoServer
-        }
-    }
-
     /// Returns what the log tells of the evacuations in force when a request is refused because of them:
     /// each with its revision, source and age.
     pub(super) fn describe_evacuations(&self) -> String {
@@ -235,9 +227,18 @@
     }
 }
 
+/// Returns why the pool of a service has no server for any request.
+pub(super) fn get_no_server_reason(dispatcher: &Arc<Dispatcher>) -> ErrorReason {
+    if dispatcher.read_pool(ServerPool::is_all_evacuated) {
+        ErrorReason::Evacuated
+    } else {
+        ErrorReason::NoServer
+    }
+}
+
 /// Counts a request that is refused while servers of its service are evacuated.
 pub(super) fn count_evacuation_refusal(dispatcher: &Arc<Dispatcher>, reason: ErrorReason) {
-    if dispatcher.read_pool(lentilcart_route::ServerPool::get_evacuated_count) > 0 {
+    if dispatcher.read_pool(ServerPool::get_evacuated_count) > 0 {
         metrics::counter!(
             "lentilcart_requests_refused_evacuated_total",
             "service" => dispatcher.service.to_string(), "reason" => reason.as_str()
