fix(gateway): probe servers for a warm-up though their load reports are fresh

A server that became cold under load was noticed late: its answers to requests kept its load report fresh, so that it was not probed.

--- a/lentilcart_route/src/limits/warmth.rs
+++ b/lentilcart_route/src/limits/warmth.rs
@@ -104,6 +104,8 @@
     registered_until: Micros,
     /// Since when this entry paces the requests of the server; `None` while it does not.
     paced_since: Option<Micros>,
+    /// When the server last answered a probe, in which it would say that it is cold.
+    pub(crate) probed: Option<Micros>,
     /// Whether the server has said before the end of the warm-up that it is not cold.
     has_ended_early: bool,
     /// Whether the server was reported as cold by the last call of `take_change`.
@@ -119,6 +121,7 @@
             reported: Micros::ZERO,
             registered_until: Micros::ZERO,
             paced_since: None,
+            probed: None,
             has_ended_early: false,
             is_reported: false,
         }
--- a/lentilcart_route/src/pool/warmup.rs
+++ b/lentilcart_route/src/pool/warmup.rs
@@ -30,6 +30,11 @@
     pub source: WarmthSource,
 }
 
+/// Age of the last answer to a probe from which a server with a limit for its warm-up is probed before it gets a
+/// request, however fresh its load report is. Reports also come with answers to requests, which need not say that
+/// the server is cold; a server of 3 slots starts at most one or two requests in this time.
+const MIN_PROBE_AGE: Micros = Micros::from_millis(50);
+
 impl ServerState {
     /// Records for how long the server is cold, by its own word.
     pub(super) fn record_warmup(&mut self, now: Micros, time: Micros) {
@@ -139,6 +144,25 @@
         index.is_some_and(|index| self.is_cold_state(now, &self.states[index]))
     }
 
+    /// Records that a server has answered a probe, in which it would have said that it is cold.
+    pub fn record_probe_answer(&mut self, now: Micros, server: usize) {
+        if let Some(state) = self.states.get_mut(server) {
+            state.warmth.probed = Some(now);
+        }
+    }
+
+    /// Returns whether it is not known whether a server is cold, since it has answered no probe for `max_age`, or
+    /// for 50 ms if that is less. It is known where there is no limit on the requests of cold servers.
+    #[must_use]
+    pub fn is_warmth_stale(&self, now: Micros, server: usize, max_age: Micros) -> bool {
+        let max_age = max_age.max(MIN_PROBE_AGE);
+        self.warmup.is_some()
+            && self.states.get(server).is_some_and(|state| {
+                let probed = state.warmth.probed;
+                probed.is_none_or(|probed| now - probed >= max_age)
+            })
+    }
+
     /// Returns whether the attempt of a request may still be sent: it started after its server was known to
     /// be cold, or the server is not.
     #[must_use]
--- a/lentilcart_route/tests/testsuite/warmup.rs
+++ b/lentilcart_route/tests/testsuite/warmup.rs
@@ -296,3 +296,17 @@
     assert!(pool.may_send(ms(1000), 2, 0));
     assert_eq!(pool.get_send_limit(2, 0), Some(ms(1450)));
 }
+
+/// Guards against load reports in answers to requests by which a server that has become cold is not probed, and
+/// against probes of servers without a limit.
+#[test]
+fn warmth_is_stale_without_probes() {
+    let mut pool = pool(1);
+    assert!(pool.is_warmth_stale(ms(0), 0, ms(10)));
+    pool.record_probe_answer(ms(100), 0);
+    assert!(!pool.is_warmth_stale(ms(149), 0, ms(10)));
+    assert!(pool.is_warmth_stale(ms(150), 0, ms(10)));
+    assert!(!pool.is_warmth_stale(ms(299), 0, ms(200)));
+    pool.set_warmup(ms(300), None);
+    assert!(!pool.is_warmth_stale(ms(1000), 0, ms(10)));
+}
--- a/src/entry/dispatcher.rs
+++ b/src/entry/dispatcher.rs
@@ -117,16 +117,17 @@
         });
     }
 
-    /// Returns whether a server's last load report is at least `max_age` old, or there is none.
+    /// Returns whether a server's last load report is at least `max_age` old, or there is none, or whether it
+    /// is not known for as long whether the server is cold.
     pub(crate) fn is_load_stale(&self, address: SocketAddr, max_age: Micros) -> bool {
         let now = self.clock.now();
         self.read_pool(|pool| {
-            let server = pool
-                .get_server_index(address)
-                .and_then(|i| pool.get_server_state(i));
-            server
+            let index = pool.get_server_index(address);
+            let server = index.and_then(|i| pool.get_server_state(i));
+            let is_report_stale = server
                 .and_then(|server| server.get_report_age(now))
-                .is_none_or(|age| age >= max_age)
+                .is_none_or(|age| age >= max_age);
+            is_report_stale || index.is_some_and(|i| pool.is_warmth_stale(now, i, max_age))
         })
     }
 
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -67,6 +67,13 @@
         response: &Response<B>,
     ) -> ServerNotice {
         let notice = self.read_notice(dispatcher, response);
+        if dispatcher.read_pool(ServerPool::limits_cold_servers) {
+            dispatcher.update_pool(|pool, now| {
+                if let Some(index) = pool.get_server_index(server) {
+                    pool.record_probe_answer(now, index);
+                }
+            });
+        }
         self.handle_notice(dispatcher, server, notice, NoticeSource::Probe);
         notice
     }
