--- a/lentilcart_state/src/routing/account_table.rs
+++ b/lentilcart_state/src/routing/account_table.rs
@@ -28,6 +28,27 @@
         table
     }
 
+    /// Adds an account and its keys.
+    ///
+    /// # Errors
+    ///
+    /// Returns the index of the first key that an account has already, possibly this one, and that account. The
+    /// keys before it have been added then, so that the table cannot be used.
+    pub fn add(
+        &mut self,
+        account: Account,
+        keys: &[AccountKey],
+    ) -> Result<(), (usize, Arc<Account>)> {
+        let account = Arc::new(account);
+        for (index, key) in keys.iter().enumerate() {
+            if let Some(holder) = self.by_key.insert(*key, account.clone()) {
+                return Err((index, holder));
+            }
+        }
+        self.accounts.push(account);
+        Ok(())
+    }
+
     /// Returns whether there are no accounts, so that requests need no key.
     #[must_use]
     pub fn is_empty(&self) -> bool {
