fix(gateway): deliver a refusal of a key to a caller that writes its body first

A 401 or 503 before the body is read closed the connection with unread bytes, so that it was reset and a caller that reads the answer only after its upload saw a broken pipe (seen with 60 KB written in six parts). The body is now read and dropped for up to 500 ms, 16 bodies at a time; a flood beyond that is dropped unread. Names of headers are compared without allocating.

--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -23,6 +23,10 @@
 use crate::settings::GatewaySettings;
 use crate::util::{Clock, unix_millis};
 
+/// Largest number of bodies of requests that were refused unread which are read and dropped at a time; each holds
+/// its connection and one frame.
+const MAX_REFUSED_BODIES: usize = 16;
+
 /// The keys of the store that every entry mirrors: a single key or all keys with a prefix.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum MirrorKind {
@@ -85,6 +89,8 @@
     pub(crate) max_body: u64,
     /// Allows one refused body at a time to be read and dropped.
     pub(crate) discards: Arc<Semaphore>,
+    /// Allows some bodies of requests that are refused unread to be read and dropped at a time.
+    pub(crate) refused_bodies: Arc<Semaphore>,
     /// Callers' requests whose responses have not been written completely.
     pub(crate) in_flight: AtomicU64,
     /// Changes whenever a heartbeat is due at once; the value has no meaning.
@@ -153,6 +159,7 @@
             bodies: BodyMemory::new(settings.memory.get_body_bytes()),
             max_body: settings.memory.get_max_body(),
             discards: Arc::new(Semaphore::new(1)),
+            refused_bodies: Arc::new(Semaphore::new(MAX_REFUSED_BODIES)),
             in_flight: AtomicU64::new(0),
             heartbeat_due: watch::Sender::new(0),
             relist: Notify::new(),
--- a/src/gateway/identity.rs
+++ b/src/gateway/identity.rs
@@ -88,10 +88,9 @@
 /// Removes the key and every account name that the caller set. Underscores count as hyphens, since some
 /// servers do not tell them apart.
 pub(crate) fn remove_account_headers(headers: &mut HeaderMap) {
-    let is_account = |name: &HeaderName| name.as_str().replace('_', "-") == HEADER_NAMES.account;
     let names: Vec<HeaderName> = headers
         .keys()
-        .filter(|name| is_account(name))
+        .filter(|name| is_account_header(name))
         .cloned()
         .collect();
     for name in names.iter().chain(&[AUTHORIZATION]) {
@@ -99,6 +98,14 @@
     }
 }
 
+/// Returns whether a header tells a server the account, in any spelling.
+fn is_account_header(name: &HeaderName) -> bool {
+    let expected = HEADER_NAMES.account.bytes();
+    let mut pairs = name.as_str().bytes().zip(expected.clone());
+    name.as_str().len() == expected.len()
+        && pairs.all(|(found, expected)| found == expected || (found, expected) == (b'_', b'-'))
+}
+
 /// Sets the header that tells the server the account of a request. Its name is a valid value, unless the
 /// platform's decoding allows others than it should; the header is left out then, and that is logged.
 pub(crate) fn set_account_header(headers: &mut HeaderMap, account: &Account) {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -12,7 +12,7 @@
 use lentilcart_route::Restriction;
 use lentilcart_util::{Micros, Name};
 use rand::RngExt;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::attempt::{GatewayRequest, dispatch};
 use super::body_memory::NoRoom;
@@ -44,6 +44,9 @@
 /// Time for which the bodies of rejected requests are still read and dropped once this entry, which is
 /// leaving, begins no more attempts.
 const DISCARD_GRACE: Duration = Duration::from_millis(500);
+/// Time for which the body of a request that is refused unread is read and dropped: 60 KB at 1 Mbit/s, with little
+/// to spare.
+const REFUSED_BODY_TIME: Duration = Duration::from_millis(500);
 /// Remaining time assumed when computing `Retry-After` if no route has been matched and the caller sets
 /// no deadline.
 const DEFAULT_REMAINING: Micros = Micros::from_millis(1000);
@@ -224,7 +227,7 @@
         Ok(identity) => identity,
         Err(refusal) => {
             summary.account = Some(UNKNOWN_ACCOUNT.into());
-            return Err(refuse_key(gateway, &routes, refusal, request, deadline));
+            return Err(refuse_key(gateway, &routes, refusal, request));
         }
     };
     let (account, key) = identity.map(|found| (found.account, found.key)).unzip();
@@ -302,23 +305,38 @@
     host.unwrap_or_default()
 }
 
-/// Returns the reply to a request whose key is refused. The body is dropped unread, unless the request may be
-/// accepted soon: its caller needs to read the reply.
+/// Returns the reply to a request whose key is refused.
 fn refuse_key(
     gateway: &Arc<Gateway>,
     routes: &ActiveRoutes,
     refusal: KeyRefusal,
     request: Request<Incoming>,
-    deadline: Micros,
 ) -> ErrorReply {
+    discard_refused_body(gateway, request.into_body());
     let reason = gateway.get_missing_reason(routes, ErrorReason::UnknownKey);
-    if reason == ErrorReason::RoutesBehind {
-        let deadline = Instant::from_std(gateway.clock.to_instant(deadline));
-        discard_body(gateway, request.into_body(), deadline);
-    }
     ErrorReply::new(reason, refusal.as_str())
 }
 
+/// Reads and drops the body of a request that is refused before it has been read, so that its caller gets the
+/// reply, for a short time and for a limited number of bodies: a flood of them is dropped unread.
+fn discard_refused_body(gateway: &Arc<Gateway>, mut body: Incoming) {
+    if body.is_end_stream() {
+        return;
+    }
+    let Ok(permit) = gateway.refused_bodies.clone().try_acquire_owned() else {
+        return;
+    };
+    let give_up = gateway.attempts_end.clone();
+    gateway.tasks.spawn(async move {
+        let _permit = permit;
+        let discard = async { while let Some(Ok(_)) = body.frame().await {} };
+        tokio::select! {
+            _ = timeout(REFUSED_BODY_TIME, discard) => {}
+            () = give_up.cancelled() => {}
+        }
+    });
+}
+
 /// Limits of a request body.
 #[derive(Debug, Clone, Copy)]
 struct BodyLimits {
