fix(http): start no request ahead whose header section hyper may refuse

hyper refuses header sections above its limit, and closes the connection: requests behind one would have run and got no answer.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,7 +5,8 @@
 //! service is the entry of a data centre that grants its permits there. Members are all known entries,
 //! this one included; peers are the others.
 //!
-//! Requests: `serve` reads a caller's request and matches a route, `body_memory` bounds the memory of all
+//! Requests: `serve` reads a caller's request and matches a route, `ahead` starts those that callers send
+//! ahead before their turn, `body_memory` bounds the memory of all
 //! bodies, `attempt` sends it and retries,
 //! `permit_table` gets the permit for each attempt, `on_demand_probe` probes the chosen server, if its
 //! load report is old, before the request is sent, `response` classifies what the server sends back,
--- a/src/http/ahead_reader.rs
+++ b/src/http/ahead_reader.rs
@@ -9,6 +9,9 @@
 /// Largest number of bytes that wait behind the request that is served: many times the header sections of
 /// [`MAX_EARLY`](super::ahead_state::MAX_EARLY) requests of usual size.
 pub(super) const MAX_WAITING_BYTES: usize = 16 * 1024;
+/// Largest header section of a request that runs before its turn, in bytes: hyper accepts one of this size
+/// whatever the limit, which is at least 8192, so that what is behind it is answered, too.
+const MAX_EARLY_HEAD: usize = 4 * 1024;
 /// Largest number of arrival times that are kept for the bytes that wait.
 const MAX_ARRIVALS: usize = 32;
 /// Memory that is kept for header sections between the requests of a connection, in bytes, unless the last one
@@ -231,7 +234,11 @@
                     self.searched = self.waiting.len();
                     return;
                 }
-                ParsedHead::Complete(head) if head.is_plain && self.start_next(head.length) => {
+                ParsedHead::Complete(head)
+                    if head.is_plain
+                        && head.length <= MAX_EARLY_HEAD
+                        && self.start_next(head.length) =>
+                {
                     self.started += head.length;
                 }
                 ParsedHead::Complete(_) | ParsedHead::Invalid => self.is_blocked = true,
