feat(state): credit for the limits of accounts that hold across entries

An owner grants credit out of the shares that it holds, so that two owners never grant the same share.

--- a/lentilcart_state/src/lib.rs
+++ b/lentilcart_state/src/lib.rs
@@ -24,6 +24,7 @@
 
 mod accept;
 mod claim;
+mod credit;
 mod directory;
 mod error;
 mod member;
@@ -39,6 +40,11 @@
     ticket_key,
 };
 pub use self::claim::{Claim, ClaimLog, ClaimOp, ClaimState, ClaimVerdict, KeyDigest};
+pub use self::credit::{
+    ASK_INTERVAL, CREDIT_TTL, CreditAsk, CreditAskItem, CreditExchange, CreditHolder, CreditOwner, CreditReply,
+    CreditReplyItem, CreditRules, CreditTake, DELEGATION_TTL, GROUP_COUNT, GroupSet, OwnerPlan,
+    OwnerStamp, ShareKeeper, get_group,
+};
 pub use self::directory::{ServerDirectory, ServerRegistration};
 pub use self::error::{FieldError, StateError, TicketFileError};
 pub use self::member::{Member, MemberTable, rendezvous_rank};
--- a/lentilcart_state/tests/testsuite/main.rs
+++ b/lentilcart_state/tests/testsuite/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the state protocols, the mirror, the directory, routes and ticket files.
 
 mod claims;
+mod credit;
+mod credit_world;
 mod directory;
 mod kv_service;
 mod members;
