--- a/lentilcart_state/src/credit/owner.rs
+++ b/lentilcart_state/src/credit/owner.rs
@@ -6,7 +6,7 @@
 
 /// Length of a period over which the smallest share of a group is known. An account without state starts
 /// with what has been earned since the start of the period before.
-const FLOOR_PERIOD: Micros = Micros::from_millis(1000);
+const FLOOR_PERIOD: Micros = Micros::from_millis(500);
 /// Time without a message after which the state of an entry or an account is removed; longer than any
 /// delegation or credit lasts.
 const IDLE_TIMEOUT: Micros = Micros::from_millis(5000);
