--- a/lentilcart_state/src/credit/exchange.rs
+++ b/lentilcart_state/src/credit/exchange.rs
@@ -89,8 +89,8 @@
             }
             let sender = (&self.name, self.process);
             let ask = self.holder.build_ask(now, sender, &owner, share, &plan);
-            let confirmed = self.shares.get_confirmed_revision(now);
-            asks.push((owner, CreditAsk { confirmed, ..ask }));
+            let registered = self.shares.get_registration().unwrap_or_default();
+            asks.push((owner, CreditAsk { registered, ..ask }));
         }
         (asks, silent)
     }
@@ -103,10 +103,15 @@
         rules: &CreditRules,
         limits: impl Fn(&str) -> Option<AccountLimit>,
     ) -> Option<CreditReply> {
-        self.shares.record_confirmation(&ask.name, ask.confirmed);
+        self.shares
+            .record_announcement(now, &ask.name, ask.registered);
         let reply = self.owner.handle_ask(now, ask, rules, limits)?;
         Some(CreditReply {
-            confirmed: self.shares.get_confirmed_revision(now),
+            counted: if self.shares.is_counted(now, &ask.name) {
+                ask.registered
+            } else {
+                0
+            },
             leaving: self.is_leaving,
             ..reply
         })
@@ -114,7 +119,7 @@
 
     /// Takes a reply, and returns how much credit it brought.
     pub fn handle_reply(&mut self, now: Micros, reply: &CreditReply) -> f64 {
-        self.shares.record_confirmation(&reply.name, reply.confirmed);
+        self.shares.record_confirmation(&reply.name, reply.counted);
         self.shares.record_reply(now, &reply.name, reply.leaving);
         self.holder.record_reply(now, reply)
     }
--- a/lentilcart_state/src/credit/holder.rs
+++ b/lentilcart_state/src/credit/holder.rs
@@ -236,7 +236,7 @@
             share,
             groups: plan.delegated,
             kept: plan.kept,
-            confirmed: 0,
+            registered: 0,
             items: items.collect(),
         }
     }
--- a/lentilcart_state/src/credit/message.rs
+++ b/lentilcart_state/src/credit/message.rs
@@ -37,9 +37,9 @@
         /// Groups whose delegation, made earlier, is neither extended nor ended.
         #[serde(rename = "k", default)]
         pub kept: GroupSet,
-        /// Revision of the store up to which the entry counts all registered entries.
+        /// Revision of the store at which the entry is registered; 0 if it is not.
         #[serde(rename = "c", default)]
-        pub confirmed: u64,
+        pub registered: u64,
         /// Accounts with credit or demand.
         #[serde(rename = "i", default)]
         pub items: Vec<CreditAskItem>,
@@ -77,9 +77,10 @@
         /// When it was answered.
         #[serde(rename = "o")]
         pub stamp: OwnerStamp,
-        /// Revision of the store up to which the owner counts all registered entries.
+        /// [`CreditAsk::registered`] of the message, if the owner counts the entry among the registered ones;
+        /// else 0.
         #[serde(rename = "c", default)]
-        pub confirmed: u64,
+        pub counted: u64,
         /// Whether the owner is leaving, so that shares have to be delegated to another.
         #[serde(rename = "l", default)]
         pub leaving: bool,
--- a/lentilcart_state/src/credit/owner.rs
+++ b/lentilcart_state/src/credit/owner.rs
@@ -160,7 +160,7 @@
                 process: self.process,
                 time: stamp,
             },
-            confirmed: 0,
+            counted: 0,
             leaving: false,
             items,
         })
--- a/lentilcart_state/src/credit/share.rs
+++ b/lentilcart_state/src/credit/share.rs
@@ -25,15 +25,17 @@
     name: Name,
     /// Until when what an earlier process of this entry delegated may be in use.
     predecessor_end: Micros,
-    /// Registered entries, this one included.
-    members: Set<Name>,
-    /// Revisions of the store to which `members` was updated, and when, the latest last.
-    revisions: Vec<(u64, Micros)>,
+    /// Registered entries, this one included, and since when each is counted.
+    members: Map<Name, Micros>,
+    /// Revision of the store to which `members` was updated; `None` before the first listing.
+    revision: Option<u64>,
+    /// Entries that have said themselves that they are registered at a revision that is not known yet.
+    announced: Map<Name, u64>,
     /// Revision of this entry's registration.
     registered_at: Option<u64>,
     /// Until when this entry is registered for certain.
     registered_until: Micros,
-    /// Latest revision that each other entry has confirmed.
+    /// Revision of this entry's registration that each other entry has confirmed.
     confirmed: Map<Name, u64>,
     delegations: [Option<Delegation>; GROUP_COUNT],
     /// The members in the rendezvous order of each group.
@@ -74,11 +76,12 @@
     #[must_use]
     pub fn new(name: Name, now: Micros) -> Self {
         Self {
-            members: std::iter::once(name.clone()).collect(),
+            members: std::iter::once((name.clone(), now)).collect(),
             ranked: std::array::from_fn(|_| vec![name.clone()]),
             name,
             predecessor_end: now + DELEGATION_TTL + CREDIT_TTL,
-            revisions: Vec::new(),
+            revision: None,
+            announced: Map::default(),
             registered_at: None,
             registered_until: Micros::ZERO,
             confirmed: Map::default(),
@@ -92,37 +95,64 @@
     /// Returns whether the members are known at a revision of the store already.
     #[must_use]
     pub fn has_revision(&self, revision: u64) -> bool {
-        self.revisions.last().is_some_and(|(last, _)| *last >= revision)
+        self.revision.is_some_and(|known| known >= revision)
     }
 
     /// Sets the entries that are registered at a revision of the store.
-    pub fn set_members(&mut self, now: Micros, revision: u64, mut members: Set<Name>) {
-        members.insert(self.name.clone());
+    pub fn set_members(&mut self, now: Micros, revision: u64, members: Set<Name>) {
         if self.has_revision(revision) {
             return;
         }
-        self.prune_revisions(now);
-        match self.revisions.last_mut() {
-            // Counted since the revision before.
-            Some((last, _)) if members == self.members => *last = revision,
-            _ => self.revisions.push((revision, now)),
+        self.revision = Some(revision);
+        self.announced.retain(|_, announced| *announced > revision);
+        self.replace_members(now, members);
+    }
+
+    /// Records that another entry says that it is registered at a revision. It is counted from now on, until
+    /// what the store says at that revision is known.
+    pub fn record_announcement(&mut self, now: Micros, name: &Name, revision: u64) {
+        if revision == 0 || self.has_revision(revision) || *name == self.name {
+            return;
+        }
+        self.announced.insert(name.clone(), revision);
+        if !self.members.contains_key(name) {
+            let members = self.members.keys().cloned().collect();
+            self.replace_members(now, members);
         }
+    }
+
+    /// Returns whether another entry is counted, and nothing that this entry delegated before that is in
+    /// use any more.
+    #[must_use]
+    pub fn is_counted(&self, now: Micros, name: &Name) -> bool {
+        let is_free = now >= self.get_delegation_end() + CREDIT_TTL;
+        now >= self.predecessor_end
+            && self.members.get(name).is_some_and(|since| {
+                is_free || now >= *since + DELEGATION_TTL + CREDIT_TTL
+            })
+    }
+
+    fn replace_members(&mut self, now: Micros, mut members: Set<Name>) {
+        members.insert(self.name.clone());
+        members.extend(self.announced.keys().cloned());
         self.confirmed.retain(|name, _| members.contains(name));
         self.suspected.retain(|name, _| members.contains(name));
-        if members != self.members {
-            self.ranked = std::array::from_fn(|group| {
-                let key = format!("accounts/{group}");
-                let ranked = rendezvous_rank(&key, members.iter(), usize::MAX);
-                ranked.into_iter().cloned().collect()
-            });
-        }
-        self.members = members;
+        self.ranked = std::array::from_fn(|group| {
+            let key = format!("accounts/{group}");
+            let ranked = rendezvous_rank(&key, members.iter(), usize::MAX);
+            ranked.into_iter().cloned().collect()
+        });
+        let counted = members.into_iter().map(|name| {
+            let since = self.members.get(&name).copied().unwrap_or(now);
+            (name, since)
+        });
+        self.members = counted.collect();
     }
 
     /// Returns whether an entry is registered.
     #[must_use]
     pub fn has_member(&self, name: &Name) -> bool {
-        self.members.contains(name)
+        self.members.contains_key(name)
     }
 
     /// Returns the number of registered entries, this one included.
@@ -166,42 +196,24 @@
         ends.max().unwrap_or_default()
     }
 
-    /// Returns the revision up to which this entry confirms to others that it counts all registered
-    /// entries: nothing that it delegated before is in use any more.
-    #[must_use]
-    pub fn get_confirmed_revision(&self, now: Micros) -> u64 {
-        let is_free = now >= self.get_delegation_end() + CREDIT_TTL && now >= self.predecessor_end;
-        let is_over = |counted: &Micros| now >= *counted + DELEGATION_TTL + CREDIT_TTL;
-        let mut confirmed = self.revisions.iter().rev();
-        confirmed
-            .find(|(_, counted)| is_free || is_over(counted))
-            .map_or(0, |(revision, _)| *revision)
-    }
-
-    /// Records the revision that another entry confirms.
+    /// Records that another entry counts this one as registered at a revision.
     pub fn record_confirmation(&mut self, name: &Name, revision: u64) {
-        if self.members.contains(name) && *name != self.name {
-            let confirmed = self.confirmed.entry(name.clone()).or_default();
-            *confirmed = (*confirmed).max(revision);
+        if Some(revision) == self.registered_at && self.members.contains_key(name) {
+            self.confirmed.insert(name.clone(), revision);
         }
     }
 
     /// Returns the entries that have not confirmed this entry's registration.
     pub fn get_unconfirmed(&self) -> impl Iterator<Item = &Name> {
-        let registered_at = self.registered_at.unwrap_or(u64::MAX);
-        self.members.iter().filter(move |name| {
-            let confirmed = self.confirmed.get(*name).copied();
-            **name != self.name && confirmed.is_none_or(|revision| revision < registered_at)
-        })
+        let is_open = |name: &&Name| self.confirmed.get(*name).copied() != self.registered_at;
+        let others = self.members.keys().filter(|name| **name != self.name);
+        others.filter(move |name| self.registered_at.is_none() || is_open(name))
     }
 
     /// Returns whether an entry has yet to confirm this entry's registration.
     #[must_use]
     pub fn is_unconfirmed(&self, name: &Name) -> bool {
-        let confirmed = self.confirmed.get(name);
-        self.registered_at
-            .is_some_and(|revision| confirmed.is_none_or(|confirmed| *confirmed < revision))
-            && self.members.contains(name)
+        self.registered_at.is_some() && self.get_unconfirmed().any(|other| other == name)
     }
 
     /// Returns the revision of this entry's registration; `None` while it is not registered.
@@ -213,8 +225,7 @@
     /// Returns this entry's share if it may be delegated now, else 0.
     #[must_use]
     pub fn get_share(&self, now: Micros) -> f64 {
-        let known = self.revisions.last().map(|(revision, _)| *revision);
-        let is_listed = self.registered_at.is_some() && known >= self.registered_at;
+        let is_listed = self.registered_at.is_some_and(|revision| self.has_revision(revision));
         let end = now + DELEGATION_TTL + CREDIT_TTL + REGISTRATION_MARGIN;
         let may_use = is_listed
             && !self.is_leaving
@@ -328,10 +339,4 @@
         let first = self.ranked[group].iter().find(|name| !is_passed(name));
         first.unwrap_or(&self.name).clone()
     }
-
-    /// Removes revisions that are older than the one that is confirmed.
-    fn prune_revisions(&mut self, now: Micros) {
-        let confirmed = self.get_confirmed_revision(now);
-        self.revisions.retain(|(revision, _)| *revision >= confirmed);
-    }
 }
--- a/lentilcart_state/tests/testsuite/credit_world.rs
+++ b/lentilcart_state/tests/testsuite/credit_world.rs
@@ -90,7 +90,7 @@
             rng: seeded_rng(seed),
             loss: 0.0,
             max_delay: Micros::from_millis(2),
-            max_mirror_delay: Micros::from_millis(100),
+            max_mirror_delay: Micros::from_millis(1200),
             sent: Vec::new(),
             refused: Vec::new(),
             messages: 0,
@@ -287,7 +287,10 @@
             }
         }
         let chance = STEP.as_secs() / self.max_mirror_delay.as_secs().max(STEP.as_secs());
-        if !exchange.shares.has_revision(self.revision) && self.rng.random_bool(chance) {
+        // The first listing follows the registration.
+        let is_first = !exchange.shares.has_revision(0);
+        let is_behind = !exchange.shares.has_revision(self.revision);
+        if is_behind && (is_first || self.rng.random_bool(chance)) {
             let members: Set<Name> = self.registered.keys().cloned().collect();
             exchange.shares.set_members(now, self.revision, members);
         }
