--- a/lentilcart_state/src/credit/holder.rs
+++ b/lentilcart_state/src/credit/holder.rs
@@ -189,7 +189,9 @@
     /// Returns when the last message was sent to an owner.
     #[must_use]
     pub fn get_last_ask(&self, owner: &Name) -> Micros {
-        self.owners.get(owner).map_or(Micros::ZERO, |link| link.last_ask)
+        self.owners
+            .get(owner)
+            .map_or(Micros::ZERO, |link| link.last_ask)
     }
 
     /// Returns since when the messages to an owner have not been answered; `None` if the last one was.
@@ -206,7 +208,9 @@
     /// Returns whether an owner has replied, so that a share can be delegated to it.
     #[must_use]
     pub fn has_stamp(&self, owner: &Name) -> bool {
-        self.owners.get(owner).is_some_and(|link| link.stamp.is_some())
+        self.owners
+            .get(owner)
+            .is_some_and(|link| link.stamp.is_some())
     }
 
     /// Builds the next message to an owner, about the accounts of some groups.
@@ -317,7 +321,8 @@
         self.accounts.retain(|_, state| {
             now - state.last_use < IDLE_TIMEOUT || state.waiting > 0.0 || !state.open.is_empty()
         });
-        self.owners.retain(|_, link| now - link.last_ask < IDLE_TIMEOUT);
+        self.owners
+            .retain(|_, link| now - link.last_ask < IDLE_TIMEOUT);
     }
 }
 
@@ -365,10 +370,14 @@
                 self.demand += (latest - self.demand) * DEMAND_WEIGHT;
             } else {
                 // Too short for an estimate: a single request says nothing of the next ones.
-                let latest = (self.arrivals - 1.0).max(0.0) / interval.max(MIN_ASK_INTERVAL.as_secs());
+                let latest =
+                    (self.arrivals - 1.0).max(0.0) / interval.max(MIN_ASK_INTERVAL.as_secs());
                 self.demand = self.demand.max(latest * DEMAND_WEIGHT);
             }
-            let reliable = self.credits.iter().filter(|credit| credit.end > now + END_MARGIN);
+            let reliable = self
+                .credits
+                .iter()
+                .filter(|credit| credit.end > now + END_MARGIN);
             let available: f64 = reliable.map(|credit| credit.amount).sum();
             let ahead = (self.demand * DEMAND_TIME.as_secs()).floor();
             wanted = (self.waiting + ahead - available).max(0.0).floor();
@@ -396,7 +405,11 @@
     /// Takes surplus credit of an owner out, and returns how much it was.
     fn take_surplus(&mut self, surplus: f64, owner: &Name) -> f64 {
         let mut left = surplus.max(0.0);
-        for credit in self.credits.iter_mut().filter(|credit| credit.owner == *owner) {
+        for credit in self
+            .credits
+            .iter_mut()
+            .filter(|credit| credit.owner == *owner)
+        {
             let part = credit.amount.min(left).floor();
             credit.amount -= part;
             left -= part;
--- a/lentilcart_state/src/credit/owner.rs
+++ b/lentilcart_state/src/credit/owner.rs
@@ -178,9 +178,7 @@
             .retain(|_, holder| now - holder.last_ask < IDLE_TIMEOUT);
         let groups = self.groups;
         self.accounts.retain(|name, account| {
-            account
-                .grants
-                .retain(|_, held| held.get_amount(now) > 0.0);
+            account.grants.retain(|_, held| held.get_amount(now) > 0.0);
             let group = &groups[get_group(name)];
             let is_full = limits(name).is_none_or(|limit| {
                 account.refill(now, group, rules, limit);
@@ -258,9 +256,7 @@
         if let Some(echo) = ask.echo.filter(|echo| echo.process == process) {
             credit.granted.retain(|(time, _)| *time > echo.time);
         }
-        credit
-            .granted
-            .retain(|(time, _)| now < *time + CREDIT_TTL);
+        credit.granted.retain(|(time, _)| now < *time + CREDIT_TTL);
         credit.held = item.held.max(0.0);
         credit.reported = now;
         // Only what counted as usable comes back.
--- a/lentilcart_state/src/credit/share.rs
+++ b/lentilcart_state/src/credit/share.rs
@@ -1,4 +1,4 @@
-use lentilcart_util::{Map, Micros, Name, Set};
+use lentilcart_util::{Map, Micros, Name};
 
 use super::rules::{CREDIT_TTL, DELEGATION_TTL, GROUP_COUNT, GroupSet};
 use crate::member::rendezvous_rank;
@@ -25,8 +25,8 @@
     name: Name,
     /// Until when what an earlier process of this entry delegated may be in use.
     predecessor_end: Micros,
-    /// Registered entries, this one included, and since when each is counted.
-    members: Map<Name, Micros>,
+    /// Registered entries, this one included.
+    members: Map<Name, RegisteredEntry>,
     /// Revision of the store to which `members` was updated; `None` before the first listing.
     revision: Option<u64>,
     /// Entries that have said themselves that they are registered at a revision that is not known yet.
@@ -45,6 +45,15 @@
     is_leaving: bool,
 }
 
+/// A registered entry.
+#[derive(Debug, Clone, Copy)]
+struct RegisteredEntry {
+    /// Revision of its registration, as far as it is known.
+    revision: u64,
+    /// Since when it is counted.
+    since: Micros,
+}
+
 /// Why and since when an owner is passed over.
 #[derive(Debug, Clone, Copy)]
 struct Suspicion {
@@ -75,8 +84,12 @@
     /// Creates the state of an entry whose process starts now.
     #[must_use]
     pub fn new(name: Name, now: Micros) -> Self {
+        let own = RegisteredEntry {
+            revision: 0,
+            since: now,
+        };
         Self {
-            members: std::iter::once((name.clone(), now)).collect(),
+            members: std::iter::once((name.clone(), own)).collect(),
             ranked: std::array::from_fn(|_| vec![name.clone()]),
             name,
             predecessor_end: now + DELEGATION_TTL + CREDIT_TTL,
@@ -98,8 +111,9 @@
         self.revision.is_some_and(|known| known >= revision)
     }
 
-    /// Sets the entries that are registered at a revision of the store.
-    pub fn set_members(&mut self, now: Micros, revision: u64, members: Set<Name>) {
+    /// Sets the entries that are registered at a revision of the store, with the revisions of their
+    /// registrations.
+    pub fn set_members(&mut self, now: Micros, revision: u64, members: Map<Name, u64>) {
         if self.has_revision(revision) {
             return;
         }
@@ -114,10 +128,10 @@
         if revision == 0 || self.has_revision(revision) || *name == self.name {
             return;
         }
-        self.announced.insert(name.clone(), revision);
-        if !self.members.contains_key(name) {
-            let members = self.members.keys().cloned().collect();
-            self.replace_members(now, members);
+        if self.announced.insert(name.clone(), revision) != Some(revision) {
+            let members = self.members.iter();
+            let members = members.map(|(name, entry)| (name.clone(), entry.revision));
+            self.replace_members(now, members.collect());
         }
     }
 
@@ -127,24 +141,28 @@
     pub fn is_counted(&self, now: Micros, name: &Name) -> bool {
         let is_free = now >= self.get_delegation_end() + CREDIT_TTL;
         now >= self.predecessor_end
-            && self.members.get(name).is_some_and(|since| {
-                is_free || now >= *since + DELEGATION_TTL + CREDIT_TTL
-            })
+            && self
+                .members
+                .get(name)
+                .is_some_and(|entry| is_free || now >= entry.since + DELEGATION_TTL + CREDIT_TTL)
     }
 
-    fn replace_members(&mut self, now: Micros, mut members: Set<Name>) {
-        members.insert(self.name.clone());
-        members.extend(self.announced.keys().cloned());
-        self.confirmed.retain(|name, _| members.contains(name));
-        self.suspected.retain(|name, _| members.contains(name));
+    fn replace_members(&mut self, now: Micros, mut members: Map<Name, u64>) {
+        members.entry(self.name.clone()).or_default();
+        for (name, revision) in &self.announced {
+            let known = members.entry(name.clone()).or_default();
+            *known = (*known).max(*revision);
+        }
+        self.confirmed.retain(|name, _| members.contains_key(name));
+        self.suspected.retain(|name, _| members.contains_key(name));
         self.ranked = std::array::from_fn(|group| {
             let key = format!("accounts/{group}");
-            let ranked = rendezvous_rank(&key, members.iter(), usize::MAX);
+            let ranked = rendezvous_rank(&key, members.keys(), usize::MAX);
             ranked.into_iter().cloned().collect()
         });
-        let counted = members.into_iter().map(|name| {
-            let since = self.members.get(&name).copied().unwrap_or(now);
-            (name, since)
+        let counted = members.into_iter().map(|(name, revision)| {
+            let since = self.members.get(&name).map_or(now, |known| known.since);
+            (name, RegisteredEntry { revision, since })
         });
         self.members = counted.collect();
     }
@@ -203,11 +221,15 @@
         }
     }
 
-    /// Returns the entries that have not confirmed this entry's registration.
+    /// Returns the entries that have not confirmed this entry's registration, and have to: those that were
+    /// registered before it. Those that were registered later have listed the entries since.
     pub fn get_unconfirmed(&self) -> impl Iterator<Item = &Name> {
-        let is_open = |name: &&Name| self.confirmed.get(*name).copied() != self.registered_at;
-        let others = self.members.keys().filter(|name| **name != self.name);
-        others.filter(move |name| self.registered_at.is_none() || is_open(name))
+        let registered_at = self.registered_at.unwrap_or(u64::MAX);
+        let others = self.members.iter().filter(move |(name, entry)| {
+            let is_confirmed = self.confirmed.get(*name) == Some(&registered_at);
+            **name != self.name && entry.revision < registered_at && !is_confirmed
+        });
+        others.map(|(name, _)| name)
     }
 
     /// Returns whether an entry has yet to confirm this entry's registration.
@@ -225,7 +247,9 @@
     /// Returns this entry's share if it may be delegated now, else 0.
     #[must_use]
     pub fn get_share(&self, now: Micros) -> f64 {
-        let is_listed = self.registered_at.is_some_and(|revision| self.has_revision(revision));
+        let is_listed = self
+            .registered_at
+            .is_some_and(|revision| self.has_revision(revision));
         let end = now + DELEGATION_TTL + CREDIT_TTL + REGISTRATION_MARGIN;
         let may_use = is_listed
             && !self.is_leaving
@@ -253,7 +277,11 @@
                     let is_silent = suspicion.is_some_and(|suspicion| suspicion.is_silent);
                     let is_usable = now < former.end && !is_silent;
                     plans.entry(former.owner.clone()).or_default().kept |= bit;
-                    let asked = if is_usable { former.owner.clone() } else { owner };
+                    let asked = if is_usable {
+                        former.owner.clone()
+                    } else {
+                        owner
+                    };
                     plans.entry(asked).or_default().asked |= bit;
                 }
                 _ => {
@@ -325,12 +353,18 @@
             .insert(owner.clone(), Suspicion { since, is_silent });
     }
 
+    /// Returns whether this entry uses its share itself, since no owner replies.
+    #[must_use]
+    pub fn is_own_owner(&self, now: Micros) -> bool {
+        let is_silent = |suspicion: &&Suspicion| suspicion.is_silent;
+        let silent_count = self.suspected.values().filter(is_silent).count();
+        silent_count >= MAX_SUSPECTED && now - self.last_reply >= OWNER_TIMEOUT
+    }
+
     /// Returns the owner of a group: the first registered entry in the rendezvous order that is not passed
     /// over; this entry if no owner replies.
     fn choose_owner(&self, now: Micros, group: usize) -> Name {
-        let is_silent = |suspicion: &&Suspicion| suspicion.is_silent;
-        let silent_count = self.suspected.values().filter(is_silent).count();
-        if silent_count >= MAX_SUSPECTED && now - self.last_reply >= OWNER_TIMEOUT {
+        if self.is_own_owner(now) {
             return self.name.clone();
         }
         let is_passed = |name: &&Name| {
--- a/lentilcart_state/src/lib.rs
+++ b/lentilcart_state/src/lib.rs
@@ -41,9 +41,9 @@
 };
 pub use self::claim::{Claim, ClaimLog, ClaimOp, ClaimState, ClaimVerdict, KeyDigest};
 pub use self::credit::{
-    ASK_INTERVAL, CREDIT_TTL, CreditAsk, CreditAskItem, CreditExchange, CreditHolder, CreditOwner, CreditReply,
-    CreditReplyItem, CreditRules, CreditTake, DELEGATION_TTL, GROUP_COUNT, GroupSet, OwnerPlan,
-    OwnerStamp, ShareKeeper, get_group,
+    ASK_INTERVAL, CREDIT_TTL, CreditAsk, CreditAskItem, CreditExchange, CreditHolder, CreditOwner,
+    CreditReply, CreditReplyItem, CreditRules, CreditTake, DELEGATION_TTL, GROUP_COUNT, GroupSet,
+    OwnerPlan, OwnerStamp, ShareKeeper, get_group,
 };
 pub use self::directory::{ServerDirectory, ServerRegistration};
 pub use self::error::{FieldError, StateError, TicketFileError};
--- a/lentilcart_state/tests/testsuite/credit.rs
+++ b/lentilcart_state/tests/testsuite/credit.rs
@@ -58,7 +58,11 @@
 /// Guards against callers beyond the limit that take more than it, or that waste credit.
 #[test]
 fn credit_beyond_the_limit_is_refused_and_all_of_it_used() {
-    for (limit, demands) in [(LARGE, [7.0, 0.0]), (LARGE, [2.0, 5.0]), (SMALL, [7.0, 7.0])] {
+    for (limit, demands) in [
+        (LARGE, [7.0, 0.0]),
+        (LARGE, [2.0, 5.0]),
+        (SMALL, [7.0, 7.0]),
+    ] {
         let mut world = World::new(3, 47, limit);
         world.queueing = true;
         world.run(START_TIME);
@@ -114,8 +118,8 @@
 fn find_owner(world: &mut World) -> usize {
     let shares = world.get_shares(get_group(ACCOUNT));
     let share = |index: &usize| shares.get(&world.nodes[*index].name).copied();
-    let largest = (0..world.nodes.len())
-        .max_by(|one, other| share(one).partial_cmp(&share(other)).unwrap());
+    let largest =
+        (0..world.nodes.len()).max_by(|one, other| share(one).partial_cmp(&share(other)).unwrap());
     largest.unwrap()
 }
 
--- a/lentilcart_state/tests/testsuite/credit_world.rs
+++ b/lentilcart_state/tests/testsuite/credit_world.rs
@@ -5,7 +5,7 @@
 use lentilcart_state::{
     AccountLimit, CreditAsk, CreditExchange, CreditReply, CreditRules, CreditTake,
 };
-use lentilcart_util::{Map, Micros, Name, Rng, Set, seeded_rng};
+use lentilcart_util::{Map, Micros, Name, Rng, seeded_rng};
 use rand::RngExt;
 
 /// Length of a step of the simulation.
@@ -265,7 +265,10 @@
         }
         let now = real + node.clock_offset;
         let exchange = node.exchange.as_mut().unwrap();
-        if node.last_renewal.is_none_or(|last| now - last >= RENEW_INTERVAL) {
+        if node
+            .last_renewal
+            .is_none_or(|last| now - last >= RENEW_INTERVAL)
+        {
             let is_known = self.registered.contains_key(&node.name);
             node.last_renewal = Some(now);
             if node.has_lease && is_known {
@@ -291,7 +294,10 @@
         let is_first = !exchange.shares.has_revision(0);
         let is_behind = !exchange.shares.has_revision(self.revision);
         if is_behind && (is_first || self.rng.random_bool(chance)) {
-            let members: Set<Name> = self.registered.keys().cloned().collect();
+            let registered = self.registered.iter();
+            let members: Map<Name, u64> = registered
+                .map(|(name, (revision, _))| (name.clone(), *revision))
+                .collect();
             exchange.shares.set_members(now, self.revision, members);
         }
     }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
+use super::account_limits::RequestCredit;
 use super::attempt_log::AttemptLog;
 use super::datagram::PermitRequest;
 use super::error_reply::{ErrorReason, ErrorReply};
@@ -50,6 +51,8 @@
     pub(crate) account: Option<Arc<Account>>,
     /// Key by which the account was found.
     pub(crate) key: Option<AccountKey>,
+    /// Credit of the account for the request; `None` if it has no limit.
+    pub(crate) credit: Option<RequestCredit>,
     /// Host that the route was found by.
     pub(crate) host: String,
     /// Arrival time by the gateway's clock.
@@ -325,6 +328,10 @@
         if let Some(reason) = inbound.check_account(gateway) {
             return inbound.finish(last, reason);
         }
+        let credit = inbound.credit.as_mut();
+        if credit.is_some_and(|credit| !credit.begin_attempt()) {
+            return inbound.finish(last, ErrorReason::OverLimit);
+        }
         excluded.push(permit.address);
         inbound.attempts += 1;
         let sending = send_with_hedge(gateway, dispatcher, inbound, permit, &mut excluded);
@@ -336,6 +343,13 @@
             }
             () = gateway.requests_end.cancelled() => Err(ErrorReason::StoppingMayHaveRun),
         };
+        let is_not_run = matches!(
+            result,
+            Ok(AttemptResult::NotRun(_) | AttemptResult::NotSent(_))
+        );
+        if let Some(credit) = &mut inbound.credit {
+            credit.end_attempt(!is_not_run);
+        }
         let result = match result {
             Ok(result) => result,
             Err(reason) => {
@@ -422,6 +436,11 @@
         dispatcher.update_pool(|pool, _| pool.return_retry_token());
         return first.await;
     };
+    let credit = inbound.credit.as_ref();
+    if credit.is_some_and(|credit| !credit.begin_hedge()) {
+        dispatcher.update_pool(|pool, _| pool.return_retry_token());
+        return first.await;
+    }
     excluded.push(permit.address);
     inbound.attempts += 1;
     let request = inbound.build_request(&permit.server_id, gateway.clock.now());
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 
 use lentilcart_route::{AttemptOutcome, LoadReport, ServerNotice};
+use lentilcart_state::{CreditAsk, CreditReply};
 use lentilcart_util::{Micros, Name, common};
 
 const PERCENT_PER_UNIT: f64 = 100.0;
@@ -27,6 +28,10 @@
         pub(crate) leaving: bool,
         /// Whether the entry watches the store and the store answers it.
         pub(crate) watching: bool,
+        /// Whether the entry enforces the limits of client accounts and has a share of them; set in the
+        /// registration only. Entries of an earlier version ignore it.
+        #[serde(rename = "limits", default, skip_serializing_if = "std::ops::Not::not")]
+        pub(crate) has_limits: bool,
     }
 }
 
@@ -110,6 +115,13 @@
         /// outcome of an attempt tells it too, but for answers to probes and those that count as failures.
         /// Entries of an earlier version ignore it and log a warning.
         Notice(Name, SocketAddr, ServerNotice),
+        /// Asks the owner of client accounts for credit, and delegates a share of their limits to it. Sent
+        /// only where accounts have limits; entries of an earlier version ignore it and log a warning.
+        #[serde(rename = "Ca")]
+        CreditAsk(CreditAsk),
+        /// The reply to [`Self::CreditAsk`].
+        #[serde(rename = "Cr")]
+        CreditReply(CreditReply),
     }
 }
 
--- a/src/gateway/error_reply.rs
+++ b/src/gateway/error_reply.rs
@@ -27,6 +27,10 @@
         UnknownKey,
         /// While the request waited, its key became that of another client account; no server has run it.
         AccountChanged,
+        /// The client account has used up its limit.
+        OverLimit,
+        /// The client account has a limit, and no entry that grants credit for it has replied in time.
+        NoCredit,
         /// The service has no server that may get requests.
         NoServer,
         /// No server would be free in time.
@@ -60,7 +64,7 @@
     pub(crate) reason: ErrorReason,
     /// Details for the caller and the log; empty if there are none.
     pub(crate) detail: String,
-    /// Time after which the caller may retry; sent with status 503 only.
+    /// Time after which the caller may retry; sent with status 429 and 503 only.
     pub(crate) retry_after: Option<Micros>,
 }
 
@@ -77,6 +81,8 @@
             Self::RoutesBehind => "routes-behind",
             Self::UnknownKey => "unknown-key",
             Self::AccountChanged => "account-changed",
+            Self::OverLimit => "over-limit",
+            Self::NoCredit => "no-credit",
             Self::NoServer => "no-server",
             Self::Overload => "overload",
             Self::Stopping => "stopping",
@@ -99,12 +105,14 @@
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::OverLimit => StatusCode::TOO_MANY_REQUESTS,
             Self::NoUsableResponse => StatusCode::BAD_GATEWAY,
             Self::StoppingMayHaveRun | Self::TimeoutMayHaveRun => StatusCode::GATEWAY_TIMEOUT,
             Self::NoMemory
             | Self::NoRoutes
             | Self::RoutesBehind
             | Self::AccountChanged
+            | Self::NoCredit
             | Self::NoServer
             | Self::Overload
             | Self::Stopping
@@ -133,7 +141,11 @@
         let mut builder = Response::builder()
             .status(status)
             .header("content-type", "application/json");
-        if let (StatusCode::SERVICE_UNAVAILABLE, Some(retry_after)) = (status, self.retry_after) {
+        let may_retry = [
+            StatusCode::SERVICE_UNAVAILABLE,
+            StatusCode::TOO_MANY_REQUESTS,
+        ];
+        if let (true, Some(retry_after)) = (may_retry.contains(&status), self.retry_after) {
             // Seconds with three decimals, though HTTP defines whole seconds: most values are below one.
             builder = builder.header(RETRY_AFTER, format!("{:.3}", retry_after.as_secs()));
         }
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::account_limits::AccountLimits;
 use super::body_memory::BodyMemory;
 use super::datagram::{Datagram, GatewayHeartbeat, LoadUpdate};
 use super::drain::DrainSchedule;
@@ -79,6 +80,8 @@
     pub(crate) requests_end: CancellationToken,
     /// Cancelled when the background tasks must end.
     pub(crate) stop: CancellationToken,
+    /// Limits of client accounts.
+    pub(crate) account_limits: AccountLimits,
     /// Memory for request bodies and buffered answers.
     pub(crate) bodies: BodyMemory,
     /// Largest request body that this process takes, whatever the routes allow, in bytes.
@@ -141,8 +144,10 @@
         let new_client =
             || HttpClient::new(settings.get_source_ip(), tasks.clone()).with_timeouts(limits);
         let random_seed = unix_millis() ^ u64::from(std::process::id()) << 40;
+        let clock = Clock::start();
         Self {
-            clock: Clock::start(),
+            account_limits: AccountLimits::new(settings.name.clone(), random_seed, clock.now()),
+            clock,
             store,
             server_client: new_client(),
             peer_client: new_client(),
@@ -273,6 +278,7 @@
                 .map(|kind| self.lock_mirror(kind).get_latest_change_revision()),
             leaving: self.is_leaving(),
             watching: self.has_to_watch() && self.is_store_reachable(),
+            has_limits: false,
         }
     }
 }
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout_at;
 use tokio_util::task::TaskTracker;
 
+use super::account_limits::exchange_credit;
 use super::drain::DrainSchedule;
 use super::gateway::{Gateway, MirrorKind};
 use super::mirror::keep_mirror;
@@ -114,6 +115,7 @@
         tokio::spawn(keep_probing(gateway.clone())),
         tokio::spawn(send_load_updates(gateway.clone(), socket)),
         tokio::spawn(run_periodic_work(gateway.clone())),
+        tokio::spawn(exchange_credit(gateway.clone())),
     ];
     let mirrors = MirrorKind::ALL.map(|kind| tokio::spawn(keep_mirror(gateway.clone(), kind)));
     join_handles.extend(mirrors);
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -22,6 +22,11 @@
 /// cost a call, a heartbeat to every entry and a fetch by it.
 const HOST_BATCH_DELAY: Duration = Duration::from_secs(1);
 
+/// Longest time for which the first listing of the entries waits for the registration of this one.
+const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval at which that is checked.
+const REGISTRATION_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Longest wait of a watch that confirms another one: the shortest that the store knows.
 const CONFIRMATION_WAIT: Micros = Micros::from_millis(1);
 /// Time that the reply to a watch may take from when the store is known to be ahead of the mirror.
@@ -31,6 +36,9 @@
 pub(crate) async fn keep_mirror(gateway: Arc<Gateway>, kind: MirrorKind) {
     let mut backoff = Backoff::default();
     let mut listing_size = ListingSize::default();
+    if kind == MirrorKind::Hosts && gateway.settings.load().accounts.is_enforced() {
+        wait_for_registration(&gateway).await;
+    }
     loop {
         // Unless this entry has to watch, one listing is enough: later changes come from other entries.
         let has_listed = gateway.lock_mirror(kind).get_revision() > 0;
@@ -94,6 +102,15 @@
     }
 }
 
+/// Waits for the registration of this entry, for a limited time: a listing after it shows all entries that
+/// may have a share of the limits of accounts, so that this one can use its share at once.
+async fn wait_for_registration(gateway: &Gateway) {
+    let end = tokio::time::Instant::now() + REGISTRATION_TIMEOUT;
+    while !gateway.account_limits.is_registered() && tokio::time::Instant::now() < end {
+        sleep_unless_stopped(gateway, REGISTRATION_CHECK_INTERVAL).await;
+    }
+}
+
 /// Makes a call to the store; a watch is confirmed while it waits. A listing that is too large is begun anew,
 /// and the call fails.
 async fn call_store(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,8 +16,12 @@
 //! other entries, `probe` keeps the load of servers current, `register` keeps this entry listed in the
 //! store, and `tick` runs periodic work.
 //!
+//! `account_limits` takes credit for the requests of client accounts with a limit, and exchanges it with
+//! other entries.
+//!
 //! `handle` starts and stops a gateway, `drain` has the times of a stop, and `ops` serves its health and metrics.
 
+mod account_limits;
 mod attempt;
 mod attempt_log;
 mod body_memory;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -9,6 +9,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
+use super::account_limits::{handle_credit_ask, handle_credit_reply};
 use super::datagram::{Datagram, GatewayHeartbeat, encode};
 use super::gateway::{Gateway, MirrorKind};
 use super::permit_table::{handle_permit_request, record_owner_reply, release_permit};
@@ -122,6 +123,8 @@
             Ok(Datagram::PermitRequest(request)) => {
                 handle_permit_request(&gateway, remote, request);
             }
+            Ok(Datagram::CreditAsk(ask)) => handle_credit_ask(&gateway, remote, &ask),
+            Ok(Datagram::CreditReply(reply)) => handle_credit_reply(&gateway, &reply),
             Ok(Datagram::Release(id, outcome)) => release_permit(&gateway, remote, id, outcome),
             Ok(Datagram::Notice(service, server, notice)) => {
                 gateway.record_peer_notice(remote, &service, server, notice);
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -1,8 +1,9 @@
 use std::sync::Arc;
 
-use lentilcart_state::{StoreCall, StorePut, StoreReply};
+use lentilcart_state::{Precondition, StoreCall, StorePut, StoreReply};
 use lentilcart_util::{Micros, Name};
 
+use super::datagram::GatewayHeartbeat;
 use super::gateway::{Gateway, MirrorKind};
 use super::mirror::sleep_unless_stopped;
 
@@ -15,8 +16,9 @@
 /// The renewals also show whether the store answers while the watches wait for changes.
 pub(crate) async fn keep_registered(gateway: Arc<Gateway>) {
     let mut lease = None;
+    let mut is_first = gateway.settings.load().accounts.is_enforced();
     while !gateway.stop.is_cancelled() {
-        lease = match renew_or_open(&gateway, lease).await {
+        lease = match renew_or_open(&gateway, lease, &mut is_first).await {
             Ok(next) => next,
             Err(reason) => {
                 // The log says `renew` also if opening the lease or writing the registration failed.
@@ -26,6 +28,11 @@
         };
         sleep_unless_stopped(&gateway, get_renewal_interval(&gateway).into()).await;
     }
+    // Once the registration is gone, others use this entry's share.
+    let end = gateway
+        .clock
+        .to_instant(gateway.account_limits.get_delegation_end());
+    tokio::time::sleep_until(end.into()).await;
     if let Some(lease) = lease
         && let Err(reason) = (gateway.store.call)(StoreCall::EndLease(lease)).await
     {
@@ -46,37 +53,71 @@
 
 /// Renews the lease, or opens one and registers this entry under it. Returns the lease that is held
 /// then, or `None` if it was lost or the registration was not written.
-async fn renew_or_open(gateway: &Gateway, lease: Option<u64>) -> Result<Option<u64>, String> {
+///
+/// While `is_first` is true, the registration is written only if there is none, which shows that no earlier
+/// process of this entry has a share of the limits of accounts.
+async fn renew_or_open(
+    gateway: &Gateway,
+    lease: Option<u64>,
+    is_first: &mut bool,
+) -> Result<Option<u64>, String> {
     let call = &gateway.store.call;
+    // The lease lasts from when the store gets the call, which is later.
+    let lease_end = gateway.clock.now() + gateway.settings.load().store.lease_ttl;
     let Some(lease) = lease else {
         let duration = gateway.settings.load().store.lease_ttl;
         let StoreReply::LeaseOpened(lease) = call(StoreCall::OpenLease(duration)).await? else {
             return Err("the store opened no lease".to_owned());
         };
         gateway.record_store_reply();
+        let has_limits = gateway.settings.load().accounts.is_enforced();
+        let heartbeat = GatewayHeartbeat {
+            has_limits,
+            ..gateway.get_heartbeat()
+        };
         let put = StorePut {
             key: get_key(gateway),
-            value: gateway.get_heartbeat().encode(),
+            value: heartbeat.encode(),
             lease,
         };
-        let write = StoreCall::Write {
-            preconditions: Vec::new(),
-            puts: vec![put],
+        let absent = Precondition {
+            key: put.key.clone(),
+            revision: 0,
+        };
+        let write = |preconditions| StoreCall::Write {
+            preconditions,
+            puts: vec![put.clone()],
             deletes: Vec::new(),
         };
-        return match call(write).await? {
-            StoreReply::Written(_) => Ok(Some(lease)),
-            _ => Ok(None),
+        let was_first = std::mem::take(is_first);
+        let mut reply = match was_first {
+            true => call(write(vec![absent])).await?,
+            false => call(write(Vec::new())).await?,
         };
+        let is_refused = reply == StoreReply::PreconditionFailed;
+        if is_refused {
+            reply = call(write(Vec::new())).await?;
+        }
+        let StoreReply::Written(revision) = reply else {
+            return Ok(None);
+        };
+        let has_predecessor = !was_first || is_refused;
+        let limits = &gateway.account_limits;
+        limits.record_registration(revision, lease_end, !has_predecessor);
+        return Ok(Some(lease));
     };
     let reply = call(StoreCall::RenewLease(lease)).await?;
     gateway.record_store_reply();
     Ok(match reply {
         StoreReply::LeaseNotFound => {
             log::info!("lease lost");
+            gateway.account_limits.record_lost_registration();
             None
         }
-        _ => Some(lease),
+        _ => {
+            gateway.account_limits.record_renewal(lease_end);
+            Some(lease)
+        }
     })
 }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -14,6 +14,7 @@
 use rand::RngExt;
 use tokio::time::{Instant, timeout_at};
 
+use super::account_limits::RequestCredit;
 use super::attempt::{GatewayRequest, dispatch};
 use super::body_memory::NoRoom;
 use super::error_reply::{ErrorReason, ErrorReply};
@@ -111,7 +112,8 @@
             record_metrics(&summary, reply.reason.as_str(), elapsed);
             let restriction = summary.restriction;
             let room_after = restriction.map(|(room_after, _)| room_after);
-            reply.retry_after = Some(get_retry_after(reply.reason, summary.remaining, room_after));
+            let retry_after = || get_retry_after(reply.reason, summary.remaining, room_after);
+            reply.retry_after = Some(reply.retry_after.unwrap_or_else(retry_after));
             let restricted = restriction.map_or("none", |(_, restriction)| restriction.as_str());
             if restriction.is_some() {
                 metrics::counter!(
@@ -230,6 +232,18 @@
     let (account, key) = identity.map(|found| (found.account, found.key)).unzip();
     // From here on the account is known, and nothing of the body has been read.
     summary.account = account.as_ref().map(|account| account.name.clone());
+    let credit = match &account {
+        Some(account) => RequestCredit::acquire(gateway, account, summary.remaining).await,
+        None => Ok(None),
+    };
+    let credit = match credit {
+        Ok(credit) => credit,
+        Err(reply) => {
+            let deadline = Instant::from_std(gateway.clock.to_instant(deadline));
+            discard_body(gateway, request.into_body(), deadline);
+            return Err(reply);
+        }
+    };
     let service = route.pick_service().clone();
     summary.service = service.clone();
     let to_instant = |time| Instant::from_std(gateway.clock.to_instant(time));
@@ -277,6 +291,7 @@
         route,
         account,
         key,
+        credit,
         host,
         arrived,
         received: gateway.clock.now(),
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -312,6 +312,14 @@
     }
 }
 
+impl AccountSettings {
+    /// Returns whether limits are enforced: the section differs from its defaults.
+    #[must_use]
+    pub fn is_enforced(&self) -> bool {
+        *self != Self::default()
+    }
+}
+
 /// Memory of the process, and the part of it for bodies; texts with a unit, such as `"256MiB"`.
 #[serde_as]
 #[derive(Debug, Clone, Default, PartialEq, Deserialize)]
