--- a/lentilcart_state/src/credit/holder.rs
+++ b/lentilcart_state/src/credit/holder.rs
@@ -278,9 +278,10 @@
             }
             let is_short = item.granted + 1.0 <= state.last_waiting;
             let credit_after = item.credit_after.unwrap_or(ASK_INTERVAL);
-            state.refused_until = match is_short {
-                true => now + credit_after.max(MIN_REFUSAL_TIME),
-                false => now,
+            state.refused_until = if is_short {
+                now + credit_after.max(MIN_REFUSAL_TIME)
+            } else {
+                now
             };
         }
         total
--- a/lentilcart_state/tests/testsuite/credit.rs
+++ b/lentilcart_state/tests/testsuite/credit.rs
@@ -227,6 +227,8 @@
         world.run(Micros::from_millis(2000));
         let (worst, bound) = world.get_worst_window(Micros::ZERO, limit);
         prop_assert!(worst as f64 <= bound, "{} requests, allowed {}", worst, bound);
+        let sum = world.largest_sum;
+        prop_assert!(sum <= 1.0 + 1e-9, "shares add up to {}", sum);
     }
 }
 
--- a/lentilcart_state/tests/testsuite/credit_world.rs
+++ b/lentilcart_state/tests/testsuite/credit_world.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use lentilcart_state::{
-    AccountLimit, CreditAsk, CreditExchange, CreditReply, CreditRules, CreditTake,
+    AccountLimit, CreditAsk, CreditExchange, CreditReply, CreditRules, CreditTake, get_group,
 };
 use lentilcart_util::{Map, Micros, Name, Rng, seeded_rng};
 use rand::RngExt;
@@ -13,6 +13,8 @@
 /// Duration of the lease of a registration, and the time between two renewals.
 const LEASE: Micros = Micros::from_millis(9000);
 const RENEW_INTERVAL: Micros = Micros::from_millis(3600);
+/// Time between two sums of all shares.
+const SUM_INTERVAL: Micros = Micros::from_millis(50);
 /// Time between two removals of idle state.
 const IDLE_INTERVAL: Micros = Micros::from_millis(500);
 /// Longest time that a request waits between taking credit and being sent.
@@ -73,6 +75,8 @@
     pub refused: Vec<Micros>,
     pub messages: u64,
     pub message_bytes: u64,
+    /// Largest sum of the shares from which entries could grant credit at a time.
+    pub largest_sum: f64,
     next_process: u64,
     pub queueing: bool,
     next_message: u64,
@@ -95,6 +99,7 @@
             refused: Vec::new(),
             messages: 0,
             message_bytes: 0,
+            largest_sum: 0.0,
             next_process: 1,
             queueing: false,
             next_message: 0,
@@ -154,6 +159,11 @@
         while self.now < end {
             self.now += STEP;
             self.step();
+            if self.now.0.is_multiple_of(SUM_INTERVAL.0) {
+                let shares = self.get_shares(get_group(ACCOUNT));
+                let sum: f64 = shares.values().sum();
+                self.largest_sum = self.largest_sum.max(sum);
+            }
         }
     }
 
--- a/src/gateway/account_limits.rs
+++ b/src/gateway/account_limits.rs
@@ -251,10 +251,10 @@
                 state.exchange.holder.has_waiting(),
             )
         };
-        let interval = match is_active {
-            true if has_waiting => WAITING_INTERVAL,
-            true => EXCHANGE_INTERVAL,
-            false => IDLE_INTERVAL,
+        let interval = match (is_active, has_waiting) {
+            (true, true) => WAITING_INTERVAL,
+            (true, false) => EXCHANGE_INTERVAL,
+            (false, _) => IDLE_INTERVAL,
         };
         tokio::select! {
             () = gateway.stop.cancelled() => return,
@@ -330,17 +330,18 @@
 
 impl RequestCredit {
     /// Takes credit for a request of an account, and waits for the owner's reply if need be. Returns `None`
-    /// if the account has no limit.
+    /// if there is no account, or it has no limit.
     ///
     /// # Errors
     ///
     /// Returns the reply to a request that is beyond the limit, or for which no owner has replied.
     pub(crate) async fn acquire(
         gateway: &Arc<Gateway>,
-        account: &Account,
+        account: Option<&Account>,
         remaining: Micros,
     ) -> Result<Option<Self>, ErrorReply> {
-        let Some(limit) = account.limit else {
+        let Some((account, limit)) = account.and_then(|account| Some((account, account.limit?)))
+        else {
             return Ok(None);
         };
         if !gateway.settings.load().accounts.is_enforced() {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -177,6 +177,24 @@
         }
     }
 
+    /// Uses the credit of the account for an attempt, and returns why it must not be sent if there is none.
+    fn begin_credit(&mut self) -> Option<ErrorReason> {
+        let credit = self.credit.as_mut()?;
+        (!credit.begin_attempt()).then_some(ErrorReason::OverLimit)
+    }
+
+    /// Records the end of an attempt, whose credit remains if no server has run the request. `result` is
+    /// `None` if that is not known.
+    fn end_credit(&mut self, result: Option<&AttemptResult>) {
+        let is_not_run = matches!(
+            result,
+            Some(AttemptResult::NotRun(_) | AttemptResult::NotSent(_))
+        );
+        if let Some(credit) = &mut self.credit {
+            credit.end_attempt(!is_not_run);
+        }
+    }
+
     /// Returns the request for a permit to send the next attempt to a server that is not `excluded` and
     /// wants requests from this entry.
     fn get_permit_request(
@@ -325,13 +343,10 @@
         if !inbound.may_begin_attempt(gateway, dispatcher) {
             return inbound.finish(last, ErrorReason::Stopping);
         }
-        if let Some(reason) = inbound.check_account(gateway) {
+        let refusal = inbound.check_account(gateway);
+        if let Some(reason) = refusal.or_else(|| inbound.begin_credit()) {
             return inbound.finish(last, reason);
         }
-        let credit = inbound.credit.as_mut();
-        if credit.is_some_and(|credit| !credit.begin_attempt()) {
-            return inbound.finish(last, ErrorReason::OverLimit);
-        }
         excluded.push(permit.address);
         inbound.attempts += 1;
         let sending = send_with_hedge(gateway, dispatcher, inbound, permit, &mut excluded);
@@ -343,13 +358,7 @@
             }
             () = gateway.requests_end.cancelled() => Err(ErrorReason::StoppingMayHaveRun),
         };
-        let is_not_run = matches!(
-            result,
-            Ok(AttemptResult::NotRun(_) | AttemptResult::NotSent(_))
-        );
-        if let Some(credit) = &mut inbound.credit {
-            credit.end_attempt(!is_not_run);
-        }
+        inbound.end_credit(result.as_ref().ok());
         let result = match result {
             Ok(result) => result,
             Err(reason) => {
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -90,10 +90,8 @@
             deletes: Vec::new(),
         };
         let was_first = std::mem::take(is_first);
-        let mut reply = match was_first {
-            true => call(write(vec![absent])).await?,
-            false => call(write(Vec::new())).await?,
-        };
+        let preconditions = if was_first { vec![absent] } else { Vec::new() };
+        let mut reply = call(write(preconditions)).await?;
         let is_refused = reply == StoreReply::PreconditionFailed;
         if is_refused {
             reply = call(write(Vec::new())).await?;
@@ -108,17 +106,13 @@
     };
     let reply = call(StoreCall::RenewLease(lease)).await?;
     gateway.record_store_reply();
-    Ok(match reply {
-        StoreReply::LeaseNotFound => {
-            log::info!("lease lost");
-            gateway.account_limits.record_lost_registration();
-            None
-        }
-        _ => {
-            gateway.account_limits.record_renewal(lease_end);
-            Some(lease)
-        }
-    })
+    if reply == StoreReply::LeaseNotFound {
+        log::info!("lease lost");
+        gateway.account_limits.record_lost_registration();
+        return Ok(None);
+    }
+    gateway.account_limits.record_renewal(lease_end);
+    Ok(Some(lease))
 }
 
 /// Returns the key of this entry's registration.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -74,6 +74,15 @@
     remaining: Micros,
 }
 
+impl RequestSummary {
+    /// Takes over how a request was dispatched.
+    fn record_dispatch(&mut self, inbound: &GatewayRequest) {
+        self.attempts = inbound.attempts;
+        self.queue_len = inbound.queue_len;
+        self.restriction = inbound.restriction;
+    }
+}
+
 /// Serves a caller's request and records its result in the log and the metrics.
 pub(crate) async fn serve_caller(
     gateway: Arc<Gateway>,
@@ -232,17 +241,10 @@
     let (account, key) = identity.map(|found| (found.account, found.key)).unzip();
     // From here on the account is known, and nothing of the body has been read.
     summary.account = account.as_ref().map(|account| account.name.clone());
-    let credit = match &account {
-        Some(account) => RequestCredit::acquire(gateway, account, summary.remaining).await,
-        None => Ok(None),
-    };
+    let credit = RequestCredit::acquire(gateway, account.as_deref(), summary.remaining).await;
     let credit = match credit {
         Ok(credit) => credit,
-        Err(reply) => {
-            let deadline = Instant::from_std(gateway.clock.to_instant(deadline));
-            discard_body(gateway, request.into_body(), deadline);
-            return Err(reply);
-        }
+        Err(reply) => return Err(refuse_unread(gateway, request, deadline, reply)),
     };
     let service = route.pick_service().clone();
     summary.service = service.clone();
@@ -302,9 +304,7 @@
         may_have_run: false,
     };
     let result = dispatch(gateway, dispatcher, &mut inbound).await;
-    summary.attempts = inbound.attempts;
-    summary.queue_len = inbound.queue_len;
-    summary.restriction = inbound.restriction;
+    summary.record_dispatch(&inbound);
     summary.remaining = deadline - gateway.clock.now();
     result
 }
@@ -334,6 +334,18 @@
     ErrorReply::new(reason, refusal.as_str())
 }
 
+/// Reads and drops the body of a request that is refused before it is read, and returns the reply.
+fn refuse_unread(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+    deadline: Micros,
+    reply: ErrorReply,
+) -> ErrorReply {
+    let deadline = Instant::from_std(gateway.clock.to_instant(deadline));
+    discard_body(gateway, request.into_body(), deadline);
+    reply
+}
+
 /// Limits of a request body.
 #[derive(Debug, Clone, Copy)]
 struct BodyLimits {
