--- a/lentilcart_state/tests/testsuite/credit_world.rs
+++ b/lentilcart_state/tests/testsuite/credit_world.rs
@@ -13,6 +13,8 @@
 /// Duration of the lease of a registration, and the time between two renewals.
 const LEASE: Micros = Micros::from_millis(9000);
 const RENEW_INTERVAL: Micros = Micros::from_millis(3600);
+/// Bytes of the headers of a datagram (IPv4 and UDP).
+const HEADER_BYTES: u64 = 28;
 /// Time between two sums of all shares.
 const SUM_INTERVAL: Micros = Micros::from_millis(50);
 /// Time between two removals of idle state.
@@ -314,11 +316,12 @@
 
     fn send(&mut self, from: usize, to: &Name, message: Message) {
         self.messages += 1;
-        let size = |items: usize| 90 + 25 * items as u64;
-        self.message_bytes += match &message {
-            Message::Ask(ask) => size(ask.items.len()),
-            Message::Reply(reply) => size(reply.items.len()),
-        };
+        let mut encoded = Vec::new();
+        match &message {
+            Message::Ask(ask) => ciborium::into_writer(ask, &mut encoded).unwrap(),
+            Message::Reply(reply) => ciborium::into_writer(reply, &mut encoded).unwrap(),
+        }
+        self.message_bytes += encoded.len() as u64 + HEADER_BYTES;
         let Some(target) = self.nodes.iter().position(|node| node.name == *to) else {
             return;
         };
--- a/lentilcart_state/tests/testsuite/main.rs
+++ b/lentilcart_state/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod credit;
+mod credit_designs;
 mod credit_world;
 mod directory;
 mod kv_service;
