--- a/lentilcart_state/tests/testsuite/main.rs
+++ b/lentilcart_state/tests/testsuite/main.rs
@@ -1,6 +1,9 @@
 //! Tests of the state protocols, the mirror, the directory, routes and ticket files.
 
 mod claims;
+mod credit;
+mod credit_designs;
+mod credit_world;
 mod directory;
 mod earlier_mirror;
 mod evacuations;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
+use super::account_limits::RequestCredit;
 use super::attempt_log::AttemptLog;
 use super::datagram::PermitRequest;
 use super::error_reply::{ErrorReason, ErrorReply};
@@ -52,6 +53,8 @@
     pub(crate) account: Option<Arc<Account>>,
     /// Key by which the account was found.
     pub(crate) key: Option<AccountKey>,
+    /// Credit of the account for the request; `None` if it has no limit.
+    pub(crate) credit: Option<RequestCredit>,
     /// Host that the route was found by.
     pub(crate) host: String,
     /// Arrival time by the gateway's clock.
@@ -176,6 +179,24 @@
         }
     }
 
+    /// Uses the credit of the account for an attempt, and returns why it must not be sent if there is none.
+    fn begin_credit(&mut self) -> Option<ErrorReason> {
+        let credit = self.credit.as_mut()?;
+        (!credit.begin_attempt()).then_some(ErrorReason::OverLimit)
+    }
+
+    /// Records the end of an attempt, whose credit remains if no server has run the request. `result` is
+    /// `None` if that is not known.
+    fn end_credit(&mut self, result: Option<&AttemptResult>) {
+        let is_not_run = matches!(
+            result,
+            Some(AttemptResult::NotRun(_) | AttemptResult::NotSent(_))
+        );
+        if let Some(credit) = &mut self.credit {
+            credit.end_attempt(!is_not_run);
+        }
+    }
+
     /// Returns the request for a permit to send the next attempt to a server that is not `excluded` and
     /// wants requests from this entry.
     fn get_permit_request(
@@ -327,7 +348,8 @@
         if !inbound.may_begin_attempt(gateway, dispatcher) {
             return inbound.finish(last, ErrorReason::Stopping);
         }
-        if let Some(reason) = inbound.check_account(gateway) {
+        let refusal = inbound.check_account(gateway);
+        if let Some(reason) = refusal.or_else(|| inbound.begin_credit()) {
             return inbound.finish(last, reason);
         }
         excluded.push(permit.address);
@@ -341,6 +363,7 @@
             }
             () = gateway.requests_end.cancelled() => Err(ErrorReason::StoppingMayHaveRun),
         };
+        inbound.end_credit(result.as_ref().ok());
         let result = match result {
             Ok(result) => result,
             Err(reason) => {
@@ -427,6 +450,11 @@
         dispatcher.update_pool(|pool, _| pool.return_retry_token());
         return first.await;
     };
+    let credit = inbound.credit.as_ref();
+    if credit.is_some_and(|credit| !credit.begin_hedge()) {
+        dispatcher.update_pool(|pool, _| pool.return_retry_token());
+        return first.await;
+    }
     excluded.push(permit.address);
     inbound.attempts += 1;
     let request = inbound.build_request(&permit.server_id, gateway.clock.now());
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::account_limits::AccountLimits;
 use super::body_memory::BodyMemory;
 use super::datagram::{Datagram, GatewayHeartbeat, LoadUpdate};
 use super::drain::DrainSchedule;
@@ -96,6 +97,8 @@
     pub(crate) requests_end: CancellationToken,
     /// Cancelled when the background tasks must end.
     pub(crate) stop: CancellationToken,
+    /// Limits of client accounts.
+    pub(crate) account_limits: AccountLimits,
     /// Memory for request bodies and buffered answers.
     pub(crate) bodies: BodyMemory,
     /// Largest request body that this process takes, whatever the routes allow, in bytes.
@@ -172,8 +175,10 @@
         let new_client =
             || HttpClient::new(settings.get_source_ip(), tasks.clone()).with_timeouts(limits);
         let random_seed = unix_millis() ^ u64::from(std::process::id()) << 40;
+        let clock = Clock::start();
         Self {
-            clock: Clock::start(),
+            account_limits: AccountLimits::new(settings.name.clone(), random_seed, clock.now()),
+            clock,
             store,
             server_client: new_client(),
             peer_client: new_client(),
@@ -312,6 +317,7 @@
             leaving: self.is_leaving(),
             watching: self.has_to_watch() && self.is_store_reachable(),
             mirrors_operator_keys: false,
+            has_limits: false,
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,8 +17,12 @@
 //! other entries, `probe` keeps the load of servers current, `register` keeps this entry listed in the
 //! store, `warmup` limits the requests of cold servers, and `tick` runs periodic work.
 //!
+//! `account_limits` takes credit for the requests of client accounts with a limit, and exchanges it with
+//! other entries.
+//!
 //! `handle` starts and stops a gateway, `drain` has the times of a stop, and `ops` serves its health and metrics.
 
+mod account_limits;
 mod ahead;
 mod attempt;
 mod attempt_log;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -16,6 +16,7 @@
 use rand::RngExt;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use super::account_limits::RequestCredit;
 use super::attempt::{GatewayRequest, dispatch};
 use super::body_memory::NoRoom;
 use super::error_reply::{ErrorReason, ErrorReply};
@@ -81,6 +82,15 @@
     remaining: Micros,
 }
 
+impl RequestSummary {
+    /// Takes over how a request was dispatched.
+    fn record_dispatch(&mut self, inbound: &GatewayRequest) {
+        self.attempts = inbound.attempts;
+        self.queue_len = inbound.queue_len;
+        self.restriction = inbound.restriction;
+    }
+}
+
 /// Serves a caller's request and records its result in the log and the metrics.
 pub(crate) async fn serve_caller(
     gateway: Arc<Gateway>,
@@ -141,7 +151,8 @@
                 ErrorReason::Evacuated => Some(EVACUATED_RETRY_AFTER),
                 _ => restriction.map(|(room_after, _)| room_after),
             };
-            reply.retry_after = Some(get_retry_after(reply.reason, summary.remaining, room_after));
+            let retry_after = || get_retry_after(reply.reason, summary.remaining, room_after);
+            reply.retry_after = Some(reply.retry_after.unwrap_or_else(retry_after));
             let restricted = restriction.map_or("none", |(_, restriction)| restriction.as_str());
             let evacuated = match reply.reason {
                 ErrorReason::Evacuated => gateway.describe_evacuations(),
@@ -268,6 +279,14 @@
     let (account, key) = identity.map(|found| (found.account, found.key)).unzip();
     // From here on the account is known, and nothing of the body has been read.
     summary.account = account.as_ref().map(|account| account.name.clone());
+    let credit = RequestCredit::acquire(gateway, account.as_deref(), summary.remaining).await;
+    let credit = match credit {
+        Ok(credit) => credit,
+        Err(reply) => {
+            discard_refused_body(gateway, request.into_body());
+            return Err(reply);
+        }
+    };
     let service = route.pick_service().clone();
     summary.service = service.clone();
     let to_instant = |time| Instant::from_std(gateway.clock.to_instant(time));
@@ -315,6 +334,7 @@
         route,
         account,
         key,
+        credit,
         host,
         arrived,
         received: gateway.clock.now(),
@@ -325,9 +345,7 @@
         may_have_run: false,
     };
     let result = dispatch(gateway, dispatcher, &mut inbound).await;
-    summary.attempts = inbound.attempts;
-    summary.queue_len = inbound.queue_len;
-    summary.restriction = inbound.restriction;
+    summary.record_dispatch(&inbound);
     summary.remaining = deadline - gateway.clock.now();
     result
 }
