--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -100,8 +100,10 @@
             return Ok(None);
         };
         let has_predecessor = !was_first || is_refused;
-        let limits = &gateway.account_limits;
-        limits.record_registration(revision, lease_end, !has_predecessor);
+        if has_limits {
+            let limits = &gateway.account_limits;
+            limits.record_registration(revision, lease_end, !has_predecessor);
+        }
         return Ok(Some(lease));
     };
     let reply = call(StoreCall::RenewLease(lease)).await?;
