fix(gateway): apply evacuations with every change of the operator's keys

Cause: where two tasks apply changes at a time, routes could come into force just before the evacuations that the other task had received with an earlier listing. Change: the evacuations of the mirror are applied with every change under op/, not only with changes of their own keys. No test shows the interleaving; it was found by reading.

--- a/lentilcart_route/src/pool/eligibility.rs
+++ b/lentilcart_route/src/pool/eligibility.rs
@@ -17,8 +17,8 @@
 const MIN_RESERVE_SERVERS: f64 = 8.0;
 
 impl ServerPool {
-    /// Returns whether a server that is listed, not leaving and not evacuated is not excluded by the request and wants
-    /// requests from its sender now. It may have no room.
+    /// Returns whether a server that is listed, neither leaving nor evacuated, is not excluded by the
+    /// request and wants requests from its sender now. It may have no room.
     #[must_use]
     pub fn has_wanting_server(&self, now: Micros, request: &PendingRequest) -> bool {
         self.states.iter().any(|state| {
--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -24,9 +24,9 @@
     /// they stay in force. Evacuations come into force before routes that came with them.
     ///
     /// `relayed` is true if the changes were fetched from another entry, and false if this entry read
-    /// them from the store itself. For evacuations it matters to the log only. For removed servers: after a relayed removal a server
-    /// stays for one grace period at most, even while the store does not answer this entry, since it may
-    /// answer the other one.
+    /// them from the store itself. For evacuations it matters to the log only. For removed servers: after a
+    /// relayed removal a server stays for one grace period at most, even while the store does not answer this
+    /// entry, since it may answer the other one.
     pub(crate) fn apply_changes(
         &self,
         kind: MirrorKind,
--- a/src/gateway/evacuations.rs
+++ b/src/gateway/evacuations.rs
@@ -61,12 +61,13 @@
         }
     }
 
-    /// Puts the evacuations of the mirror in force if changes concern them. `relayed` is true if the changes
-    /// came from another entry.
+    /// Puts the evacuations of the mirror in force, before routes of the same changes. `relayed` is true if the
+    /// changes came from another entry.
     ///
-    /// They are read from the mirror as a whole, so that two tasks that apply changes at a time cannot bring
-    /// an older state back. The key alone counts: a malformed value is logged and evacuates as well, since
-    /// its data centre would otherwise go on to get requests.
+    /// They are read from the mirror as a whole, whatever has changed, so that two tasks that apply changes at
+    /// a time can neither bring an older state back nor put routes in force before the evacuations that the
+    /// other one has just received. The key alone counts: a malformed value is logged and evacuates as well,
+    /// since its data centre would otherwise go on to get requests.
     pub(super) fn apply_evacuations(&self, changes: &[MirrorChange], relayed: bool) {
         let concerns = |key: &str| key.starts_with(EVACUATIONS_PREFIX);
         for change in changes {
@@ -86,13 +87,6 @@
                 log::error!(key:% = item.key, revision = item.revision; "evacuation ignored: expected the name of a data centre after the prefix");
             }
         }
-        let is_concerned = changes.iter().any(|change| match change {
-            MirrorChange::Put(item) => concerns(&item.key),
-            MirrorChange::Removed(key) => concerns(key),
-        });
-        if !is_concerned {
-            return;
-        }
         let source = if relayed {
             EvacuationSource::Peer
         } else {
@@ -112,6 +106,9 @@
             self.evacuated.send_replace(evacuations.get_names());
             applied
         };
+        if applied.is_empty() {
+            return;
+        }
         self.update_evacuated_servers();
         for change in &applied {
             self.log_evacuation(change, source);
