--- a/lentilcart_bench/src/soak/server_process.rs
+++ b/lentilcart_bench/src/soak/server_process.rs
@@ -156,6 +156,7 @@
     ) -> Option<Answer> {
         let path = request.first_line.split(' ').nth(1).unwrap_or_default();
         if path == HEALTH_PATH {
+            self.record.count("health check");
             if self.has_fault(FaultKind::HealthRefused, REFUSED_CHECK_SHARE) {
                 return Some(self.answer_unrun("503 Busy", "", FaultKind::CopyHealthRefused));
             }
