--- a/lentilcart_state/tests/testsuite/credit_designs.rs
+++ b/lentilcart_state/tests/testsuite/credit_designs.rs
@@ -84,11 +84,11 @@
 
     fn step(&mut self, now: Micros, demands: &[f64], is_split: bool) {
         let count = demands.len();
-        for entry in 0..count {
+        for (entry, demand) in demands.iter().enumerate() {
             let share = self.get_share(entry, now);
             let level = self.levels[entry] + share * LIMIT.rate * STEP.as_secs();
             self.levels[entry] = level.min(share * LIMIT.burst).max(0.0);
-            self.partial[entry] += demands[entry] * STEP.as_secs();
+            self.partial[entry] += demand * STEP.as_secs();
             while self.partial[entry] >= 1.0 {
                 self.partial[entry] -= 1.0;
                 self.arrivals[entry] += 1.0;
