--- a/lentilcart_bench/src/soak/store_state.rs
+++ b/lentilcart_bench/src/soak/store_state.rs
@@ -72,7 +72,7 @@
     /// Returns the reply to a call, or `None` for a watch without changes, which waits.
     pub(super) fn build_reply(&mut self, call: &StoreCall) -> Option<StoreReply> {
         match call {
-            StoreCall::List { prefix, after } => Some(self.list(prefix, after.as_ref())),
+            StoreCall::List { prefix, after, .. } => Some(self.list(prefix, after.as_ref())),
             StoreCall::Watch { after, .. } if *after < self.first_kept => {
                 Some(StoreReply::Compacted)
             }
--- a/lentilcart_state/src/lib.rs
+++ b/lentilcart_state/src/lib.rs
@@ -41,7 +41,9 @@
 pub use self::claim::{Claim, ClaimLog, ClaimOp, ClaimState, ClaimVerdict, KeyDigest};
 pub use self::directory::{ServerDirectory, ServerRegistration};
 pub use self::error::{FieldError, StateError, TicketFileError};
-pub use self::member::{Member, MemberTable, rendezvous_rank};
+pub use self::member::{
+    Member, MemberTable, get_lease_duration, get_renewal_interval, rendezvous_rank,
+};
 pub use self::mirror::{
     Mirror, MirrorChange, MirrorSnapshot, Precondition, StoreCall, StoreEvent, StoreItem, StorePut,
     StoreReply,
--- a/lentilcart_state/src/member/mod.rs
+++ b/lentilcart_state/src/member/mod.rs
@@ -1,7 +1,9 @@
 //! The entries, and which of them own a service.
 
+mod lease_times;
 mod member_table;
 mod rendezvous;
 
+pub use self::lease_times::{get_lease_duration, get_renewal_interval};
 pub use self::member_table::{Member, MemberTable};
 pub use self::rendezvous::rendezvous_rank;
--- a/lentilcart_state/src/mirror/call.rs
+++ b/lentilcart_state/src/mirror/call.rs
@@ -52,6 +52,9 @@
         prefix: Name,
         /// Last key of the previous page; `None` for the first page.
         after: Option<Name>,
+        /// Whether the store may answer with a state that is up to some seconds old, at the revision
+        /// that the page names. Such a read is cheap, and does not count toward the store's rate limit.
+        stale: bool,
     },
     /// Waits for changes under a prefix.
     Watch {
@@ -84,6 +87,7 @@
     #[must_use]
     pub const fn as_str(&self) -> &'static str {
         match self {
+            Self::List { stale: true, .. } => "stale-list",
             Self::List { .. } => "list",
             Self::Watch { .. } => "watch",
             Self::Write { .. } => "write",
--- a/lentilcart_state/src/mirror/mirror.rs
+++ b/lentilcart_state/src/mirror/mirror.rs
@@ -1,6 +1,7 @@
 use std::collections::VecDeque;
 
 use lentilcart_util::{Map, Micros, Name, Set, common};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{StoreCall, StoreEvent, StoreItem, StoreReply};
 
@@ -31,6 +32,8 @@
 
 /// Number of removals that a mirror remembers, so that it can send another entry only the changes.
 const MAX_REMOVALS: usize = 512;
+/// Longest wait of the watch that confirms a stale listing: the shortest that the store knows.
+const CONFIRMATION_WAIT: Micros = Micros::from_millis(1);
 
 /// Mirror of the store's items under a prefix.
 ///
@@ -54,12 +57,19 @@
     forgotten_revision: u64,
     /// The listing in progress; `None` while the mirror watches.
     listing: Option<Listing>,
+    /// Exclusive or of the hashes of all items; see [`Mirror::get_digest`].
+    digest: u64,
 }
 
 #[derive(Debug, Default)]
 struct Listing {
-    /// Revision of the first page; later changes are reported by the watch that follows.
-    first_page_revision: Option<u64>,
+    /// Lowest revision of a page, which is that of the first one unless the pages may be stale; later
+    /// changes are reported by the watch that follows.
+    lowest_revision: Option<u64>,
+    /// Whether the store may answer with a state that is some seconds old.
+    is_stale: bool,
+    /// Whether all pages have been read. A stale listing is then held until it is confirmed.
+    is_complete: bool,
     /// Last key of the previous page.
     after: Option<Name>,
     /// Items of the pages read so far.
@@ -78,9 +88,74 @@
             removals: VecDeque::new(),
             forgotten_revision: 0,
             listing: Some(Listing::default()),
+            digest: 0,
         }
     }
 
+    /// Creates an empty mirror, which begins with a listing that may be stale. What it shows counts only
+    /// after [`Mirror::confirm`], or after the watch that follows has brought the changes since. Later
+    /// listings are never stale.
+    #[must_use]
+    pub fn with_stale_start(prefix: Name) -> Self {
+        let mut mirror = Self::new(prefix);
+        mirror.restart_stale_listing();
+        mirror
+    }
+
+    /// Starts a new listing that may be stale, as [`Mirror::with_stale_start`] does.
+    pub fn restart_stale_listing(&mut self) {
+        self.listing = Some(Listing {
+            is_stale: true,
+            ..Listing::default()
+        });
+    }
+
+    /// Returns whether a stale listing has been read and waits to be confirmed.
+    #[must_use]
+    pub fn is_unconfirmed(&self) -> bool {
+        let listing = self.listing.as_ref();
+        listing.is_some_and(|listing| listing.is_complete)
+    }
+
+    /// Puts a stale listing in force if it is at least as new as `revision`, and returns the changes. The
+    /// revision is one that the store had at some time after the start of this process.
+    pub fn confirm(&mut self, revision: u64) -> Vec<MirrorChange> {
+        let is_new = |listing: &mut Listing| {
+            listing.is_complete && listing.lowest_revision.unwrap_or_default() >= revision
+        };
+        match self.listing.take_if(is_new) {
+            Some(listing) => self.apply_listing(listing),
+            None => Vec::new(),
+        }
+    }
+
+    /// Returns a hash of the keys and revisions of all items. Two mirrors with the same digest hold the
+    /// same items but for chance, whatever the order in which these came.
+    #[must_use]
+    pub fn get_digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Records that another entry's mirror, complete up to `revision`, has this digest. If this mirror has
+    /// the same, it is complete up to there as well. Returns `false` if this mirror is behind and differs.
+    pub fn compare(&mut self, revision: u64, digest: u64) -> bool {
+        if self.revision == 0 || revision <= self.revision {
+            return true;
+        }
+        if digest == self.digest {
+            // An item that came and went in between is not among the removals.
+            self.forgotten_revision = self.forgotten_revision.max(revision);
+            self.revision = revision;
+        }
+        digest == self.digest
+    }
+
+    /// Returns an item by its key.
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<&StoreItem> {
+        self.items.get(key)
+    }
+
     /// Returns the revision of the store up to which the mirror is complete; 0 before the first
     /// listing.
     #[must_use]
@@ -111,9 +186,16 @@
     #[must_use]
     pub fn next_call(&self, max_wait: Micros) -> StoreCall {
         match &self.listing {
+            // The watch does not wait, since the listing may not be used before.
+            Some(listing) if listing.is_complete => StoreCall::Watch {
+                prefix: self.prefix.clone(),
+                after: listing.lowest_revision.unwrap_or_default(),
+                max_wait: CONFIRMATION_WAIT,
+            },
             Some(listing) => StoreCall::List {
                 prefix: self.prefix.clone(),
                 after: listing.after.clone(),
+                stale: listing.is_stale,
             },
             None => StoreCall::Watch {
                 prefix: self.prefix.clone(),
@@ -132,7 +214,15 @@
                 more,
                 revision,
             } => self.apply_page(items, more, revision),
-            StoreReply::Events { events, revision } => self.apply_events(events, revision),
+            StoreReply::Events { events, revision } => {
+                let mut changes = self.confirm(0);
+                // The watch followed a stale listing that was given up, or the next listing has its changes.
+                if self.listing.is_some() {
+                    return changes;
+                }
+                changes.extend(self.apply_events(events, revision));
+                changes
+            }
             StoreReply::Compacted => {
                 self.restart_listing();
                 Vec::new()
@@ -150,6 +240,10 @@
         if snapshot.revision <= self.revision {
             return Vec::new();
         }
+        let is_superseded = |listing: &mut Listing| {
+            listing.is_complete && listing.lowest_revision.unwrap_or_default() <= snapshot.revision
+        };
+        self.listing.take_if(is_superseded);
         let Some(removed_keys) = snapshot.removals else {
             return self.replace_all(snapshot.items, snapshot.revision);
         };
@@ -185,7 +279,8 @@
         revision: u64,
     ) -> Vec<MirrorChange> {
         let mut listing = self.listing.take().unwrap_or_default();
-        let first_page_revision = *listing.first_page_revision.get_or_insert(revision);
+        let lowest = listing.lowest_revision.unwrap_or(revision).min(revision);
+        listing.lowest_revision = Some(lowest);
         let last = items.last().map(|item| item.key.clone());
         listing.items.extend(items);
         match last {
@@ -194,10 +289,23 @@
                 self.listing = Some(listing);
                 Vec::new()
             }
-            // A newer snapshot of another entry was merged during the listing.
-            _ if first_page_revision < self.revision => Vec::new(),
-            _ => self.replace_all(listing.items, first_page_revision),
+            _ if listing.is_stale && lowest >= self.revision => {
+                listing.is_complete = true;
+                self.listing = Some(listing);
+                Vec::new()
+            }
+            _ => self.apply_listing(listing),
+        }
+    }
+
+    /// Replaces all items by those of a complete listing and returns the changes, unless a newer snapshot
+    /// of another entry was merged during the listing.
+    fn apply_listing(&mut self, listing: Listing) -> Vec<MirrorChange> {
+        let revision = listing.lowest_revision.unwrap_or_default();
+        if revision < self.revision {
+            return Vec::new();
         }
+        self.replace_all(listing.items, revision)
     }
 
     /// Applies changes that are newer than what is known, and returns them. The mirror is complete
@@ -262,7 +370,7 @@
         let is_late = known_revision.is_some_and(|known| known >= revision)
             || self.find_removal(key).is_some_and(|last| last >= revision);
         if is_late || revision <= self.forgotten_revision {
-            return !is_late && self.items.remove(key).is_some();
+            return !is_late && self.take_item(key);
         }
         self.removals.retain(|(removed, _)| removed != key);
         self.removals.push_back((key.clone(), revision));
@@ -271,7 +379,14 @@
         {
             self.forgotten_revision = self.forgotten_revision.max(oldest_revision);
         }
-        self.items.remove(key).is_some()
+        self.take_item(key)
+    }
+
+    /// Takes an item out of the map and the digest; returns whether there was one.
+    fn take_item(&mut self, key: &Name) -> bool {
+        let removed = self.items.remove(key);
+        self.digest ^= removed.as_ref().map_or(0, hash_item);
+        removed.is_some()
     }
 
     /// Returns the revision of the last removal of a key, if it is remembered.
@@ -291,7 +406,14 @@
             return None;
         }
         self.latest_change_revision = self.latest_change_revision.max(item.revision);
+        self.take_item(&item.key);
+        self.digest ^= hash_item(&item);
         self.items.insert(item.key.clone(), item.clone());
         Some(MirrorChange::Put(item))
     }
 }
+
+/// Returns the hash of an item's key and revision.
+fn hash_item(item: &StoreItem) -> u64 {
+    xxh3_64_with_seed(item.key.as_bytes(), item.revision)
+}
--- a/lentilcart_state/tests/testsuite/main.rs
+++ b/lentilcart_state/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod claims;
 mod directory;
 mod kv_service;
+mod lease_times;
 mod members;
 mod mirror;
 mod parse;
--- a/lentilcart_state/tests/testsuite/mirror.rs
+++ b/lentilcart_state/tests/testsuite/mirror.rs
@@ -55,6 +55,99 @@
     assert_eq!(after, 5);
 }
 
+fn create_stale(keys: &[(&str, u64)], revision: u64) -> Mirror {
+    let mut mirror = Mirror::with_stale_start("s/".into());
+    let call = mirror.next_call(Micros::ZERO);
+    assert!(matches!(call, StoreCall::List { stale: true, .. }));
+    let changes = mirror.record_reply(page(keys, false, revision));
+    assert!(changes.is_empty() && mirror.is_unconfirmed());
+    mirror
+}
+
+/// Guards against servers in force that had left seconds before, by a list that is older than the start.
+#[test]
+fn stale_listing_counts_once_it_is_shown_to_be_new() {
+    let mut mirror = create_stale(&[("s/a", 3)], 5);
+    assert!(mirror.confirm(6).is_empty());
+    assert_eq!(mirror.get_revision(), 0);
+    assert_eq!(mirror.confirm(5).len(), 1);
+    assert_eq!((mirror.get_revision(), mirror.is_watching()), (5, true));
+}
+
+/// Guards against a stale list whose later changes are lost: the watch that follows brings them all.
+#[test]
+fn stale_listing_is_brought_up_to_date_by_watch() {
+    let mut mirror = create_stale(&[("s/a", 3), ("s/b", 4)], 5);
+    let StoreCall::Watch { after, .. } = mirror.next_call(Micros::ZERO) else {
+        panic!("the listing is complete");
+    };
+    assert_eq!(after, 5);
+    let events = vec![StoreEvent::Removed("s/a".into(), 7)];
+    let revision = 8;
+    let changes = mirror.record_reply(StoreReply::Events { events, revision });
+    assert_eq!(keys(&mirror), [key("s/b", 4)]);
+    assert_eq!(changes.last(), Some(&MirrorChange::Removed("s/a".into())));
+}
+
+/// Guards against a stale list that undoes what another entry's mirror has brought meanwhile.
+#[test]
+fn stale_listing_does_not_undo_newer_snapshot() {
+    let ahead = create_listed(&[("s/b", 6)], 7);
+    let mut mirror = create_stale(&[("s/a", 3)], 5);
+    mirror.merge(ahead.get_snapshot(0));
+    assert!(!mirror.is_unconfirmed());
+    assert!(mirror.confirm(0).is_empty());
+    assert_eq!(keys(&mirror), [key("s/b", 6)]);
+    // Likewise where the snapshot comes between two pages.
+    let mut mirror = Mirror::with_stale_start("s/".into());
+    mirror.record_reply(page(&[("s/a", 3)], true, 5));
+    mirror.merge(ahead.get_snapshot(0));
+    mirror.record_reply(page(&[], false, 4));
+    assert_eq!(keys(&mirror), [key("s/b", 6)]);
+}
+
+/// Guards against a mirror that begins with the revision of a newer page than one that it has read.
+#[test]
+fn stale_listing_counts_with_its_oldest_page() {
+    let mut mirror = Mirror::with_stale_start("s/".into());
+    mirror.record_reply(page(&[("s/a", 3)], true, 9));
+    mirror.record_reply(page(&[("s/b", 2)], false, 4));
+    mirror.confirm(0);
+    assert_eq!(mirror.get_revision(), 4);
+}
+
+/// Guards against a start that repeats a stale list whose history the store has discarded.
+#[test]
+fn compacted_stale_listing_is_followed_by_current_one() {
+    let mut mirror = create_stale(&[("s/a", 3)], 5);
+    mirror.record_reply(StoreReply::Compacted);
+    let call = mirror.next_call(Micros::ZERO);
+    assert!(matches!(call, StoreCall::List { stale: false, .. }));
+}
+
+/// Guards against a removal that a mirror misses for good since the other one listed after it.
+#[test]
+fn compare_shows_missed_removal() {
+    let mut behind = create_listed(&[("s/a", 3), ("s/b", 4)], 5);
+    let ahead = create_listed(&[("s/b", 4)], 8);
+    assert!(ahead.get_latest_change_revision() <= behind.get_revision());
+    assert!(!behind.compare(ahead.get_revision(), ahead.get_digest()));
+    behind.merge(ahead.get_snapshot(behind.get_revision()));
+    assert_eq!(keys(&behind), keys(&ahead));
+    assert_eq!(behind.get_digest(), ahead.get_digest());
+}
+
+/// Guards against whole mirrors that are fetched though nothing has changed under their prefix.
+#[test]
+fn compare_advances_equal_mirror() {
+    let mut behind = create_listed(&[("s/a", 3)], 5);
+    let ahead = create_listed(&[("s/a", 3)], 8);
+    assert!(behind.compare(ahead.get_revision(), ahead.get_digest()));
+    assert_eq!(behind.get_revision(), 8);
+    // An older state of the other one shows nothing.
+    assert!(behind.compare(6, 0));
+}
+
 #[test]
 fn older_write_does_not_replace_newer() {
     let mut mirror = create_listed(&[("s/a", 3)], 5);
@@ -254,8 +347,13 @@
 
     /// Returns the items at the current revision, by key.
     fn get_items(&self) -> Vec<StoreItem> {
+        self.get_items_at(self.get_revision())
+    }
+
+    /// Returns the items at a revision, by key.
+    fn get_items_at(&self, revision: u64) -> Vec<StoreItem> {
         let names = (0..KEYS).map(|number| format!("s/{number}"));
-        let last = names.filter_map(|key| self.find_last(&key, self.get_revision()));
+        let last = names.filter_map(|key| self.find_last(&key, revision));
         last.filter_map(|(_, event)| match event {
             StoreEvent::Written(item) => Some(item.clone()),
             StoreEvent::Removed(..) => None,
@@ -267,8 +365,11 @@
     fn reply(&self, call: &StoreCall) -> StoreReply {
         let revision = self.get_revision();
         match call {
-            StoreCall::List { after, .. } => {
-                let mut items = self.get_items();
+            StoreCall::List { after, stale, .. } => {
+                // Pages of a stale listing may be of different age, in any order.
+                let age = if *stale { revision / 2 % 4 } else { 0 };
+                let revision = (revision - age.min(revision - 1)).max(1);
+                let mut items = self.get_items_at(revision);
                 items.retain(|item| after.as_ref().is_none_or(|after| item.key > *after));
                 let more = items.len() > PAGE_KEYS;
                 items.truncate(PAGE_KEYS);
@@ -381,7 +482,7 @@
     ) {
         let mut store = ModelStore::default();
         store.change(0, true);
-        let mut mirrors: Vec<Mirror> = (0..3).map(|_| Mirror::new("s/".into())).collect();
+        let mut mirrors: Vec<Mirror> = (0..3).map(|_| Mirror::with_stale_start("s/".into())).collect();
         let mut pending: Vec<(usize, Delivery)> = Vec::new();
         let mut held: Set<(String, u64)> = Set::default();
         for (kind, a, b) in steps {
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -10,7 +10,7 @@
     /// store.
     ///
     /// The registration is written once for each lease, so most of its fields become stale; only `name`,
-    /// `data_center` and `peer` are read from it.
+    /// `data_center`, `peer` and `lease` are read from it.
     #[derive(Eq)]
     pub(crate) struct GatewayHeartbeat {
         pub(crate) name: Name,
@@ -27,6 +27,15 @@
         pub(crate) leaving: bool,
         /// Whether the entry watches the store and the store answers it.
         pub(crate) watching: bool,
+        /// Revision up to which the mirror of the servers is complete, and its digest. Only watchers send
+        /// it, once a second: it shows the others what they have missed, also a removal that this entry
+        /// did not see itself.
+        #[serde(rename = "content", default, skip_serializing_if = "Option::is_none")]
+        pub(crate) servers_content: Option<(u64, u64)>,
+        /// In a registration: identifier and duration of its lease. An entry that starts again soon
+        /// renews that lease instead of registering anew.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub(crate) lease: Option<(u64, Micros)>,
     }
 }
 
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -46,6 +46,16 @@
             Self::Hosts => lentilcart_platform::ENTRIES_PREFIX,
         }
     }
+
+    /// Creates an empty mirror. Only the routes are listed without staleness: they are in force at once,
+    /// and the revision of their listing shows how old that of the servers may be.
+    fn new_mirror(self) -> Mirror {
+        let prefix = self.get_prefix().into();
+        match self {
+            Self::Routes => Mirror::new(prefix),
+            Self::Servers | Self::Hosts => Mirror::with_stale_start(prefix),
+        }
+    }
 }
 
 /// The routes in force and the dispatchers of their services.
@@ -76,6 +86,8 @@
     /// Cancelled when this entry, which is leaving, waits no longer for the servers that are running
     /// requests.
     pub(crate) requests_end: CancellationToken,
+    /// Cancelled when the entries have been listed for the first time.
+    pub(crate) entries_listed: CancellationToken,
     /// Cancelled when the background tasks must end.
     pub(crate) stop: CancellationToken,
     /// Memory for request bodies and buffered answers.
@@ -92,7 +104,7 @@
     /// again. It does not reach mirrors without a call in progress, such as during a backoff.
     pub(crate) relist: Notify,
     pub(crate) mirrors: [Mutex<Mirror>; 3],
-    /// Highest revision of the store that a confirmation of the routes has shown.
+    /// Highest revision of the store that a listing or a confirmation of the routes has shown.
     pub(crate) store_revision: watch::Sender<u64>,
     /// Load updates that have not been sent to other entries yet.
     pub(crate) load_updates: Mutex<VecDeque<LoadUpdate>>,
@@ -146,6 +158,7 @@
             drain: OnceLock::new(),
             attempts_end: CancellationToken::new(),
             requests_end: CancellationToken::new(),
+            entries_listed: CancellationToken::new(),
             stop: CancellationToken::new(),
             bodies: BodyMemory::new(settings.memory.get_body_bytes()),
             max_body: settings.memory.get_max_body(),
@@ -153,7 +166,7 @@
             in_flight: AtomicU64::new(0),
             heartbeat_due: watch::Sender::new(0),
             relist: Notify::new(),
-            mirrors: MirrorKind::ALL.map(|kind| Mutex::new(Mirror::new(kind.get_prefix().into()))),
+            mirrors: MirrorKind::ALL.map(|kind| Mutex::new(kind.new_mirror())),
             store_revision: watch::Sender::new(0),
             load_updates: Mutex::default(),
             active_routes: ArcSwap::default(),
@@ -250,6 +263,8 @@
                 .map(|kind| self.lock_mirror(kind).get_latest_change_revision()),
             leaving: self.is_leaving(),
             watching: self.has_to_watch() && self.is_store_reachable(),
+            servers_content: None,
+            lease: None,
         }
     }
 }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -27,20 +27,37 @@
 /// Time that the reply to a watch may take from when the store is known to be ahead of the mirror.
 const REPLY_DELAY: Duration = Duration::from_millis(200);
 
+/// Time after its first listing at which an entry lists the entries once more if it was not among them:
+/// where many start for the first time, few have registered before.
+const SECOND_LISTING_DELAY: Duration = Duration::from_millis(250);
+/// Longest wait for the listing of the routes, whose revision shows how old a stale listing may be.
+const ROUTES_WAIT: Duration = Duration::from_millis(250);
+
 /// Keeps the mirror of a prefix current by listing and watching it in the store.
 pub(crate) async fn keep_mirror(gateway: Arc<Gateway>, kind: MirrorKind) {
     let mut backoff = Backoff::default();
     let mut listing_size = ListingSize::default();
+    let mut is_first_listing = true;
     loop {
         // Unless this entry has to watch, one listing is enough: later changes come from other entries.
-        let has_listed = gateway.lock_mirror(kind).get_revision() > 0;
-        if has_listed && !gateway.has_to_watch() {
+        let is_idle = {
+            let mirror = gateway.lock_mirror(kind);
+            mirror.get_revision() > 0 && mirror.is_watching()
+        };
+        if is_idle && !gateway.has_to_watch() {
             sleep_unless_stopped(&gateway, WATCH_CHECK_INTERVAL).await;
             if gateway.stop.is_cancelled() {
                 return;
             }
             continue;
         }
+        if confirm_listing(&gateway, kind).await {
+            if kind == MirrorKind::Hosts && std::mem::take(&mut is_first_listing) {
+                gateway.entries_listed.cancel();
+                list_newcomers(&gateway).await;
+            }
+            continue;
+        }
         let max_wait = gateway.settings.load().store.watch_timeout;
         let call = gateway.lock_mirror(kind).next_call(max_wait);
         let name = call.as_str();
@@ -55,6 +72,14 @@
         match result {
             Ok(reply) => {
                 gateway.record_store_reply();
+                if let (MirrorKind::Routes, StoreReply::Page { revision, .. }) = (kind, &reply) {
+                    let revision = *revision;
+                    gateway.store_revision.send_if_modified(|known| {
+                        let is_newer = revision > *known;
+                        *known = revision.max(*known);
+                        is_newer
+                    });
+                }
                 let changes = gateway.lock_mirror(kind).record_reply(reply);
                 gateway.apply_changes(kind, changes, false);
                 // Several servers or entries often come or go at a time.
@@ -75,6 +100,13 @@
             }
             Err(reason) => {
                 gateway.record_store_failure(name, &reason);
+                {
+                    // The watch that brings a stale listing up to date may have lost its reply.
+                    let mut mirror = gateway.lock_mirror(kind);
+                    if mirror.is_unconfirmed() {
+                        mirror.restart_listing();
+                    }
+                }
                 let delay = backoff.next_delay();
                 if gateway.is_preferred_watcher() {
                     sleep_unless_stopped(&gateway, delay).await;
@@ -94,6 +126,46 @@
     }
 }
 
+/// Makes the entries be listed once more if the first listing does not include this entry, which has
+/// registered meanwhile.
+async fn list_newcomers(gateway: &Gateway) {
+    if gateway.is_listed() {
+        return;
+    }
+    sleep_unless_stopped(gateway, SECOND_LISTING_DELAY).await;
+    if !gateway.is_listed() {
+        let mut mirror = gateway.lock_mirror(MirrorKind::Hosts);
+        mirror.restart_stale_listing();
+    }
+}
+
+/// Puts a stale listing in force if that is safe without a further call; returns whether it was.
+///
+/// The servers may include one that has left, so that the listing must be as new as that of the routes,
+/// which is not stale. Which entries are live is known from their heartbeats, so that theirs may be old.
+async fn confirm_listing(gateway: &Gateway, kind: MirrorKind) -> bool {
+    if !gateway.lock_mirror(kind).is_unconfirmed() {
+        return false;
+    }
+    let revision = match kind {
+        MirrorKind::Hosts => 0,
+        MirrorKind::Routes | MirrorKind::Servers => {
+            let mut listed = gateway.store_revision.subscribe();
+            let listed = timeout(ROUTES_WAIT, listed.wait_for(|revision| *revision > 0)).await;
+            // Without it, the watch that follows shows what has changed since.
+            listed.map_or(u64::MAX, |listed| {
+                listed.map_or(u64::MAX, |revision| *revision)
+            })
+        }
+    };
+    let (changes, is_unconfirmed) = {
+        let mut mirror = gateway.lock_mirror(kind);
+        (mirror.confirm(revision), mirror.is_unconfirmed())
+    };
+    gateway.apply_changes(kind, changes, false);
+    !is_unconfirmed
+}
+
 /// Makes a call to the store; a watch is confirmed while it waits. A listing that is too large is begun anew,
 /// and the call fails.
 async fn call_store(
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -24,12 +24,16 @@
 /// Timeout for fetching the mirror of another entry.
 const FETCH_TIMEOUT: Micros = Micros::from_millis(1000);
 
+/// Interval at which a watcher's heartbeat says what its mirror of the servers holds.
+const CONTENT_INTERVAL: Micros = Micros::from_millis(1000);
+
 /// Sends heartbeats to the other entries, at a fixed interval and whenever one is due.
 pub(crate) async fn send_heartbeats(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
     let interval = gateway.settings.load().peers.heartbeat_interval;
     let mut timer = tokio::time::interval(interval.into());
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut changed = gateway.heartbeat_due.subscribe();
+    let mut content_sent = None;
     loop {
         tokio::select! {
             () = gateway.stop.cancelled() => break,
@@ -37,16 +41,27 @@
             _ = changed.changed() => {}
         }
         changed.mark_unchanged();
-        send_heartbeat(&gateway, &socket).await;
+        let now = gateway.clock.now();
+        let is_due = content_sent.is_none_or(|sent| now - sent >= CONTENT_INTERVAL);
+        if send_heartbeat(&gateway, &socket, is_due).await {
+            content_sent = Some(now);
+        }
     }
     // The last heartbeat says that this entry is leaving.
-    send_heartbeat(&gateway, &socket).await;
+    send_heartbeat(&gateway, &socket, false).await;
 }
 
 /// Sends a heartbeat to the entries of this entry's data centre, or to all entries if this one watches
-/// the store on their behalf; also to the seeds while no other entry is known.
-async fn send_heartbeat(gateway: &Gateway, socket: &UdpSocket) {
-    let heartbeat = gateway.get_heartbeat();
+/// the store on their behalf; also to the seeds while no other entry is known. Returns whether it says
+/// what the mirror of the servers holds, which a watcher's does if `with_content` is true.
+async fn send_heartbeat(gateway: &Gateway, socket: &UdpSocket, with_content: bool) -> bool {
+    let mut heartbeat = gateway.get_heartbeat();
+    if heartbeat.watching && with_content {
+        let mirror = gateway.lock_mirror(MirrorKind::Servers);
+        let content = (mirror.get_revision(), mirror.get_digest());
+        heartbeat.servers_content = Some(content).filter(|(revision, _)| *revision > 0);
+    }
+    let has_content = heartbeat.servers_content.is_some();
     let mut peers = if heartbeat.watching {
         get_peers(gateway, usize::MAX)
     } else {
@@ -56,6 +71,7 @@
         peers.extend(get_seeds(gateway));
     }
     send_to_all(socket, &Datagram::Heartbeat(heartbeat), &peers).await;
+    has_content
 }
 
 /// Sends a datagram to several entries; failures are logged only.
@@ -173,14 +189,18 @@
     for kind in MirrorKind::ALL {
         // The peer's latest change counts, not its revision, which also advances without changes under
         // the prefix. A mirror complete up to that change has all that the peer has.
-        if heartbeat.latest_revisions[kind as usize] > gateway.lock_mirror(kind).get_revision() {
+        let mut latest = heartbeat.latest_revisions[kind as usize];
+        // But the peer cannot count a removal that came before its first listing: then the contents
+        // differ.
+        if let (MirrorKind::Servers, Some((revision, digest))) = (kind, heartbeat.servers_content)
+            && !gateway.lock_mirror(kind).compare(revision, digest)
+        {
+            latest = latest.max(revision);
+        }
+        if latest > gateway.lock_mirror(kind).get_revision() {
             let gateway = gateway.clone();
             let tasks = gateway.tasks.clone();
-            let (peer, name, latest) = (
-                heartbeat.peer,
-                heartbeat.name.clone(),
-                heartbeat.latest_revisions[kind as usize],
-            );
+            let (peer, name) = (heartbeat.peer, heartbeat.name.clone());
             tasks.spawn(async move { catch_up(&gateway, kind, peer, &name, latest).await });
         }
     }
--- a/src/gateway/store_contact.rs
+++ b/src/gateway/store_contact.rs
@@ -14,6 +14,16 @@
 const WATCHER_TIMEOUT: Micros = Micros::from_millis(1200);
 /// Additional delay for each further entry in the order.
 const TAKEOVER_STEP: Micros = Micros::from_millis(30);
+/// Longest additional delay of the last entry in the order: with the timeout it stays below the time
+/// within which changes must be in force, also where an entry hears of no other.
+const MAX_TAKEOVER_DELAY: Micros = Micros::from_millis(900);
+/// Time after the start in which no entry watches the store: its listing of the entries and their first
+/// heartbeats show whether others do. Without it, each of 210 entries that started at a time watched
+/// three prefixes, three of the 8.3 calls of a start.
+const START_WATCH_DELAY: Micros = Micros::from_millis(400);
+/// Time after the start in which an entry that is not a preferred watcher waits for a watcher's first
+/// heartbeat.
+const START_WATCHER_TIMEOUT: Micros = Micros::from_millis(1000);
 /// Maximum age of the store's last reply at which it counts as reachable.
 const MAX_REPLY_AGE: Micros = Micros::from_millis(2000);
 
@@ -159,17 +169,23 @@
     /// watcher, else with a delay by its rank, which begins when the watchers have timed out or the
     /// last one says that the store does not answer it.
     pub(crate) fn has_to_watch(&self) -> bool {
+        let now = self.clock.now();
+        if now < START_WATCH_DELAY {
+            return false;
+        }
         let rank = self.get_watch_rank();
         if rank < PREFERRED_WATCHERS {
             return true;
         }
-        let now = self.clock.now();
-        let takeover_delay = Micros(TAKEOVER_STEP.0 * (rank - PREFERRED_WATCHERS) as u64);
+        let standbys = self.lock_members().iter().count() - PREFERRED_WATCHERS;
+        let step = TAKEOVER_STEP.min(Micros(MAX_TAKEOVER_DELAY.0 / standbys.max(1) as u64));
+        let takeover_delay = Micros(step.0 * (rank - PREFERRED_WATCHERS) as u64);
         let watcher = self.latest_watcher.lock().expect("no panic under lock");
-        let timeout = watcher
-            .name
-            .as_ref()
-            .map_or(Micros::ZERO, |_| WATCHER_TIMEOUT);
+        let timeout = match &watcher.name {
+            Some(_) => WATCHER_TIMEOUT,
+            None if watcher.updated == Micros::ZERO => START_WATCHER_TIMEOUT,
+            None => Micros::ZERO,
+        };
         now - watcher.updated > timeout + takeover_delay
     }
 
