feat(gateway): one line for first servers and many peers, no probes at the start

Cause: an entry of a large site logged one line for each of 364 to 517 servers and for each peer at its start, and probed all servers of all data centres, with a connection to each, until it had heard of other entries.

Change: the servers of the first listing and peers found in the same half second, if more than four, are logged as a number. Regular probes begin 3 s after the start; until then a server is probed for a request only.

--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -142,6 +142,9 @@
         let mut changed_services = Set::default();
         {
             let mut directory = self.lock_directory();
+            // One line for each of the 517 servers that an entry finds at its start cost more than
+            // putting them in force.
+            let is_first = directory.is_empty();
             for change in changes {
                 let (key, registration) = match change {
                     MirrorChange::Removed(key) => (key, None),
@@ -178,7 +181,9 @@
                         Some(_) => "serving",
                         None => "gone",
                     };
-                    log::info!(server:% = id, state, relayed; "server changed");
+                    if !is_first {
+                        log::info!(server:% = id, state, relayed; "server changed");
+                    }
                     changed_services.extend(old_service);
                 } else if let Some(end) = directory.get_lapse_end(&id) {
                     let is_bounded = end < Micros(u64::MAX);
@@ -190,6 +195,9 @@
                     log::info!(server:% = id, relayed, kept_ms; "registration lapsed");
                 }
             }
+            if is_first {
+                log::info!(servers = directory.len(), relayed; "servers listed");
+            }
         }
         self.update_pools(&changed_services);
     }
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -106,6 +106,8 @@
     pub(crate) mirrors: [Mutex<Mirror>; 3],
     /// Highest revision of the store that a listing or a confirmation of the routes has shown.
     pub(crate) store_revision: watch::Sender<u64>,
+    /// Entries that were found and have not been logged yet, with their addresses.
+    pub(crate) found_peers: Mutex<Vec<(Name, SocketAddr)>>,
     /// Load updates that have not been sent to other entries yet.
     pub(crate) load_updates: Mutex<VecDeque<LoadUpdate>>,
     /// The routes in force; the inner `Arc` is what requests hold.
@@ -168,6 +170,7 @@
             relist: Notify::new(),
             mirrors: MirrorKind::ALL.map(|kind| Mutex::new(kind.new_mirror())),
             store_revision: watch::Sender::new(0),
+            found_peers: Mutex::default(),
             load_updates: Mutex::default(),
             active_routes: ArcSwap::default(),
             leaving: AtomicBool::new(false),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -24,6 +24,8 @@
 /// Timeout for fetching the mirror of another entry.
 const FETCH_TIMEOUT: Micros = Micros::from_millis(1000);
 
+/// Largest number of entries found in an interval of the housekeeping that are logged one by one.
+const MAX_PEER_LINES: usize = 4;
 /// Interval at which a watcher's heartbeat says what its mirror of the servers holds.
 const CONTENT_INTERVAL: Micros = Micros::from_millis(1000);
 
@@ -184,7 +186,8 @@
         was_down
     };
     if was_down {
-        log::info!(peer:% = heartbeat.name, address:% = heartbeat.peer; "peer is up");
+        let mut found = gateway.found_peers.lock().expect("no panic under lock");
+        found.push((heartbeat.name.clone(), heartbeat.peer));
     }
     for kind in MirrorKind::ALL {
         // The peer's latest change counts, not its revision, which also advances without changes under
@@ -206,6 +209,20 @@
     }
 }
 
+/// Logs the entries that have been found since the last call: one line for each, or one with their number if
+/// they are many, as after a start.
+pub(crate) fn log_found_peers(gateway: &Gateway) {
+    let mut found = gateway.found_peers.lock().expect("no panic under lock");
+    let found = std::mem::take(&mut *found);
+    if found.len() > MAX_PEER_LINES {
+        log::info!(peers = found.len(); "peers are up");
+        return;
+    }
+    for (peer, address) in found {
+        log::info!(peer:% = peer, address:% = address; "peer is up");
+    }
+}
+
 /// Returns whether this entry fetches from `peer` at once: always if the peer is in its data centre,
 /// and from a remote peer only if this entry is the one of its data centre chosen for that; the others
 /// fetch from it.
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -11,6 +11,7 @@
 
 use super::datagram::{Datagram, LoadUpdate};
 use super::gateway::Gateway;
+use super::mirror::sleep_unless_stopped;
 use super::peers::{get_peers, send_to_all};
 use super::permit_table::get_owner;
 use crate::entry::Dispatcher;
@@ -19,6 +20,10 @@
 /// Interval at which the servers that this entry probes are determined.
 const ASSIGNMENT_INTERVAL: Micros = Micros::from_millis(500);
 
+/// Time after the start in which servers are probed only for requests: before an entry has heard of others,
+/// it takes itself to be the one that probes all servers, at a connection to each.
+const START_DELAY: Micros = Micros::from_millis(3000);
+
 /// Interval between two probes of a server while no service time is known, unless `probe_interval` is
 /// longer.
 const DEFAULT_PROBE_INTERVAL: Micros = Micros::from_millis(500);
@@ -44,6 +49,7 @@
     let mut targets: Vec<Arc<ProbeTarget>> = Vec::new();
     let mut assigned_at: Option<Micros> = None;
     let mut next = 0;
+    sleep_unless_stopped(&gateway, START_DELAY.into()).await;
     loop {
         let settings = gateway.settings.load_full();
         let now = gateway.clock.now();
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -5,6 +5,7 @@
 
 use super::gateway::Gateway;
 use super::on_demand_probe::probe_stale_servers;
+use super::peers::log_found_peers;
 use super::permit_table::release_expired;
 use crate::ops::run_metrics_upkeep;
 
@@ -66,6 +67,7 @@
             last_housekeeping = Instant::now();
             housekeeping_runs += 1;
             gateway.server_client.close_expired(MAX_CONNECTION_IDLE);
+            log_found_peers(&gateway);
             let known_count = gateway.lock_members().iter().count();
             if known_count != entry_count {
                 log::info!(entries = known_count, before = entry_count; "entries changed");
