feat(gateway): choose owners by spare capacity, and pass over those that fall behind

Cause: an entry with 0.07 of a core could own a service with 440 requests a second. At a start the entries of a data centre knew different others and chose different owners.

Change: owners, watchers, fetchers and probers are chosen by weighted rendezvous hashing (Schindelhauer and Schomaker, 2005); the weight is the share of a core beyond 0.05, from the setting limits.cpu, in heartbeats and registrations. Without it all weigh the same and owners are those of before. An entry whose timers come late says so at once in a heartbeat, and is passed over until it has kept up for 3 s, unless that leaves less than half of the entries. In the first 1.5 s listed entries that were not heard yet may be owners. The test of the deployed template fills in sections, without which it failed before this change.

--- a/lentilcart_state/src/lib.rs
+++ b/lentilcart_state/src/lib.rs
@@ -42,7 +42,8 @@
 pub use self::directory::{ServerDirectory, ServerRegistration};
 pub use self::error::{FieldError, StateError, TicketFileError};
 pub use self::member::{
-    Member, MemberTable, get_lease_duration, get_renewal_interval, rendezvous_rank,
+    DEFAULT_WEIGHT, LagGauge, Member, MemberTable, get_lease_duration, get_renewal_interval,
+    get_weight, rendezvous_rank, weighted_rank,
 };
 pub use self::mirror::{
     Mirror, MirrorChange, MirrorSnapshot, Precondition, StoreCall, StoreEvent, StoreItem, StorePut,
--- a/lentilcart_state/src/member/member_table.rs
+++ b/lentilcart_state/src/member/member_table.rs
@@ -2,7 +2,7 @@
 
 use lentilcart_util::{Map, Micros, Name, Set};
 
-use super::rendezvous_rank;
+use super::{DEFAULT_WEIGHT, rendezvous_rank, weighted_rank};
 
 /// This entry's view of one entry, possibly of itself.
 #[derive(Debug, Clone)]
@@ -19,6 +19,10 @@
     /// Highest number that the entry has reported as in force: that of a ticket or, among gateways
     /// (entries whose routes come from the platform's store), the version of a route table.
     pub applied_number: u64,
+    /// Weight in the choice of owners and of other duties, by what the entry can bear.
+    pub weight: u32,
+    /// Whether the entry has reported that it falls behind.
+    pub overloaded: bool,
 }
 
 /// Table of the entries, this one included, updated from the host list and from heartbeats.
@@ -62,6 +66,8 @@
             last_heartbeat: None,
             leaving,
             applied_number: 0,
+            weight: DEFAULT_WEIGHT,
+            overloaded: false,
         });
         member.data_center = data_center.clone();
         member.peer_address = peer_address;
@@ -92,6 +98,20 @@
         }
     }
 
+    /// Sets the weight of an entry, as it has registered or reported it.
+    pub fn set_weight(&mut self, name: &Name, weight: u32) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.weight = weight;
+        }
+    }
+
+    /// Sets whether an entry has reported that it falls behind.
+    pub fn set_overloaded(&mut self, name: &Name, overloaded: bool) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.overloaded = overloaded;
+        }
+    }
+
     /// Records that the link to an entry was lost; the entry is not live until its next heartbeat.
     pub fn record_link_loss(&mut self, name: &Name) {
         if let Some(member) = self.members.get_mut(name) {
@@ -176,6 +196,54 @@
         }
     }
 
+    /// Returns up to `count` of some entries in the order in which they rank for a key by their weights.
+    pub fn rank<'a>(
+        &self,
+        key: &str,
+        names: impl Iterator<Item = &'a Name>,
+        count: usize,
+    ) -> Vec<&'a Name> {
+        let get_weight = |name| self.members.get(name).map_or(DEFAULT_WEIGHT, |m| m.weight);
+        weighted_rank(key, names.map(|name| (name, get_weight(name))), count)
+    }
+
+    /// Returns the number of entries of a data centre that are listed or were heard.
+    #[must_use]
+    pub fn get_count(&self, data_center: &Name) -> usize {
+        let members = self.members.values();
+        members
+            .filter(|member| member.data_center == *data_center)
+            .count()
+    }
+
+    /// Returns the entries of a data centre that may own its services: the serving ones and, if
+    /// `include_unheard` is true, those that are listed and have never been heard.
+    ///
+    /// Right after a start no entry has heard of others, but all have listed the same ones, so that they
+    /// choose the same owners. Entries that have reported that they fall behind are passed over, unless
+    /// that leaves less than half of the others: where all fall behind, moves would only spread it.
+    #[must_use]
+    pub fn get_candidates(
+        &self,
+        data_center: &Name,
+        include_unheard: bool,
+        now: Micros,
+    ) -> Vec<&Name> {
+        let is_candidate = |(name, member): &(&Name, &Member)| {
+            let is_unheard = include_unheard && member.last_heartbeat.is_none();
+            member.data_center == *data_center
+                && !member.leaving
+                && (is_unheard || self.is_live(name, now))
+        };
+        let candidates = || self.members.iter().filter(is_candidate);
+        let rested = candidates().filter(|(_, member)| !member.overloaded);
+        let rested: Vec<&Name> = rested.map(|(name, _)| name).collect();
+        if rested.len() * 2 >= candidates().count() {
+            return rested;
+        }
+        candidates().map(|(name, _)| name).collect()
+    }
+
     /// Returns up to `count` serving entries that own a key, such as the name of a service, the first
     /// choice first.
     #[must_use]
--- a/lentilcart_state/tests/testsuite/main.rs
+++ b/lentilcart_state/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod lease_times;
 mod members;
 mod mirror;
+mod owners;
 mod parse;
 mod routing;
 mod submit;
--- a/lentilcart_state/tests/testsuite/members.rs
+++ b/lentilcart_state/tests/testsuite/members.rs
@@ -1,4 +1,4 @@
-use lentilcart_state::{Member, MemberTable, rendezvous_rank};
+use lentilcart_state::{DEFAULT_WEIGHT, Member, MemberTable, rendezvous_rank};
 use lentilcart_util::{Micros, Name};
 
 const HEARTBEAT_TIMEOUT: Micros = Micros::from_millis(250);
@@ -17,6 +17,8 @@
         last_heartbeat: None,
         leaving: false,
         applied_number: 0,
+        weight: DEFAULT_WEIGHT,
+        overloaded: false,
     };
     let mut members = MemberTable::new("e0".into(), own, HEARTBEAT_TIMEOUT);
     for name in &names(count)[1..] {
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -5,7 +5,9 @@
 
 use arc_swap::ArcSwap;
 use lentilcart_route::{LoadSource, PoolConfig, ServerConfig, ServerPool, get_policy};
-use lentilcart_state::{AppliedState, Member, MemberTable, NumberedTicket, Service};
+use lentilcart_state::{
+    AppliedState, DEFAULT_WEIGHT, Member, MemberTable, NumberedTicket, Service,
+};
 use lentilcart_util::{Map, Micros, Name};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -117,6 +119,8 @@
             last_heartbeat: None,
             leaving: false,
             applied_number: 0,
+            weight: DEFAULT_WEIGHT,
+            overloaded: false,
         };
         let members = MemberTable::new(settings.name.clone(), own, settings.silence_timeout.into());
         let seed = unix_millis() ^ u64::from(std::process::id()) << 40;
--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -270,12 +270,15 @@
                 MirrorChange::Put(item) => match GatewayHeartbeat::decode(&item.value) {
                     // Whether an entry is leaving is known from its heartbeats only: the registration
                     // is not updated.
-                    Ok(heartbeat) => members.upsert(
-                        &heartbeat.name,
-                        &heartbeat.data_center,
-                        heartbeat.peer,
-                        false,
-                    ),
+                    Ok(heartbeat) => {
+                        members.upsert(
+                            &heartbeat.name,
+                            &heartbeat.data_center,
+                            heartbeat.peer,
+                            false,
+                        );
+                        members.set_weight(&heartbeat.name, heartbeat.weight);
+                    }
                     Err(error) => log::warn!(key:% = item.key; "entry ignored: {error}"),
                 },
                 MirrorChange::Removed(key) => {
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 
 use lentilcart_route::{AttemptOutcome, LoadReport, ServerNotice};
+use lentilcart_state::DEFAULT_WEIGHT;
 use lentilcart_util::{Micros, Name, common};
 
 const PERCENT_PER_UNIT: f64 = 100.0;
@@ -10,7 +11,7 @@
     /// store.
     ///
     /// The registration is written once for each lease, so most of its fields become stale; only `name`,
-    /// `data_center`, `peer` and `lease` are read from it.
+    /// `data_center`, `peer`, `weight` and `lease` are read from it.
     #[derive(Eq)]
     pub(crate) struct GatewayHeartbeat {
         pub(crate) name: Name,
@@ -27,6 +28,12 @@
         pub(crate) leaving: bool,
         /// Whether the entry watches the store and the store answers it.
         pub(crate) watching: bool,
+        /// Weight in the choice of owners and other duties.
+        #[serde(default = "default_weight", skip_serializing_if = "is_default_weight")]
+        pub(crate) weight: u32,
+        /// Whether the entry falls behind, so that others own its services.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        pub(crate) overloaded: bool,
         /// Revision up to which the mirror of the servers is complete, and its digest. Only watchers send
         /// it, once a second: it shows the others what they have missed, also a removal that this entry
         /// did not see itself.
@@ -151,6 +158,19 @@
     }
 }
 
+/// Weight of an entry of an earlier version, or without a share of a core.
+const fn default_weight() -> u32 {
+    DEFAULT_WEIGHT
+}
+
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_default_weight(weight: &u32) -> bool {
+    *weight == DEFAULT_WEIGHT
+}
+
 impl GatewayHeartbeat {
     /// Encodes the heartbeat as CBOR.
     pub(crate) fn encode(&self) -> Vec<u8> {
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 
 use arc_swap::ArcSwap;
-use lentilcart_state::{Member, MemberTable, Mirror, RouteTable, ServerDirectory};
+use lentilcart_state::{
+    LagGauge, Member, MemberTable, Mirror, RouteTable, ServerDirectory, get_weight,
+};
 use lentilcart_util::{Map, Name};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, Semaphore, watch};
@@ -106,6 +108,8 @@
     pub(crate) mirrors: [Mutex<Mirror>; 3],
     /// Highest revision of the store that a listing or a confirmation of the routes has shown.
     pub(crate) store_revision: watch::Sender<u64>,
+    /// Whether this entry falls behind.
+    pub(crate) lag_gauge: Mutex<LagGauge>,
     /// Entries that were found and have not been logged yet, with their addresses.
     pub(crate) found_peers: Mutex<Vec<(Name, SocketAddr)>>,
     /// Load updates that have not been sent to other entries yet.
@@ -143,6 +147,8 @@
             last_heartbeat: None,
             leaving: false,
             applied_number: 0,
+            weight: get_weight(settings.limits.cpu_share),
+            overloaded: false,
         };
         let peer_timeout = settings.peers.silence_timeout;
         let limits = ConnectTimeouts {
@@ -170,6 +176,7 @@
             relist: Notify::new(),
             mirrors: MirrorKind::ALL.map(|kind| Mutex::new(kind.new_mirror())),
             store_revision: watch::Sender::new(0),
+            lag_gauge: Mutex::default(),
             found_peers: Mutex::default(),
             load_updates: Mutex::default(),
             active_routes: ArcSwap::default(),
@@ -266,6 +273,12 @@
                 .map(|kind| self.lock_mirror(kind).get_latest_change_revision()),
             leaving: self.is_leaving(),
             watching: self.has_to_watch() && self.is_store_reachable(),
+            weight: get_weight(settings.limits.cpu_share),
+            overloaded: self
+                .lag_gauge
+                .lock()
+                .expect("no panic under lock")
+                .is_overloaded(),
             servers_content: None,
             lease: None,
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -4,7 +4,7 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use lentilcart_state::{MirrorSnapshot, rendezvous_rank};
+use lentilcart_state::MirrorSnapshot;
 use lentilcart_util::{Micros, Name};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
@@ -183,6 +183,8 @@
             heartbeat.routes_version,
             heartbeat.leaving,
         );
+        members.set_weight(&heartbeat.name, heartbeat.weight);
+        members.set_overloaded(&heartbeat.name, heartbeat.overloaded);
         was_down
     };
     if was_down {
@@ -244,7 +246,7 @@
             .get(name)
             .is_some_and(|member| member.peer_address == peer)
     });
-    let first = rendezvous_rank("fetch", local.into_iter(), 1);
+    let first = members.rank("fetch", local.into_iter(), 1);
     is_peer_local || first.first().is_some_and(|name| **name == settings.name)
 }
 
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -12,7 +12,6 @@
 use std::time::Duration;
 
 use lentilcart_route::{AttemptOutcome, PendingRequest, Rejection};
-use lentilcart_state::rendezvous_rank;
 use lentilcart_util::{Map, Micros, Name};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -34,6 +33,10 @@
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for which an owner that did not answer is suspected and gets no permit requests.
 const SUSPICION_TIME: Micros = Micros::from_millis(500);
+/// Time after the start in which entries that are listed and were not heard yet may be owners: three
+/// heartbeats. Without it, each of many entries that start at a time takes itself for the owner of all
+/// services until it hears of others.
+const MEMBERSHIP_TIME: Micros = Micros::from_millis(1500);
 /// Grace period after a request's deadline, at the end of which its permit is released if the requester
 /// has not done so.
 const RELEASE_GRACE: Micros = Micros::from_millis(1000);
@@ -150,17 +153,17 @@
     let now = gateway.clock.now();
     let members = gateway.lock_members();
     let permits = gateway.lock_permits();
-    let is_candidate = |name: &&Name| {
+    let is_trusted = |name: &&Name| {
         let member = members.get(name);
         member.is_some_and(|member| {
             let suspected_until = permits.suspected.get(&member.peer_address);
-            let is_suspected = suspected_until.is_some_and(|until| *until > now);
-            member.data_center == settings.data_center && !is_suspected
+            suspected_until.is_none_or(|until| *until <= now)
         })
     };
+    let is_starting = now < MEMBERSHIP_TIME;
+    let candidates = members.get_candidates(&settings.data_center, is_starting, now);
     // Each entry suspects owners by itself; those that suspect an owner agree on the next one.
-    let live = members.get_serving(now).into_iter().filter(is_candidate);
-    let ranked = rendezvous_rank(service, live, 1);
+    let ranked = members.rank(service, candidates.into_iter().filter(is_trusted), 1);
     let address = members.get(ranked.first()?)?.peer_address;
     (address != settings.listen.peer).then_some(address)
 }
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -4,7 +4,7 @@
 
 use lentilcart_platform::{HEADER_NAMES, decode_load_report};
 use lentilcart_route::LoadReport;
-use lentilcart_state::rendezvous_rank;
+use lentilcart_state::weighted_rank;
 use lentilcart_util::{Map, Micros, Name, Set};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
@@ -104,12 +104,15 @@
         .map(|registration| registration.data_center.clone())
         .collect();
     // The data centres that this entry is responsible for, each with all its responsible entries.
-    let responsible: Map<Name, Vec<Name>> = {
+    let responsible: Map<Name, Vec<(Name, u32)>> = {
         let members = gateway.lock_members();
         let get_entries = |data_center: Name| {
             let entries = members.get_responsible(&data_center, now);
-            let entries: Vec<Name> = entries.into_iter().cloned().collect();
-            entries.contains(&own).then_some((data_center, entries))
+            let is_own = entries.contains(&&own);
+            let get_weight = |name: &Name| members.get(name).map_or(0, |member| member.weight);
+            let entries = entries.into_iter();
+            let entries = entries.map(|name| (name.clone(), get_weight(name)));
+            is_own.then(|| (data_center, entries.collect()))
         };
         data_centers.into_iter().filter_map(get_entries).collect()
     };
@@ -118,7 +121,8 @@
         .filter(|registration| !registration.leaving);
     let targets = serving.filter_map(|registration| {
         let entries = responsible.get(&registration.data_center)?;
-        let prober = rendezvous_rank(&registration.id, entries.iter(), 1);
+        let entries = entries.iter().map(|(name, weight)| (name, *weight));
+        let prober = weighted_rank(&registration.id, entries, 1);
         if prober.first().is_none_or(|prober| **prober != own) {
             return None;
         }
--- a/src/gateway/store_contact.rs
+++ b/src/gateway/store_contact.rs
@@ -2,7 +2,6 @@
 
 use std::sync::MutexGuard;
 
-use lentilcart_state::rendezvous_rank;
 use lentilcart_util::{Map, Micros, Name};
 
 use super::gateway::Gateway;
@@ -152,7 +151,7 @@
     pub(crate) fn get_watch_rank(&self) -> usize {
         let members = self.lock_members();
         let names = members.iter().map(|(name, _)| name);
-        let ranked = rendezvous_rank("watch", names, usize::MAX);
+        let ranked = members.rank("watch", names, usize::MAX);
         let own = ranked
             .iter()
             .position(|name| *name == members.get_own_name());
@@ -197,7 +196,7 @@
         let members = self.lock_members();
         let watchers = self.latest_watcher.lock().expect("no panic under lock");
         let names = members.iter().map(|(name, _)| name);
-        let ranked = rendezvous_rank("watch", names, usize::MAX);
+        let ranked = members.rank("watch", names, usize::MAX);
         let first = ranked
             .into_iter()
             .find(|name| *name == members.get_own_name() || watchers.is_answering(name, now));
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -49,6 +49,7 @@
         }
         let gap = last_tick.elapsed();
         last_tick = Instant::now();
+        record_lag(&gateway, gap.saturating_sub(interval));
         if gap > SUSPENSION_THRESHOLD {
             log::warn!(pause_ms = gap.as_millis() as u64; "the process stood still");
             gateway.relist.notify_waiters();
@@ -86,6 +87,25 @@
     }
 }
 
+/// Records how late the timer of the periodic work came, and tells the others at once if that shows that this
+/// entry falls behind, or no longer does.
+fn record_lag(gateway: &Gateway, lag: Duration) {
+    let now = gateway.clock.now();
+    let lag = Micros(lag.as_micros() as u64);
+    let (is_changed, overloaded) = {
+        let mut gauge = gateway.lag_gauge.lock().expect("no panic under lock");
+        (gauge.record(now, lag), gauge.is_overloaded())
+    };
+    if !is_changed {
+        return;
+    }
+    log::info!(lag_ms = lag.as_millis(), overloaded; "entry falls behind or has caught up");
+    metrics::counter!("lentilcart_overload_changes_total").increment(1);
+    let name = gateway.settings.load().name.clone();
+    gateway.lock_members().set_overloaded(&name, overloaded);
+    gateway.trigger_heartbeat();
+}
+
 /// Records the gauges for the age of the store's last reply, for lapsed servers, for servers that restrict
 /// requests by their own word, for the memory of bodies, and for opened connections.
 fn record_gauges(gateway: &Gateway) {
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -48,6 +48,9 @@
     /// Tolerance of the limits on the requests of client accounts.
     #[serde(default)]
     pub accounts: AccountSettings,
+    /// What this host may use.
+    #[serde(default)]
+    pub limits: LimitSettings,
     /// Memory of the process, and the part of it for bodies. It is read at the start only.
     #[serde(default)]
     pub memory: MemorySettings,
@@ -312,6 +315,15 @@
     }
 }
 
+/// What this host may use, by which the duties of the entries are divided among them.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Share of a core, above 0. Without it, this entry counts like one with a whole core.
+    #[serde(rename = "cpu")]
+    pub cpu_share: Option<f64>,
+}
+
 /// Memory of the process, and the part of it for bodies; texts with a unit, such as `"256MiB"`.
 #[serde_as]
 #[derive(Debug, Clone, Default, PartialEq, Deserialize)]
@@ -470,6 +482,12 @@
                 self.accounts.window == Micros::ZERO,
                 "accounts.window = \"0ms\": expected a time above 0".to_owned(),
             ),
+            (
+                self.limits
+                    .cpu_share
+                    .is_some_and(|share| is_below(share, 0.0) || share == 0.0),
+                "limits.cpu: expected a share of a core above 0".to_owned(),
+            ),
             (
                 bodies.is_some_and(|bodies| bodies < MIN_BODIES),
                 format!(
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -178,10 +178,36 @@
         ("{{bounds.retryRatio}}", "0.2"),
         ("{{bounds.retryBurst}}", "58"),
         ("{{bounds.graceS}}", "6"),
+        ("{{bounds.warmupOverage}}", "1.5"),
+        ("{{bounds.warmupSlack}}", "8"),
+        ("{{bounds.quotaWindowS}}", "5"),
+        ("{{bounds.quotaOverage}}", "0.1"),
+        ("{{bounds.quotaSlack}}", "20"),
+        ("{{limits.cpuShare}}", "0.07"),
+        ("{{limits.memoryMb}}", "112"),
     ];
-    let text = filled.iter().fold(template.to_owned(), |text, (from, to)| {
-        text.replace(from, to)
-    });
-    assert!(!text.contains("{{"), "{text}");
-    GatewaySettings::parse(&text).unwrap();
+    // The section of a field is left out where the platform does not name it.
+    let fields = [
+        "bounds.warmupOverage",
+        "bounds.quotaWindowS",
+        "limits.cpuShare",
+        "limits.memoryMb",
+    ];
+    for has_fields in [true, false] {
+        let mut text = template.to_owned();
+        for field in fields {
+            let (begin, end) = (format!("{{{{#{field}}}}}"), format!("{{{{/{field}}}}}"));
+            let (before, rest) = text.split_once(&begin).unwrap();
+            let (section, after) = rest.split_once(&end).unwrap();
+            let section = if has_fields { section } else { "" };
+            text = format!("{before}{section}{after}");
+        }
+        let text = filled
+            .iter()
+            .fold(text, |text, (from, to)| text.replace(from, to));
+        assert!(!text.contains("{{"), "{text}");
+        let settings = GatewaySettings::parse(&text).unwrap();
+        assert_eq!(settings.limits.cpu_share, has_fields.then_some(0.07));
+        assert_eq!(settings.memory.limit, has_fields.then_some(112_000_000));
+    }
 }
