feat(route): limit entries without an owner to their share of the slots

Cause: an entry whose owner does not answer chose servers as if nobody else sent any requests; after a start of all entries servers were full and refused.

Change: such a request starts only while its entry has fewer attempts outstanding than the slots of the data centre's servers divided by its entries.

--- a/lentilcart_route/src/pool/dispatch.rs
+++ b/lentilcart_route/src/pool/dispatch.rs
@@ -43,6 +43,7 @@
     /// must run at most once.
     pub fn start_hedge(&mut self, now: Micros, request: &PendingRequest) -> Option<usize> {
         if self.queue.len() > 0
+            || !self.is_within_share(request)
             || !self.has_eligible_server(now, request)
             || !self.hedger.try_take()
         {
@@ -121,6 +122,7 @@
             let max_factor = pool.get_max_latency_factor(now, request, lowest_slowdown);
             let mut available_servers = available_servers.iter();
             fastest <= max_factor
+                && pool.is_within_share(request)
                 && available_servers
                     .any(|&(index, _)| pool.is_eligible(now, request, index, max_factor))
         };
--- a/lentilcart_route/src/pool/mod.rs
+++ b/lentilcart_route/src/pool/mod.rs
@@ -21,6 +21,7 @@
 mod server_pool;
 mod server_state;
 mod service_times;
+mod slot_share;
 
 pub use self::config::{PoolConfig, ServerConfig, Shard};
 pub use self::pending_request::{AttemptOutcome, Decision, LoadReport, PendingRequest, Rejection};
--- a/lentilcart_route/src/pool/pending_request.rs
+++ b/lentilcart_route/src/pool/pending_request.rs
@@ -37,6 +37,9 @@
     /// Addresses of the servers that must not get it, such as those that it was sent to before. An address
     /// excludes every instance that is listed there, also one that is added while the request waits.
     pub excluded: Vec<SocketAddr>,
+    /// Largest number of attempts that this pool has outstanding once it starts, such as
+    /// [`ServerPool::get_slot_share`](super::ServerPool::get_slot_share); `None` for no limit.
+    pub max_outstanding: Option<u32>,
 }
 
 impl PendingRequest {
@@ -55,6 +58,7 @@
             origin: None,
             sender: None,
             excluded: Vec::new(),
+            max_outstanding: None,
         }
     }
 }
--- a/lentilcart_route/tests/testsuite/main.rs
+++ b/lentilcart_route/tests/testsuite/main.rs
@@ -7,3 +7,4 @@
 mod property;
 mod rate_limits;
 mod server_pool;
+mod slot_share;
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -133,9 +133,25 @@
         log::info!(owner:% = owner, server:% = permit.server_id, is_held_off, is_excluded; "server of the granted permit is not serving");
         permit.release(AttemptOutcome::Cancelled);
     }
+    let pool_request = PendingRequest {
+        max_outstanding: get_share(gateway, dispatcher),
+        ..pool_request
+    };
     acquire_local_permit(gateway, dispatcher, pool_request).await
 }
 
+/// Returns the largest number of attempts that this entry may have outstanding at the servers that it chooses
+/// itself: no limit for the owner of the service, or without owners; else its share of the slots, since
+/// the owner that does not answer may still grant permits, and others choose for themselves as well.
+fn get_share(gateway: &Gateway, dispatcher: &Dispatcher) -> Option<u32> {
+    // An owner that did not answer is suspected now: the next in rank has taken over.
+    get_owner(gateway, &dispatcher.service)?;
+    let data_center = gateway.settings.load().data_center.clone();
+    let entries = gateway.lock_members().get_count(&data_center);
+    metrics::counter!("lentilcart_requests_without_owner_total").increment(1);
+    Some(dispatcher.read_pool(|pool| pool.get_slot_share(entries)))
+}
+
 /// Returns whether this entry knows a server, and not as leaving. It is checked after a grant because an
 /// owner that is cut off from the store learns later than this entry that a server leaves, and after a
 /// probe of the server.
@@ -253,6 +269,7 @@
         origin: None,
         sender: Some(sender),
         excluded: request.excluded.clone(),
+        max_outstanding: None,
     }
 }
 
