feat(gateway): count bytes between data centres by kind, fewer heartbeats to remote entries

Cause: it was not known what the bytes between data centres are for; watchers sent each heartbeat to every entry.

Change: lentilcart_remote_bytes_total counts heartbeats, load updates, mirrors, requests and answers; permits stay within a data centre. While another watcher is heard and nothing has changed, a watcher sends every second heartbeat only to the entries of its data centre and to the other watchers.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -19,6 +19,7 @@
 use super::error_reply::{ErrorReason, ErrorReply};
 use super::gateway::Gateway;
 use super::permit_table::{acquire_permit, is_serving, to_pool_request};
+use super::remote_bytes::RemoteTraffic;
 use super::response::{ResponseVerdict, classify_response, read_response};
 use crate::entry::{Dispatcher, Permit};
 use crate::http::{
@@ -469,6 +470,9 @@
         health_path,
         give_up,
     } = context;
+    let server_id = permit.server_id.clone();
+    let (headers, body) = (request.headers(), request.body());
+    gateway.count_server_bytes(RemoteTraffic::Requests, &server_id, headers, body);
     let (address, server) = (permit.address, permit.server_id.clone());
     let handle_check = |response: &Response<Incoming>| {
         let notice = gateway.handle_probe_notice(&dispatcher, address, response);
@@ -533,7 +537,12 @@
             return AttemptResult::NotRun(detail);
         }
     }
-    match read_answer(gateway, &dispatcher, received, deadline).await {
+    let answer = read_answer(gateway, &dispatcher, received, deadline).await;
+    if let Ok(response) = &answer {
+        let (headers, body) = (response.headers(), response.body());
+        gateway.count_server_bytes(RemoteTraffic::Answers, &server_id, headers, body);
+    }
+    match answer {
         Ok(response) if verdict == ResponseVerdict::Valid => {
             log::debug!(
                 request:% = request_id, server:% = server, address:% = address,
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -75,7 +75,8 @@
         [(); 4].map(|()| gateway.clone());
     let serve_caller = move |_: SocketAddr, request| serve_caller(caller_gateway.clone(), request);
     let serve_ready = move |_: SocketAddr, request| serve_ready(ready_gateway.clone(), request);
-    let serve_peer = move |_: SocketAddr, request| serve_peer(peer_gateway.clone(), request);
+    let serve_peer =
+        move |remote: SocketAddr, request| serve_peer(peer_gateway.clone(), remote, request);
     let serve_ops = move |_: SocketAddr, request| serve_ops(ops_gateway.clone(), request);
     let internal_limits = || INTERNAL_LIMITS;
     let mut join_handles = vec![
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod permit_table;
 mod probe;
 mod register;
+mod remote_bytes;
 mod response;
 mod serve;
 mod store_contact;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,6 +12,7 @@
 use super::datagram::{Datagram, GatewayHeartbeat, encode};
 use super::gateway::{Gateway, MirrorKind};
 use super::permit_table::{handle_permit_request, record_owner_reply, release_permit};
+use super::remote_bytes::RemoteTraffic;
 use crate::http::{HttpBody, build_get, collect_body, full_body};
 
 /// Maximum size of a datagram that is read, in bytes; larger than any that is sent.
@@ -26,8 +27,9 @@
 
 /// Largest number of entries found in an interval of the housekeeping that are logged one by one.
 const MAX_PEER_LINES: usize = 4;
-/// Interval at which a watcher's heartbeat says what its mirror of the servers holds.
-const CONTENT_INTERVAL: Micros = Micros::from_millis(1000);
+/// Interval at which a watcher's heartbeat goes to all entries if nothing has changed and another one watches
+/// too: every second one. Three watchers send each to all entries of other data centres, 157 at deployment N.
+const FULL_INTERVAL: Micros = Micros::from_millis(900);
 
 /// Sends heartbeats to the other entries, at a fixed interval and whenever one is due.
 pub(crate) async fn send_heartbeats(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
@@ -35,7 +37,7 @@
     let mut timer = tokio::time::interval(interval.into());
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut changed = gateway.heartbeat_due.subscribe();
-    let mut content_sent = None;
+    let mut last_full = None;
     loop {
         tokio::select! {
             () = gateway.stop.cancelled() => break,
@@ -43,43 +45,62 @@
             _ = changed.changed() => {}
         }
         changed.mark_unchanged();
+        let heartbeat = gateway.get_heartbeat();
         let now = gateway.clock.now();
-        let is_due = content_sent.is_none_or(|sent| now - sent >= CONTENT_INTERVAL);
-        if send_heartbeat(&gateway, &socket, is_due).await {
-            content_sent = Some(now);
+        let is_due = last_full
+            .as_ref()
+            .is_none_or(|(sent, before)| now - *sent >= FULL_INTERVAL || *before != heartbeat);
+        let is_full = is_due || !gateway.has_other_watcher();
+        if is_full {
+            last_full = Some((now, heartbeat.clone()));
         }
+        send_heartbeat(&gateway, &socket, heartbeat, is_full).await;
     }
     // The last heartbeat says that this entry is leaving.
-    send_heartbeat(&gateway, &socket, false).await;
+    send_heartbeat(&gateway, &socket, gateway.get_heartbeat(), true).await;
 }
 
 /// Sends a heartbeat to the entries of this entry's data centre, or to all entries if this one watches
-/// the store on their behalf; also to the seeds while no other entry is known. Returns whether it says
-/// what the mirror of the servers holds, which a watcher's does if `with_content` is true.
-async fn send_heartbeat(gateway: &Gateway, socket: &UdpSocket, with_content: bool) -> bool {
-    let mut heartbeat = gateway.get_heartbeat();
-    if heartbeat.watching && with_content {
+/// the store on their behalf and `is_full` is true; also to the other watchers, and to the seeds while no
+/// other entry is known. A full heartbeat of a watcher says what its mirror of the servers holds.
+async fn send_heartbeat(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    mut heartbeat: GatewayHeartbeat,
+    is_full: bool,
+) {
+    if heartbeat.watching && is_full {
         let mirror = gateway.lock_mirror(MirrorKind::Servers);
         let content = (mirror.get_revision(), mirror.get_digest());
         heartbeat.servers_content = Some(content).filter(|(revision, _)| *revision > 0);
     }
-    let has_content = heartbeat.servers_content.is_some();
-    let mut peers = if heartbeat.watching {
-        get_peers(gateway, usize::MAX)
-    } else {
-        get_peers(gateway, 0)
+    let mut peers = match heartbeat.watching {
+        true if is_full => get_peers(gateway, usize::MAX),
+        true => [get_peers(gateway, 0), gateway.get_remote_watchers()].concat(),
+        false => get_peers(gateway, 0),
     };
     if gateway.lock_members().iter().count() <= 1 {
         peers.extend(get_seeds(gateway));
     }
-    send_to_all(socket, &Datagram::Heartbeat(heartbeat), &peers).await;
-    has_content
+    send_to_all(gateway, socket, &Datagram::Heartbeat(heartbeat), &peers).await;
 }
 
 /// Sends a datagram to several entries; failures are logged only.
-pub(crate) async fn send_to_all(socket: &UdpSocket, datagram: &Datagram, peers: &[SocketAddr]) {
+pub(crate) async fn send_to_all(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    datagram: &Datagram,
+    peers: &[SocketAddr],
+) {
     let bytes = datagram.encode();
+    let traffic = match datagram {
+        Datagram::LoadUpdates(_) => RemoteTraffic::LoadUpdates,
+        _ => RemoteTraffic::Heartbeats,
+    };
     for address in peers {
+        if gateway.is_remote_entry(address.ip()) {
+            gateway.count_remote_bytes(traffic, bytes.len());
+        }
         if let Err(error) = socket.send_to(&bytes, address).await {
             log::debug!(peer:% = address; "datagram not sent: {error}");
         }
@@ -134,7 +155,7 @@
                 record_heartbeat(&gateway, &heartbeat);
                 if needs_routes(&gateway, &heartbeat) {
                     let own = Datagram::Heartbeat(gateway.get_heartbeat());
-                    send_to_all(&socket, &own, &[heartbeat.peer]).await;
+                    send_to_all(&gateway, &socket, &own, &[heartbeat.peer]).await;
                 }
             }
             Ok(Datagram::PermitRequest(request)) => {
@@ -310,6 +331,7 @@
 /// revision after which changes are wanted. Without a valid revision it is 0, that is, all items.
 pub(crate) async fn serve_peer(
     gateway: Arc<Gateway>,
+    remote: SocketAddr,
     request: Request<Incoming>,
 ) -> Response<HttpBody> {
     let number = request.uri().path().strip_prefix("/mirror/");
@@ -327,6 +349,9 @@
             b"known paths: /mirror/0 to /mirror/2\n".to_vec(),
         ),
     };
+    if gateway.is_remote_entry(remote.ip()) {
+        gateway.count_remote_bytes(RemoteTraffic::Mirrors, body.len());
+    }
     let builder = Response::builder().status(status);
     builder.body(full_body(body)).expect("the parts are valid")
 }
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -238,7 +238,7 @@
         };
         if !updates.is_empty() {
             let peers = get_update_recipients(&gateway);
-            send_to_all(&socket, &Datagram::LoadUpdates(updates), &peers).await;
+            send_to_all(&gateway, &socket, &Datagram::LoadUpdates(updates), &peers).await;
         }
     }
 }
--- a/src/gateway/store_contact.rs
+++ b/src/gateway/store_contact.rs
@@ -1,5 +1,6 @@
 //! Tracks whether the store answers, and which entries watch it.
 
+use std::net::SocketAddr;
 use std::sync::MutexGuard;
 
 use lentilcart_util::{Map, Micros, Name};
@@ -146,6 +147,28 @@
         self.update_outage();
     }
 
+    /// Returns whether another watcher has said lately that the store answers it.
+    pub(crate) fn has_other_watcher(&self) -> bool {
+        let now = self.clock.now();
+        let watchers = self.latest_watcher.lock().expect("no panic under lock");
+        watchers.is_store_answering(now)
+    }
+
+    /// Returns the addresses of the watchers in other data centres that were heard lately.
+    pub(crate) fn get_remote_watchers(&self) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let data_center = self.settings.load().data_center.clone();
+        let members = self.lock_members();
+        let watchers = self.latest_watcher.lock().expect("no panic under lock");
+        let names = watchers.answered.keys();
+        let heard = names.filter(|name| watchers.is_answering(name, now));
+        let heard = heard.filter_map(|name| members.get(name));
+        heard
+            .filter(|member| member.data_center != data_center)
+            .map(|member| member.peer_address)
+            .collect()
+    }
+
     /// Returns this entry's rank, from 0, in the rendezvous order in which entries watch the store: the
     /// first ones do, and the others step in, one after the other, while no watcher sends heartbeats.
     pub(crate) fn get_watch_rank(&self) -> usize {
@@ -176,7 +199,7 @@
         if rank < PREFERRED_WATCHERS {
             return true;
         }
-        let standbys = self.lock_members().iter().count() - PREFERRED_WATCHERS;
+        let standbys = (self.lock_members().iter().count()).saturating_sub(PREFERRED_WATCHERS);
         let step = TAKEOVER_STEP.min(Micros(MAX_TAKEOVER_DELAY.0 / standbys.max(1) as u64));
         let takeover_delay = Micros(step.0 * (rank - PREFERRED_WATCHERS) as u64);
         let watcher = self.latest_watcher.lock().expect("no panic under lock");
