--- a/lentilcart_route/src/pool/slot_share.rs
+++ b/lentilcart_route/src/pool/slot_share.rs
@@ -1,6 +1,6 @@
 //! The share of the slots that an entry takes where no owner chooses servers for it.
 
-use super::{PendingRequest, ServerPhase, ServerPool};
+use super::{PendingRequest, ServerPhase, ServerPool, ServerState};
 
 impl ServerPool {
     /// Returns how many attempts this entry may have outstanding if each of `entries` entries chooses servers
@@ -28,7 +28,7 @@
     /// Returns whether the limit of a request on the outstanding attempts of this pool lets it start.
     pub(super) fn is_within_share(&self, request: &PendingRequest) -> bool {
         request.max_outstanding.is_none_or(|limit| {
-            let outstanding = self.states.iter().map(|state| state.get_outstanding());
+            let outstanding = self.states.iter().map(ServerState::get_outstanding);
             outstanding.sum::<u32>() < limit
         })
     }
--- a/lentilcart_state/tests/testsuite/owners.rs
+++ b/lentilcart_state/tests/testsuite/owners.rs
@@ -92,14 +92,14 @@
     let weights: Map<Name, u32> = (0..52)
         .map(|number| (name(number), get_weight(Some(shares[number % 4]))))
         .collect();
-    let mut owned: Map<u32, f64> = Map::default();
+    let mut found: Map<u32, f64> = Map::default();
     for key in (0..20_000).map(|key| key.to_string()) {
         let members = weights.iter().map(|(name, weight)| (name, *weight));
         let owner = weighted_rank(&key, members, 1)[0];
-        *owned.entry(weights[owner]).or_default() += 1.0 / 20_000.0;
+        *found.entry(weights[owner]).or_default() += 1.0 / 20_000.0;
     }
     let total: f64 = weights.values().map(|weight| f64::from(*weight)).sum();
-    for (weight, share) in owned {
+    for (weight, share) in found {
         let expected = 13.0 * f64::from(weight) / total;
         assert!(
             (share - expected).abs() < 0.015,
@@ -220,7 +220,7 @@
     let before = get_owners(&members, killed_at);
     let later = killed_at + HEARTBEAT_TIMEOUT + Micros(1);
     // Of each data centre, every second entry lives.
-    let is_live = |number: usize| number / DATA_CENTERS % 2 == 0;
+    let is_live = |number: usize| (number / DATA_CENTERS).is_multiple_of(2);
     hear(
         &mut members,
         (1..ENTRIES).filter(|number| is_live(*number)),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -168,20 +168,22 @@
         }
     }
 
-    /// Builds the request for one attempt: the caller's, with the remaining time in milliseconds and
+    /// Builds, and counts, the request for one attempt: the caller's, with the remaining time in milliseconds and
     /// the identifier of the server that must answer.
-    fn build_request(&self, server_id: &Name, now: Micros) -> Request<HttpBody> {
+    fn build_request(&self, gateway: &Gateway, server_id: &Name) -> Request<HttpBody> {
         let mut request = Request::new(full_body(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
         let headers = request.headers_mut();
-        let remaining_ms = (self.deadline - now).0 / 1000;
+        let remaining_ms = (self.deadline - gateway.clock.now()).0 / 1000;
         headers.insert(HEADER_NAMES.deadline, HeaderValue::from(remaining_ms));
         set_header(headers, HEADER_NAMES.expected_instance, server_id);
         if !headers.contains_key(HOST) {
             headers.insert(HOST, HeaderValue::from_static(""));
         }
+        let (headers, body) = (request.headers(), request.body());
+        gateway.count_server_bytes(RemoteTraffic::Requests, server_id, headers, body);
         request
     }
 
@@ -359,7 +361,7 @@
         health_path: gateway.get_health_path(&dispatcher.service),
         give_up: gateway.attempts_end.clone(),
     };
-    let request = inbound.build_request(&permit.server_id, gateway.clock.now());
+    let request = inbound.build_request(gateway, &permit.server_id);
     let first = Box::pin(send_attempt(gateway, context.clone(), permit, request));
     let Some(delay) = delay.filter(|_| inbound.attempts < inbound.route.max_attempts) else {
         return first.await;
@@ -382,7 +384,7 @@
     };
     excluded.push(permit.address);
     inbound.attempts += 1;
-    let request = inbound.build_request(&permit.server_id, gateway.clock.now());
+    let request = inbound.build_request(gateway, &permit.server_id);
     let give_up = gateway.attempts_end.child_token();
     let context = AttemptContext {
         attempt: inbound.attempts,
@@ -445,12 +447,16 @@
 async fn read_answer(
     gateway: &Gateway,
     dispatcher: &Dispatcher,
+    server: &Name,
     received: ServerResponse,
     deadline: Instant,
 ) -> Result<Response<HttpBody>, BoxError> {
     let response = received.into_streamed(|_: BodyEnd| ());
     let (bodies, tasks) = (&gateway.bodies, &gateway.tasks);
-    read_response(response, deadline, tasks, bodies, &dispatcher.service).await
+    let answer = read_response(response, deadline, tasks, bodies, &dispatcher.service).await?;
+    let (headers, body) = (answer.headers(), answer.body());
+    gateway.count_server_bytes(RemoteTraffic::Answers, server, headers, body);
+    Ok(answer)
 }
 
 /// Sends a request to the server of a permit, reads the response and releases the permit with the
@@ -470,9 +476,6 @@
         health_path,
         give_up,
     } = context;
-    let server_id = permit.server_id.clone();
-    let (headers, body) = (request.headers(), request.body());
-    gateway.count_server_bytes(RemoteTraffic::Requests, &server_id, headers, body);
     let (address, server) = (permit.address, permit.server_id.clone());
     let handle_check = |response: &Response<Incoming>| {
         let notice = gateway.handle_probe_notice(&dispatcher, address, response);
@@ -537,12 +540,7 @@
             return AttemptResult::NotRun(detail);
         }
     }
-    let answer = read_answer(gateway, &dispatcher, received, deadline).await;
-    if let Ok(response) = &answer {
-        let (headers, body) = (response.headers(), response.body());
-        gateway.count_server_bytes(RemoteTraffic::Answers, &server_id, headers, body);
-    }
-    match answer {
+    match read_answer(gateway, &dispatcher, &server, received, deadline).await {
         Ok(response) if verdict == ResponseVerdict::Valid => {
             log::debug!(
                 request:% = request_id, server:% = server, address:% = address,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,7 +12,7 @@
 use super::datagram::{Datagram, GatewayHeartbeat, encode};
 use super::gateway::{Gateway, MirrorKind};
 use super::permit_table::{handle_permit_request, record_owner_reply, release_permit};
-use super::remote_bytes::RemoteTraffic;
+use super::remote_bytes::{RemoteTraffic, count_remote_bytes};
 use crate::http::{HttpBody, build_get, collect_body, full_body};
 
 /// Maximum size of a datagram that is read, in bytes; larger than any that is sent.
@@ -99,7 +99,7 @@
     };
     for address in peers {
         if gateway.is_remote_entry(address.ip()) {
-            gateway.count_remote_bytes(traffic, bytes.len());
+            count_remote_bytes(traffic, bytes.len());
         }
         if let Err(error) = socket.send_to(&bytes, address).await {
             log::debug!(peer:% = address; "datagram not sent: {error}");
@@ -350,7 +350,7 @@
         ),
     };
     if gateway.is_remote_entry(remote.ip()) {
-        gateway.count_remote_bytes(RemoteTraffic::Mirrors, body.len());
+        count_remote_bytes(RemoteTraffic::Mirrors, body.len());
     }
     let builder = Response::builder().status(status);
     builder.body(full_body(body)).expect("the parts are valid")
--- a/src/gateway/remote_bytes.rs
+++ b/src/gateway/remote_bytes.rs
@@ -33,14 +33,14 @@
     }
 }
 
-impl Gateway {
-    /// Counts bytes sent to, or received from, another data centre in the metric
-    /// `lentilcart_remote_bytes_total`.
-    pub(crate) fn count_remote_bytes(&self, traffic: RemoteTraffic, bytes: usize) {
-        metrics::counter!("lentilcart_remote_bytes_total", "kind" => traffic.as_str())
-            .increment(bytes as u64);
-    }
+/// Counts bytes sent to, or received from, another data centre in the metric
+/// `lentilcart_remote_bytes_total`.
+pub(crate) fn count_remote_bytes(traffic: RemoteTraffic, bytes: usize) {
+    metrics::counter!("lentilcart_remote_bytes_total", "kind" => traffic.as_str())
+        .increment(bytes as u64);
+}
 
+impl Gateway {
     /// Returns whether the known entry at an address is in another data centre.
     pub(crate) fn is_remote_entry(&self, ip: IpAddr) -> bool {
         let data_center = self.settings.load().data_center.clone();
@@ -69,7 +69,7 @@
             let head: usize = lines
                 .map(|(name, value)| name.as_str().len() + value.len() + 4)
                 .sum();
-            self.count_remote_bytes(traffic, head + body.size_hint().lower() as usize);
+            count_remote_bytes(traffic, head + body.size_hint().lower() as usize);
         }
     }
 }
