fix(gateway): no listings by standbys in an outage, probes 1.5 s after the start

Cause: an entry that had got a mirror from a peer went on to list the prefix itself while the store did not answer. A lag of 60 ms also comes from a host that runs an entry for a quarter of the time.

Change: a mirror that has content is listed again only for newcomers or to confirm a stale list. An entry falls behind from a lag of 80 ms. Regular probes begin 1.5 s after the start instead of 3 s.

--- a/lentilcart_state/src/member/lag_gauge.rs
+++ b/lentilcart_state/src/member/lag_gauge.rs
@@ -1,8 +1,9 @@
 use lentilcart_util::Micros;
 
 /// Lag of a timer from which an entry falls behind: with it, most of the 100 ms in which an owner must answer
-/// a permit request are gone.
-const START_LAG: Micros = Micros::from_millis(60);
+/// a permit request are gone. A host that runs an entry for a quarter of each 100 ms delays it by 75 ms at most,
+/// unless it has more to do than that.
+const START_LAG: Micros = Micros::from_millis(80);
 /// Number of such lags in succession after which it reports that; one alone may be a short burst.
 const START_COUNT: u32 = 2;
 /// Lag that counts at once: permit requests of that time have gone unanswered.
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -38,11 +38,12 @@
     let mut backoff = Backoff::default();
     let mut listing_size = ListingSize::default();
     let mut is_first_listing = true;
+    let mut is_listing_again = false;
     loop {
         // Unless this entry has to watch, one listing is enough: later changes come from other entries.
         let is_idle = {
             let mirror = gateway.lock_mirror(kind);
-            mirror.get_revision() > 0 && mirror.is_watching()
+            mirror.get_revision() > 0 && !mirror.is_unconfirmed() && !is_listing_again
         };
         if is_idle && !gateway.has_to_watch() {
             sleep_unless_stopped(&gateway, WATCH_CHECK_INTERVAL).await;
@@ -52,9 +53,11 @@
             continue;
         }
         if confirm_listing(&gateway, kind).await {
-            if kind == MirrorKind::Hosts && std::mem::take(&mut is_first_listing) {
+            let is_first = std::mem::take(&mut is_first_listing);
+            is_listing_again = kind == MirrorKind::Hosts && is_first;
+            if is_listing_again {
                 gateway.entries_listed.cancel();
-                list_newcomers(&gateway).await;
+                is_listing_again = list_newcomers(&gateway).await;
             }
             continue;
         }
@@ -87,6 +90,7 @@
                 // A listing may still turn out to be endless.
                 if is_watching {
                     backoff = Backoff::default();
+                    is_listing_again = false;
                 }
                 match kind {
                     MirrorKind::Servers if is_watching => {
@@ -100,6 +104,8 @@
             }
             Err(reason) => {
                 gateway.record_store_failure(name, &reason);
+                // An entry with a listing needs no other one while the store does not answer.
+                is_listing_again = false;
                 {
                     // The watch that brings a stale listing up to date may have lost its reply.
                     let mut mirror = gateway.lock_mirror(kind);
@@ -127,16 +133,18 @@
 }
 
 /// Makes the entries be listed once more if the first listing does not include this entry, which has
-/// registered meanwhile.
-async fn list_newcomers(gateway: &Gateway) {
+/// registered meanwhile; returns whether it does.
+async fn list_newcomers(gateway: &Gateway) -> bool {
     if gateway.is_listed() {
-        return;
+        return false;
     }
     sleep_unless_stopped(gateway, SECOND_LISTING_DELAY).await;
-    if !gateway.is_listed() {
+    let is_missing = !gateway.is_listed();
+    if is_missing {
         let mut mirror = gateway.lock_mirror(MirrorKind::Hosts);
         mirror.restart_stale_listing();
     }
+    is_missing
 }
 
 /// Puts a stale listing in force if that is safe without a further call; returns whether it was.
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -22,7 +22,7 @@
 
 /// Time after the start in which servers are probed only for requests: before an entry has heard of others,
 /// it takes itself to be the one that probes all servers, at a connection to each.
-const START_DELAY: Micros = Micros::from_millis(3000);
+const START_DELAY: Micros = Micros::from_millis(1500);
 
 /// Interval between two probes of a server while no service time is known, unless `probe_interval` is
 /// longer.
