--- a/lentilcart_bench/tests/testsuite/cold_servers.rs
+++ b/lentilcart_bench/tests/testsuite/cold_servers.rs
@@ -156,6 +156,8 @@
         last_heartbeat: None,
         leaving: false,
         applied_number: 0,
+        weight: lentilcart_state::DEFAULT_WEIGHT,
+        overloaded: false,
     };
     let config = PoolConfig {
         policy: get_policy("late-paced").unwrap(),
--- a/lentilcart_route/src/pool/mod.rs
+++ b/lentilcart_route/src/pool/mod.rs
@@ -22,6 +22,7 @@
 mod server_pool;
 mod server_state;
 mod service_times;
+mod slot_share;
 mod warmup;
 
 pub use self::config::{PoolConfig, ServerConfig, Shard};
--- a/lentilcart_route/tests/testsuite/main.rs
+++ b/lentilcart_route/tests/testsuite/main.rs
@@ -8,4 +8,5 @@
 mod property;
 mod rate_limits;
 mod server_pool;
+mod slot_share;
 mod warmup;
--- a/lentilcart_state/src/lib.rs
+++ b/lentilcart_state/src/lib.rs
@@ -49,7 +49,10 @@
 pub use self::directory::{ServerDirectory, ServerRegistration};
 pub use self::error::{FieldError, StateError, TicketFileError};
 pub use self::evacuation::{Evacuation, EvacuationChange, EvacuationSource, EvacuationTable};
-pub use self::member::{Member, MemberTable, PacerLease, rendezvous_rank};
+pub use self::member::{
+    DEFAULT_WEIGHT, LagGauge, Member, MemberTable, PacerLease, get_lease_duration,
+    get_renewal_interval, get_weight, rendezvous_rank, weighted_rank,
+};
 pub use self::mirror::{
     Mirror, MirrorChange, MirrorSnapshot, Precondition, StoreCall, StoreEvent, StoreItem, StorePut,
     StoreReply,
--- a/lentilcart_state/tests/testsuite/pacer.rs
+++ b/lentilcart_state/tests/testsuite/pacer.rs
@@ -19,6 +19,8 @@
         last_heartbeat: None,
         leaving: false,
         applied_number: 0,
+        weight: lentilcart_state::DEFAULT_WEIGHT,
+        overloaded: false,
     };
     let mut members = MemberTable::new(own.into(), member, ms(700));
     for (name, data_center) in entries {
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use lentilcart_route::{AttemptOutcome, LoadReport, ServerNotice};
-use lentilcart_state::{CreditAsk, CreditReply};
+use lentilcart_state::{CreditAsk, CreditReply, DEFAULT_WEIGHT};
 use lentilcart_util::{Micros, Name, common};
 
 const PERCENT_PER_UNIT: f64 = 100.0;
@@ -11,8 +11,9 @@
     /// store.
     ///
     /// The registration is written once for each lease, so most of its fields become stale; only `name`,
-    /// `data_center`, `peer` and `mirrors_operator_keys` are read from it.
+    /// `data_center`, `peer`, `mirrors_operator_keys`, `has_limits`, `weight` and `lease` are read from it.
     #[derive(Eq)]
+    #[expect(clippy::struct_excessive_bools, reason = "each is a field of its own on the wire")]
     pub(crate) struct GatewayHeartbeat {
         pub(crate) name: Name,
         pub(crate) data_center: Name,
@@ -36,6 +37,21 @@
         /// registration only. Entries of an earlier version ignore it.
         #[serde(rename = "limits", default, skip_serializing_if = "std::ops::Not::not")]
         pub(crate) has_limits: bool,
+        /// Weight in the choice of owners and other duties.
+        #[serde(default = "default_weight", skip_serializing_if = "is_default_weight")]
+        pub(crate) weight: u32,
+        /// Whether the entry falls behind, so that others own its services.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        pub(crate) overloaded: bool,
+        /// Revision up to which the mirror of the servers is complete, and its digest. Only watchers send
+        /// it, once a second: it shows the others what they have missed, also a removal that this entry
+        /// did not see itself.
+        #[serde(rename = "content", default, skip_serializing_if = "Option::is_none")]
+        pub(crate) servers_content: Option<(u64, u64)>,
+        /// In a registration: identifier and duration of its lease. An entry that starts again soon
+        /// renews that lease instead of registering anew.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub(crate) lease: Option<(u64, Micros)>,
     }
 }
 
@@ -161,6 +177,19 @@
     }
 }
 
+/// Weight of an entry of an earlier version, or without a share of a core.
+const fn default_weight() -> u32 {
+    DEFAULT_WEIGHT
+}
+
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_default_weight(weight: &u32) -> bool {
+    *weight == DEFAULT_WEIGHT
+}
+
 impl GatewayHeartbeat {
     /// Encodes the heartbeat as CBOR.
     pub(crate) fn encode(&self) -> Vec<u8> {
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -5,7 +5,8 @@
 
 use arc_swap::ArcSwap;
 use lentilcart_state::{
-    EvacuationTable, Member, MemberTable, Mirror, PacerLease, RouteTable, ServerDirectory,
+    EvacuationTable, LagGauge, Member, MemberTable, Mirror, PacerLease, RouteTable,
+    ServerDirectory, get_weight,
 };
 use lentilcart_util::{Map, Micros, Name, Set};
 use tokio::net::UdpSocket;
@@ -56,13 +57,18 @@
         }
     }
 
-    /// Creates the mirror of this kind.
-    fn new_mirror(self) -> Mirror {
-        let mirror = Mirror::new(self.get_prefix().into());
+    /// Creates the empty mirror of this kind. The routes are listed without staleness: they are in force at
+    /// once, and the revision of their listing shows how old that of the servers may be. So are the entries
+    /// where the right to send requests depends on which entries are registered.
+    fn new_mirror(self, settings: &GatewaySettings) -> Mirror {
+        let prefix = self.get_prefix().into();
         match self {
             // Entries of an earlier version mirror the routes only.
-            Self::Routes => mirror.with_earlier_prefix(lentilcart_platform::ROUTES_KEY.into()),
-            Self::Servers | Self::Hosts => mirror,
+            Self::Routes => {
+                Mirror::new(prefix).with_earlier_prefix(lentilcart_platform::ROUTES_KEY.into())
+            }
+            Self::Hosts if settings.needs_exact_entries() => Mirror::new(prefix),
+            Self::Servers | Self::Hosts => Mirror::with_stale_start(prefix),
         }
     }
 }
@@ -95,6 +101,8 @@
     /// Cancelled when this entry, which is leaving, waits no longer for the servers that are running
     /// requests.
     pub(crate) requests_end: CancellationToken,
+    /// Cancelled when the entries have been listed for the first time.
+    pub(crate) entries_listed: CancellationToken,
     /// Cancelled when the background tasks must end.
     pub(crate) stop: CancellationToken,
     /// Limits of client accounts.
@@ -115,8 +123,12 @@
     /// again. It does not reach mirrors without a call in progress, such as during a backoff.
     pub(crate) relist: Notify,
     pub(crate) mirrors: [Mutex<Mirror>; 3],
-    /// Highest revision of the store that a confirmation of the routes has shown.
+    /// Highest revision of the store that a listing or a confirmation of the routes has shown.
     pub(crate) store_revision: watch::Sender<u64>,
+    /// Whether this entry falls behind.
+    pub(crate) lag_gauge: Mutex<LagGauge>,
+    /// Entries that were found and have not been logged yet, with their addresses.
+    pub(crate) found_peers: Mutex<Vec<(Name, SocketAddr)>>,
     /// Load updates that have not been sent to other entries yet.
     pub(crate) load_updates: Mutex<VecDeque<LoadUpdate>>,
     /// The routes in force; the inner `Arc` is what requests hold.
@@ -166,6 +178,8 @@
             last_heartbeat: None,
             leaving: false,
             applied_number: 0,
+            weight: get_weight(settings.limits.cpu_share),
+            overloaded: false,
         };
         let peer_timeout = settings.peers.silence_timeout;
         let limits = ConnectTimeouts {
@@ -185,6 +199,7 @@
             drain: OnceLock::new(),
             attempts_end: CancellationToken::new(),
             requests_end: CancellationToken::new(),
+            entries_listed: CancellationToken::new(),
             stop: CancellationToken::new(),
             bodies: BodyMemory::new(settings.memory.get_body_bytes()),
             max_body: settings.memory.get_max_body(),
@@ -193,8 +208,10 @@
             in_flight: AtomicU64::new(0),
             heartbeat_due: watch::Sender::new(0),
             relist: Notify::new(),
-            mirrors: MirrorKind::ALL.map(|kind| Mutex::new(kind.new_mirror())),
+            mirrors: MirrorKind::ALL.map(|kind| Mutex::new(kind.new_mirror(&settings))),
             store_revision: watch::Sender::new(0),
+            lag_gauge: Mutex::default(),
+            found_peers: Mutex::default(),
             load_updates: Mutex::default(),
             active_routes: ArcSwap::default(),
             evacuations: Mutex::default(),
@@ -318,6 +335,14 @@
             watching: self.has_to_watch() && self.is_store_reachable(),
             mirrors_operator_keys: false,
             has_limits: false,
+            weight: get_weight(settings.limits.cpu_share),
+            overloaded: self
+                .lag_gauge
+                .lock()
+                .expect("no panic under lock")
+                .is_overloaded(),
+            servers_content: None,
+            lease: None,
         }
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -4,7 +4,7 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use lentilcart_state::{MirrorSnapshot, rendezvous_rank};
+use lentilcart_state::MirrorSnapshot;
 use lentilcart_util::{Micros, Name};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
@@ -13,6 +13,7 @@
 use super::datagram::{Datagram, GatewayHeartbeat, encode};
 use super::gateway::{Gateway, MirrorKind};
 use super::permit_table::{handle_permit_request, record_owner_reply, release_permit};
+use super::remote_bytes::{RemoteTraffic, count_remote_bytes};
 use crate::http::{HttpBody, build_get, collect_body, full_body};
 
 /// Maximum size of a datagram that is read, in bytes; larger than any that is sent.
@@ -25,12 +26,19 @@
 /// Timeout for fetching the mirror of another entry.
 const FETCH_TIMEOUT: Micros = Micros::from_millis(1000);
 
+/// Largest number of entries found in an interval of the housekeeping that are logged one by one.
+const MAX_PEER_LINES: usize = 4;
+/// Interval at which a watcher's heartbeat goes to all entries if nothing has changed and another one watches
+/// too: every second one. Three watchers send each to all entries of other data centres, 157 at deployment N.
+const FULL_INTERVAL: Micros = Micros::from_millis(900);
+
 /// Sends heartbeats to the other entries, at a fixed interval and whenever one is due.
 pub(crate) async fn send_heartbeats(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
     let interval = gateway.settings.load().peers.heartbeat_interval;
     let mut timer = tokio::time::interval(interval.into());
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut changed = gateway.heartbeat_due.subscribe();
+    let mut last_full = None;
     loop {
         tokio::select! {
             () = gateway.stop.cancelled() => break,
@@ -38,31 +46,62 @@
             _ = changed.changed() => {}
         }
         changed.mark_unchanged();
-        send_heartbeat(&gateway, &socket).await;
+        let heartbeat = gateway.get_heartbeat();
+        let now = gateway.clock.now();
+        let is_due = last_full
+            .as_ref()
+            .is_none_or(|(sent, before)| now - *sent >= FULL_INTERVAL || *before != heartbeat);
+        let is_full = is_due || !gateway.has_other_watcher();
+        if is_full {
+            last_full = Some((now, heartbeat.clone()));
+        }
+        send_heartbeat(&gateway, &socket, heartbeat, is_full).await;
     }
     // The last heartbeat says that this entry is leaving.
-    send_heartbeat(&gateway, &socket).await;
+    send_heartbeat(&gateway, &socket, gateway.get_heartbeat(), true).await;
 }
 
 /// Sends a heartbeat to the entries of this entry's data centre, or to all entries if this one watches
-/// the store on their behalf; also to the seeds while no other entry is known.
-async fn send_heartbeat(gateway: &Gateway, socket: &UdpSocket) {
-    let heartbeat = gateway.get_heartbeat();
-    let mut peers = if heartbeat.watching {
-        get_peers(gateway, usize::MAX)
-    } else {
-        get_peers(gateway, 0)
+/// the store on their behalf and `is_full` is true; also to the other watchers, and to the seeds while no
+/// other entry is known. A full heartbeat of a watcher says what its mirror of the servers holds.
+async fn send_heartbeat(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    mut heartbeat: GatewayHeartbeat,
+    is_full: bool,
+) {
+    if heartbeat.watching && is_full {
+        let mirror = gateway.lock_mirror(MirrorKind::Servers);
+        let content = (mirror.get_revision(), mirror.get_digest());
+        heartbeat.servers_content = Some(content).filter(|(revision, _)| *revision > 0);
+    }
+    let mut peers = match heartbeat.watching {
+        true if is_full => get_peers(gateway, usize::MAX),
+        true => [get_peers(gateway, 0), gateway.get_remote_watchers()].concat(),
+        false => get_peers(gateway, 0),
     };
     if gateway.lock_members().iter().count() <= 1 {
         peers.extend(get_seeds(gateway));
     }
-    send_to_all(socket, &Datagram::Heartbeat(heartbeat), &peers).await;
+    send_to_all(gateway, socket, &Datagram::Heartbeat(heartbeat), &peers).await;
 }
 
 /// Sends a datagram to several entries; failures are logged only.
-pub(crate) async fn send_to_all(socket: &UdpSocket, datagram: &Datagram, peers: &[SocketAddr]) {
+pub(crate) async fn send_to_all(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    datagram: &Datagram,
+    peers: &[SocketAddr],
+) {
     let bytes = datagram.encode();
+    let traffic = match datagram {
+        Datagram::LoadUpdates(_) => RemoteTraffic::LoadUpdates,
+        _ => RemoteTraffic::Heartbeats,
+    };
     for address in peers {
+        if gateway.is_remote_entry(address.ip()) {
+            count_remote_bytes(traffic, bytes.len());
+        }
         if let Err(error) = socket.send_to(&bytes, address).await {
             log::debug!(peer:% = address; "datagram not sent: {error}");
         }
@@ -117,7 +156,7 @@
                 record_heartbeat(&gateway, &heartbeat);
                 if needs_routes(&gateway, &heartbeat) {
                     let own = Datagram::Heartbeat(gateway.get_heartbeat());
-                    send_to_all(&socket, &own, &[heartbeat.peer]).await;
+                    send_to_all(&gateway, &socket, &own, &[heartbeat.peer]).await;
                 }
             }
             Ok(Datagram::PermitRequest(request)) => {
@@ -168,29 +207,50 @@
             heartbeat.routes_version,
             heartbeat.leaving,
         );
+        members.set_weight(&heartbeat.name, heartbeat.weight);
+        members.set_overloaded(&heartbeat.name, heartbeat.overloaded);
         was_down
     };
     if was_down {
-        log::info!(peer:% = heartbeat.name, address:% = heartbeat.peer; "peer is up");
+        let mut found = gateway.found_peers.lock().expect("no panic under lock");
+        found.push((heartbeat.name.clone(), heartbeat.peer));
     }
     for kind in MirrorKind::ALL {
         // The peer's latest change counts, not its revision, which also advances without changes under
         // the prefix. A mirror complete up to that change has all that the peer has.
-        if heartbeat.latest_revisions[kind as usize] > gateway.lock_mirror(kind).get_revision()
-            && !(kind == MirrorKind::Routes && gateway.is_partial_mirror(&heartbeat.name, now))
+        let mut latest = heartbeat.latest_revisions[kind as usize];
+        // But the peer cannot count a removal that came before its first listing: then the contents
+        // differ.
+        if let (MirrorKind::Servers, Some((revision, digest))) = (kind, heartbeat.servers_content)
+            && !gateway.lock_mirror(kind).compare(revision, digest)
         {
+            latest = latest.max(revision);
+        }
+        let is_partial =
+            kind == MirrorKind::Routes && gateway.is_partial_mirror(&heartbeat.name, now);
+        if latest > gateway.lock_mirror(kind).get_revision() && !is_partial {
             let gateway = gateway.clone();
             let tasks = gateway.tasks.clone();
-            let (peer, name, latest) = (
-                heartbeat.peer,
-                heartbeat.name.clone(),
-                heartbeat.latest_revisions[kind as usize],
-            );
+            let (peer, name) = (heartbeat.peer, heartbeat.name.clone());
             tasks.spawn(async move { catch_up(&gateway, kind, peer, &name, latest).await });
         }
     }
 }
 
+/// Logs the entries that have been found since the last call: one line for each, or one with their number if
+/// they are many, as after a start.
+pub(crate) fn log_found_peers(gateway: &Gateway) {
+    let mut found = gateway.found_peers.lock().expect("no panic under lock");
+    let found = std::mem::take(&mut *found);
+    if found.len() > MAX_PEER_LINES {
+        log::info!(peers = found.len(); "peers are up");
+        return;
+    }
+    for (peer, address) in found {
+        log::info!(peer:% = peer, address:% = address; "peer is up");
+    }
+}
+
 /// Returns whether this entry fetches from `peer` at once: always if the peer is in its data centre,
 /// and from a remote peer only if this entry is the one of its data centre chosen for that; the others
 /// fetch from it.
@@ -212,7 +272,7 @@
             .get(name)
             .is_some_and(|member| member.peer_address == peer)
     });
-    let first = rendezvous_rank("fetch", local.into_iter(), 1);
+    let first = members.rank("fetch", local.into_iter(), 1);
     is_peer_local || first.first().is_some_and(|name| **name == settings.name)
 }
 
@@ -283,6 +343,7 @@
 /// revision after which changes are wanted. Without a valid revision it is 0, that is, all items.
 pub(crate) async fn serve_peer(
     gateway: Arc<Gateway>,
+    remote: SocketAddr,
     request: Request<Incoming>,
 ) -> Response<HttpBody> {
     let number = request.uri().path().strip_prefix("/mirror/");
@@ -300,6 +361,9 @@
             b"known paths: /mirror/0 to /mirror/2\n".to_vec(),
         ),
     };
+    if gateway.is_remote_entry(remote.ip()) {
+        count_remote_bytes(RemoteTraffic::Mirrors, body.len());
+    }
     let builder = Response::builder().status(status);
     builder.body(full_body(body)).expect("the parts are valid")
 }
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -12,7 +12,6 @@
 use std::time::Duration;
 
 use lentilcart_route::{AttemptOutcome, MAX_SEND_DELAY, PendingRequest, Rejection};
-use lentilcart_state::rendezvous_rank;
 use lentilcart_util::{Map, Micros, Name};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -35,6 +34,10 @@
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for which an owner that did not answer is suspected and gets no permit requests.
 const SUSPICION_TIME: Micros = Micros::from_millis(500);
+/// Time after the start in which entries that are listed and were not heard yet may be owners: three
+/// heartbeats. Without it, each of many entries that start at a time takes itself for the owner of all
+/// services until it hears of others.
+const MEMBERSHIP_TIME: Micros = Micros::from_millis(1500);
 /// Grace period after a request's deadline, at the end of which its permit is released if the requester
 /// has not done so.
 const RELEASE_GRACE: Micros = Micros::from_millis(1000);
@@ -160,9 +163,25 @@
         log::info!(owner:% = owner, server:% = permit.server_id, is_held_off, is_excluded, is_evacuated, is_within_warmup; "server of the granted permit is not serving");
         permit.release(AttemptOutcome::Cancelled);
     }
+    let pool_request = PendingRequest {
+        max_outstanding: get_share(gateway, dispatcher),
+        ..pool_request
+    };
     acquire_local_permit(gateway, dispatcher, pool_request).await
 }
 
+/// Returns the largest number of attempts that this entry may have outstanding at the servers that it chooses
+/// itself: no limit for the owner of the service, or without owners; else its share of the slots, since
+/// the owner that does not answer may still grant permits, and others choose for themselves as well.
+fn get_share(gateway: &Gateway, dispatcher: &Dispatcher) -> Option<u32> {
+    // An owner that did not answer is suspected now: the next in rank has taken over.
+    get_owner(gateway, &dispatcher.service)?;
+    let data_center = gateway.settings.load().data_center.clone();
+    let entries = gateway.lock_members().get_count(&data_center);
+    metrics::counter!("lentilcart_requests_without_owner_total").increment(1);
+    Some(dispatcher.read_pool(|pool| pool.get_slot_share(entries)))
+}
+
 /// Returns whether this entry knows a server, and neither as leaving nor as evacuated. It is checked after a
 /// grant because an owner that is cut off from the store learns later than this entry that a server leaves
 /// or is evacuated, and after a probe of the server.
@@ -182,17 +201,17 @@
     let now = gateway.clock.now();
     let members = gateway.lock_members();
     let permits = gateway.lock_permits();
-    let is_candidate = |name: &&Name| {
+    let is_trusted = |name: &&Name| {
         let member = members.get(name);
         member.is_some_and(|member| {
             let suspected_until = permits.suspected.get(&member.peer_address);
-            let is_suspected = suspected_until.is_some_and(|until| *until > now);
-            member.data_center == settings.data_center && !is_suspected
+            suspected_until.is_none_or(|until| *until <= now)
         })
     };
+    let is_starting = now < MEMBERSHIP_TIME;
+    let candidates = members.get_candidates(&settings.data_center, is_starting, now);
     // Each entry suspects owners by itself; those that suspect an owner agree on the next one.
-    let live = members.get_serving(now).into_iter().filter(is_candidate);
-    let ranked = rendezvous_rank(service, live, 1);
+    let ranked = members.rank(service, candidates.into_iter().filter(is_trusted), 1);
     let address = members.get(ranked.first()?)?.peer_address;
     (address != settings.listen.peer).then_some(address)
 }
@@ -296,6 +315,7 @@
         origin: None,
         sender: Some(sender),
         excluded: request.excluded.clone(),
+        max_outstanding: None,
     }
 }
 
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -4,13 +4,14 @@
 
 use lentilcart_platform::{HEADER_NAMES, decode_load_report};
 use lentilcart_route::LoadReport;
-use lentilcart_state::rendezvous_rank;
+use lentilcart_state::weighted_rank;
 use lentilcart_util::{Map, Micros, Name, Set};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
 use super::datagram::{Datagram, LoadUpdate};
 use super::gateway::Gateway;
+use super::mirror::sleep_unless_stopped;
 use super::peers::{get_peers, send_to_all};
 use super::permit_table::get_owner;
 use crate::entry::Dispatcher;
@@ -19,6 +20,10 @@
 /// Interval at which the servers that this entry probes are determined.
 const ASSIGNMENT_INTERVAL: Micros = Micros::from_millis(500);
 
+/// Time after the start in which servers are probed only for requests: before an entry has heard of others,
+/// it takes itself to be the one that probes all servers, at a connection to each.
+const START_DELAY: Micros = Micros::from_millis(1500);
+
 /// Interval between two probes of a server while no service time is known, unless `probe_interval` is
 /// longer.
 const DEFAULT_PROBE_INTERVAL: Micros = Micros::from_millis(500);
@@ -44,6 +49,7 @@
     let mut targets: Vec<Arc<ProbeTarget>> = Vec::new();
     let mut assigned_at: Option<Micros> = None;
     let mut next = 0;
+    sleep_unless_stopped(&gateway, START_DELAY.into()).await;
     loop {
         let settings = gateway.settings.load_full();
         let now = gateway.clock.now();
@@ -99,12 +105,15 @@
         .map(|registration| registration.data_center.clone())
         .collect();
     // The data centres that this entry is responsible for, each with all its responsible entries.
-    let responsible: Map<Name, Vec<Name>> = {
+    let responsible: Map<Name, Vec<(Name, u32)>> = {
         let members = gateway.lock_members();
         let get_entries = |data_center: Name| {
             let entries = members.get_responsible(&data_center, now);
-            let entries: Vec<Name> = entries.into_iter().cloned().collect();
-            entries.contains(&own).then_some((data_center, entries))
+            let is_own = entries.contains(&&own);
+            let get_weight = |name: &Name| members.get(name).map_or(0, |member| member.weight);
+            let entries = entries.into_iter();
+            let entries = entries.map(|name| (name.clone(), get_weight(name)));
+            is_own.then(|| (data_center, entries.collect()))
         };
         data_centers.into_iter().filter_map(get_entries).collect()
     };
@@ -113,7 +122,8 @@
         .filter(|registration| !registration.leaving);
     let targets = serving.filter_map(|registration| {
         let entries = responsible.get(&registration.data_center)?;
-        let prober = rendezvous_rank(&registration.id, entries.iter(), 1);
+        let entries = entries.iter().map(|(name, weight)| (name, *weight));
+        let prober = weighted_rank(&registration.id, entries, 1);
         if prober.first().is_none_or(|prober| **prober != own) {
             return None;
         }
@@ -232,7 +242,7 @@
         };
         if !updates.is_empty() {
             let peers = get_update_recipients(&gateway);
-            send_to_all(&socket, &Datagram::LoadUpdates(updates), &peers).await;
+            send_to_all(&gateway, &socket, &Datagram::LoadUpdates(updates), &peers).await;
         }
     }
 }
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -1,32 +1,55 @@
 use std::sync::Arc;
+use std::time::Duration;
 
-use lentilcart_state::{Precondition, StoreCall, StorePut, StoreReply};
+use lentilcart_state::{
+    Precondition, StoreCall, StorePut, StoreReply, get_lease_duration, get_renewal_interval,
+};
 use lentilcart_util::{Micros, Name};
 
 use super::datagram::GatewayHeartbeat;
 use super::gateway::{Gateway, MirrorKind};
 use super::mirror::sleep_unless_stopped;
 
-/// Share of a lease's duration after which an entry that is not a preferred watcher renews it; at
-/// least the `renew_interval`.
-const RENEW_SHARE: f64 = 0.4;
+/// Longest wait for the listing of the entries, which may show a lease of this entry to renew.
+const LISTING_WAIT: Duration = Duration::from_millis(400);
+
+/// The lease under which this entry is registered.
+#[derive(Debug, Clone, Copy)]
+struct HeldLease {
+    id: u64,
+    duration: Micros,
+    /// Whether an earlier process of this entry has opened it.
+    is_adopted: bool,
+}
 
 /// Keeps this entry registered in the store under a lease, so that other entries find it.
 ///
-/// The renewals also show whether the store answers while the watches wait for changes.
+/// The renewals also show whether the store answers while the watches wait for changes. An entry that
+/// starts again before its lease has expired renews it, which costs less than a lease and a write.
 pub(crate) async fn keep_registered(gateway: Arc<Gateway>) {
-    let mut lease = None;
+    let is_exact = gateway.settings.load().needs_exact_entries();
     let mut is_first = gateway.settings.load().accounts.is_enforced();
+    let mut lease = None;
+    if !is_exact {
+        // Without the listing, this entry registers anew.
+        tokio::select! {
+            () = gateway.entries_listed.cancelled() => {}
+            () = sleep_unless_stopped(&gateway, LISTING_WAIT) => {}
+        }
+        lease = find_own_lease(&gateway);
+    }
     while !gateway.stop.is_cancelled() {
+        let mut failed = false;
         lease = match renew_or_open(&gateway, lease, &mut is_first).await {
             Ok(next) => next,
             Err(reason) => {
                 // The log says `renew` also if opening the lease or writing the registration failed.
                 gateway.record_store_failure("renew", &reason);
+                failed = true;
                 lease
             }
         };
-        sleep_unless_stopped(&gateway, get_renewal_interval(&gateway).into()).await;
+        sleep_unless_stopped(&gateway, get_interval(&gateway, lease, failed).into()).await;
     }
     gateway.lock_pacer_lease().record_lost();
     // Once the registration is gone, others use this entry's share.
@@ -35,21 +58,41 @@
         .to_instant(gateway.account_limits.get_delegation_end());
     tokio::time::sleep_until(end.into()).await;
     if let Some(lease) = lease
-        && let Err(reason) = (gateway.store.call)(StoreCall::EndLease(lease)).await
+        && let Err(reason) = (gateway.store.call)(StoreCall::EndLease(lease.id)).await
     {
         log::info!(reason; "lease not ended; it expires by itself");
     }
 }
 
-/// Returns the interval between renewals: preferred watchers renew often, since that lets them detect
-/// an outage of the store; the others renew just in time, also if they have taken over the watch.
-fn get_renewal_interval(gateway: &Gateway) -> Micros {
+/// Returns the lease of this entry's registration as it is listed, if its data centre and address are
+/// unchanged.
+fn find_own_lease(gateway: &Gateway) -> Option<HeldLease> {
+    let settings = gateway.settings.load();
+    let registered = {
+        let mirror = gateway.lock_mirror(MirrorKind::Hosts);
+        GatewayHeartbeat::decode(&mirror.get(&get_key(gateway))?.value).ok()?
+    };
+    let is_same =
+        registered.data_center == settings.data_center && registered.peer == settings.listen.peer;
+    let (id, duration) = registered.lease.filter(|_| is_same)?;
+    Some(HeldLease {
+        id,
+        duration,
+        is_adopted: true,
+    })
+}
+
+/// Returns the interval until the next renewal: entries that watch the store renew often, since that lets
+/// them detect an outage; the others renew in time for their lease.
+fn get_interval(gateway: &Gateway, lease: Option<HeldLease>, failed: bool) -> Micros {
     let store = &gateway.settings.load().store;
-    if gateway.is_preferred_watcher() {
-        store.renew_interval
-    } else {
-        (store.lease_ttl.scaled(RENEW_SHARE)).max(store.renew_interval)
+    let is_watching = gateway.has_to_watch() && !gateway.has_last_store_call_failed();
+    if gateway.is_preferred_watcher() || is_watching {
+        return store.renew_interval;
     }
+    // A registration that was not written is tried again as a renewal that failed.
+    let duration = lease.map_or(store.lease_ttl, |lease| lease.duration);
+    get_renewal_interval(duration, failed || lease.is_none()).max(store.renew_interval)
 }
 
 /// Renews the lease, or opens one and registers this entry under it. Returns the lease that is held
@@ -59,71 +102,113 @@
 /// process of this entry has a share of the limits of accounts.
 async fn renew_or_open(
     gateway: &Gateway,
-    lease: Option<u64>,
+    lease: Option<HeldLease>,
     is_first: &mut bool,
-) -> Result<Option<u64>, String> {
-    let call = &gateway.store.call;
-    let sent = gateway.clock.now();
-    // The lease lasts from when the store gets the call, which is later.
-    let lease_end = sent + gateway.settings.load().store.lease_ttl;
+) -> Result<Option<HeldLease>, String> {
     let Some(lease) = lease else {
-        let duration = gateway.settings.load().store.lease_ttl;
-        let StoreReply::LeaseOpened(lease) = call(StoreCall::OpenLease(duration)).await? else {
-            return Err("the store opened no lease".to_owned());
-        };
-        gateway.record_store_reply();
-        let has_limits = gateway.settings.load().accounts.is_enforced();
-        let registration = GatewayHeartbeat {
-            mirrors_operator_keys: true,
-            has_limits,
-            ..gateway.get_heartbeat()
-        };
-        let put = StorePut {
-            key: get_key(gateway),
-            value: registration.encode(),
-            lease,
-        };
-        let absent = Precondition {
-            key: put.key.clone(),
-            revision: 0,
-        };
-        let write = |preconditions| StoreCall::Write {
-            preconditions,
-            puts: vec![put.clone()],
-            deletes: Vec::new(),
-        };
-        let was_first = std::mem::take(is_first);
-        let preconditions = if was_first { vec![absent] } else { Vec::new() };
-        let mut reply = call(write(preconditions)).await?;
-        let is_refused = reply == StoreReply::PreconditionFailed;
-        if is_refused {
-            reply = call(write(Vec::new())).await?;
+        return open_lease(gateway, is_first).await;
+    };
+    let sent = gateway.clock.now();
+    let reply = (gateway.store.call)(StoreCall::RenewLease(lease.id)).await?;
+    gateway.record_store_reply();
+    match reply {
+        StoreReply::LeaseNotFound => {
+            log::info!("lease lost");
+            gateway.lock_pacer_lease().record_lost();
+            gateway.account_limits.record_lost_registration();
+            open_lease(gateway, is_first).await
         }
-        let StoreReply::Written(revision) = reply else {
-            return Ok(None);
-        };
-        let now = gateway.clock.now();
-        gateway
-            .lock_pacer_lease()
-            .record_written(now, sent, revision);
-        let has_predecessor = !was_first || is_refused;
-        if has_limits {
-            let limits = &gateway.account_limits;
-            limits.record_registration(revision, lease_end, !has_predecessor);
+        // The listing that showed the lease may have been too old: a later process of this entry had
+        // registered under another one.
+        _ if lease.is_adopted
+            && find_own_lease(gateway).is_none_or(|listed| listed.id != lease.id) =>
+        {
+            log::info!("lease replaced");
+            open_lease(gateway, is_first).await
+        }
+        _ => {
+            gateway.lock_pacer_lease().record_renewed(sent);
+            // The lease lasts from when the store gets the call, which is later.
+            let lease_end = sent + lease.duration;
+            gateway.account_limits.record_renewal(lease_end);
+            Ok(Some(lease))
         }
-        return Ok(Some(lease));
+    }
+}
+
+/// Opens a lease and registers this entry under it; returns `None` if the registration was not written.
+async fn open_lease(gateway: &Gateway, is_first: &mut bool) -> Result<Option<HeldLease>, String> {
+    let call = &gateway.store.call;
+    let sent = gateway.clock.now();
+    let duration = get_duration(gateway);
+    let StoreReply::LeaseOpened(id) = call(StoreCall::OpenLease(duration)).await? else {
+        return Err("the store opened no lease".to_owned());
     };
-    let reply = call(StoreCall::RenewLease(lease)).await?;
     gateway.record_store_reply();
-    if reply == StoreReply::LeaseNotFound {
-        log::info!("lease lost");
-        gateway.lock_pacer_lease().record_lost();
-        gateway.account_limits.record_lost_registration();
+    let has_limits = gateway.settings.load().accounts.is_enforced();
+    let registration = GatewayHeartbeat {
+        mirrors_operator_keys: true,
+        has_limits,
+        lease: Some((id, duration)),
+        ..gateway.get_heartbeat()
+    };
+    let put = StorePut {
+        key: get_key(gateway),
+        value: registration.encode(),
+        lease: id,
+    };
+    let absent = Precondition {
+        key: put.key.clone(),
+        revision: 0,
+    };
+    let write = |preconditions| StoreCall::Write {
+        preconditions,
+        puts: vec![put.clone()],
+        deletes: Vec::new(),
+    };
+    let was_first = std::mem::take(is_first);
+    let preconditions = if was_first { vec![absent] } else { Vec::new() };
+    let mut reply = call(write(preconditions)).await?;
+    let is_refused = reply == StoreReply::PreconditionFailed;
+    if is_refused {
+        reply = call(write(Vec::new())).await?;
+    }
+    let StoreReply::Written(revision) = reply else {
         return Ok(None);
+    };
+    let now = gateway.clock.now();
+    gateway
+        .lock_pacer_lease()
+        .record_written(now, sent, revision);
+    let has_predecessor = !was_first || is_refused;
+    if has_limits {
+        let limits = &gateway.account_limits;
+        limits.record_registration(revision, sent + duration, !has_predecessor);
+    }
+    Ok(Some(HeldLease {
+        id,
+        duration,
+        is_adopted: false,
+    }))
+}
+
+/// Returns the duration of this entry's lease. Where the right to send requests ends with it, it is the
+/// configured one, so that the right of a lost entry passes on soon.
+fn get_duration(gateway: &Gateway) -> Micros {
+    let settings = gateway.settings.load();
+    if settings.needs_exact_entries() {
+        return settings.store.lease_ttl;
+    }
+    let entries = gateway.lock_members().iter().count();
+    get_lease_duration(settings.store.lease_ttl, entries)
+}
+
+impl Gateway {
+    /// Returns whether the listing of the entries includes this one.
+    pub(super) fn is_listed(&self) -> bool {
+        let mirror = self.lock_mirror(MirrorKind::Hosts);
+        mirror.get(&get_key(self)).is_some()
     }
-    gateway.lock_pacer_lease().record_renewed(sent);
-    gateway.account_limits.record_renewal(lease_end);
-    Ok(Some(lease))
 }
 
 /// Returns the key of this entry's registration.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -295,26 +295,8 @@
         deadline: to_instant(deadline),
         memory_wait_end: to_instant(arrived + summary.remaining.scaled(MEMORY_WAIT_SHARE)),
     };
-    let (mut parts, mut body) = request.into_parts();
-    let read = timeout_at(
-        limits.deadline,
-        read_request_body(gateway, &service, &mut body, limits),
-    );
-    let read = tokio::select! {
-        read = read => read.unwrap_or_else(|_| Err(ErrorReply::new(ErrorReason::SlowBody, ""))),
-        () = gateway.attempts_end.cancelled() => {
-            Err(ErrorReply::new(ErrorReason::Stopping, "the body is not complete"))
-        }
-    };
-    let body = match read {
-        Ok(read) => read,
-        Err(reply) => {
-            if matches!(reply.reason, ErrorReason::NoMemory | ErrorReason::Stopping) {
-                discard_body(gateway, body, limits.deadline);
-            }
-            return Err(reply);
-        }
-    };
+    let (mut parts, body) = request.into_parts();
+    let body = receive_body(gateway, &service, body, limits).await?;
     let Some(dispatcher) = routes.dispatchers.get(&service) else {
         return Err(ErrorReply::new(ErrorReason::NoServer, ""));
     };
@@ -417,6 +399,36 @@
     memory_wait_end: Instant,
 }
 
+/// Reads a request body by its deadline. That of a request that is refused for lack of memory, or since this
+/// entry is stopping, is read and dropped.
+async fn receive_body<B>(
+    gateway: &Arc<Gateway>,
+    service: &Name,
+    mut body: B,
+    limits: BodyLimits,
+) -> Result<Bytes, ErrorReply>
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Display,
+{
+    let read = timeout_at(
+        limits.deadline,
+        read_request_body(gateway, service, &mut body, limits),
+    );
+    let read = tokio::select! {
+        read = read => read.unwrap_or_else(|_| Err(ErrorReply::new(ErrorReason::SlowBody, ""))),
+        () = gateway.attempts_end.cancelled() => {
+            Err(ErrorReply::new(ErrorReason::Stopping, "the body is not complete"))
+        }
+    };
+    if let Err(reply) = &read
+        && matches!(reply.reason, ErrorReason::NoMemory | ErrorReason::Stopping)
+    {
+        discard_body(gateway, body, limits.deadline);
+    }
+    read
+}
+
 /// Reads a request body completely, since a request is sent to a server only when all of it has
 /// arrived. Memory is taken before it is read, so that a caller whose body has to wait is slowed down by
 /// its connection.
