--- a/review/rig/src/cases/lost_watch.rs
+++ b/review/rig/src/cases/lost_watch.rs
@@ -63,7 +63,7 @@
         std::thread::sleep(LEAD);
         if has_trouble {
             record.line("answers of the store are lost from now on");
-            store.lose_answers("op/");
+            store.lose_answers("op/config");
         }
         std::thread::sleep(CHANGE);
         store.put("op/config", &moved.config(8));
