feat(gateway): start requests ahead only where their services have room to spare

Cause: callers that send ahead no longer waited for each answer, so that in an overload they got a larger part of a service than others: long lookups (880 ms) took the slots of payments (objective 400 ms) of the same service. Ruled out: the deadlines, which now count from arrival; refusals of lookups did not grow. Change: a request is started before its turn only while none is queued at this entry and a quarter of the servers have room for two more; otherwise it waits for its turn as before.

--- a/lentilcart_route/src/pool/eligibility.rs
+++ b/lentilcart_route/src/pool/eligibility.rs
@@ -16,6 +16,10 @@
 /// servers, a free slot is too often the only one.
 const MIN_RESERVE_SERVERS: f64 = 8.0;
 
+/// Share of the servers that must have room for two more requests before one starts that may as well wait:
+/// with less, it would take the slots that urgent requests need soon, since it cannot be interrupted.
+const SPARE_SHARE: f64 = 0.25;
+
 impl ServerPool {
     /// Returns whether a server that is listed, neither leaving nor evacuated, is not excluded by the
     /// request and wants requests from its sender now. It may have no room.
@@ -68,6 +72,25 @@
         })
     }
 
+    /// Returns whether requests that may as well wait can start now: none is queued, and of the servers that
+    /// accept requests [`SPARE_SHARE`] have room for another one beside it.
+    #[must_use]
+    pub fn has_spare_room(&self, now: Micros) -> bool {
+        let usable = self
+            .states
+            .iter()
+            .map(|state| (state, self.get_effective_limit(now, state)))
+            .filter(|(_, limit)| *limit > 0);
+        let (mut usable_count, mut spare_count) = (0, 0);
+        for (state, limit) in usable {
+            usable_count += 1;
+            spare_count += u32::from(self.get_counted_requests(now, state) + 1 < limit);
+        }
+        self.queue.len() == 0
+            && usable_count > 0
+            && f64::from(spare_count) >= SPARE_SHARE * f64::from(usable_count)
+    }
+
     /// Returns whether a server is below its limit; what is left of the limit may be reserved for
     /// requests of another data centre.
     pub(super) fn is_below_limit(&self, now: Micros, state: &ServerState) -> bool {
--- a/lentilcart_route/tests/testsuite/main.rs
+++ b/lentilcart_route/tests/testsuite/main.rs
@@ -9,4 +9,5 @@
 mod rate_limits;
 mod server_pool;
 mod slot_share;
+mod spare_room;
 mod warmup;
