feat(route): share an overloaded service among accounts by their limits

Cause: the queue orders by priority and arrival, so an account that sends several times its usual rate takes the service from the others, and urgent requests can keep a kind of request from being served at all.

Change: where the configuration has client accounts, the accounts with queued requests of one priority take turns by start-time fair queueing (Goyal, Vin and Cheng, 1996), weighted by their limits. An account or kind of request whose share of started requests falls below a quarter of that of all goes first. A request is refused on arrival by the turns ahead of it, so that a backlog is refused to the account that causes it. The permit request names the account and its limit, as optional fields. Without accounts the order and the datagrams stay.

--- a/lentilcart_route/src/pool/config.rs
+++ b/lentilcart_route/src/pool/config.rs
@@ -41,6 +41,9 @@
     pub max_connections: u32,
     /// Longest wait in the queue, as a share of the time from arrival to deadline.
     pub wait_share: f64,
+    /// Whether the accounts with queued requests of one priority take turns by their weights, and whether an
+    /// account or kind of request is served at least a quarter as often as all.
+    pub fair_shares: bool,
     /// Duration of the slow start, in which the pool limits the requests of a server. If zero, a
     /// new server begins in phase `Serving`; a server back from probation or from leaving is in
     /// slow start until the next tick. The warm-up, in which the server itself is slow, is
@@ -69,6 +72,7 @@
             remote_cost: 0.0,
             max_connections: 40,
             wait_share: 0.5,
+            fair_shares: false,
             slow_start: Micros::ZERO,
             return_slow_start: Micros::ZERO,
             initial_retries: 10.0,
--- a/lentilcart_route/src/pool/dispatch.rs
+++ b/lentilcart_route/src/pool/dispatch.rs
@@ -11,6 +11,7 @@
     /// Returns the decisions that follow, also on other requests; no decision on this request means
     /// that it is queued.
     pub fn offer(&mut self, now: Micros, request: PendingRequest) -> Vec<Decision> {
+        self.queue.record_asked(now, &request);
         let has_server = self.states.iter().any(ServerState::is_open);
         match () {
             () if !has_server => vec![Decision::Reject {
@@ -117,7 +118,10 @@
                     .any(|&(index, _)| pool.is_eligible(now, request, index, max_factor))
         };
         if self.config.policy.source != LoadSource::Reports {
-            return self.pop(has_eligible_server);
+            let mut queue = std::mem::take(&mut self.queue);
+            let request = queue.pop(|request| has_eligible_server(self, request));
+            self.queue = queue;
+            return request;
         }
         let service_times = &self.service_times;
         let get_service_time = |request: &PendingRequest| {
@@ -131,12 +135,13 @@
         request
     }
 
-    pub(super) fn pop(
+    /// Removes and returns the first queued request that `is_wanted` accepts, which is not started.
+    pub(super) fn remove_first(
         &mut self,
         is_wanted: impl Fn(&Self, &PendingRequest) -> bool,
     ) -> Option<PendingRequest> {
         let mut queue = std::mem::take(&mut self.queue);
-        let request = queue.pop(|request| is_wanted(self, request));
+        let request = queue.remove_first(|request| is_wanted(self, request));
         self.queue = queue;
         request
     }
--- a/lentilcart_route/src/pool/evacuation.rs
+++ b/lentilcart_route/src/pool/evacuation.rs
@@ -5,7 +5,6 @@
 use lentilcart_util::{Micros, Name, Set};
 
 use super::{Decision, Rejection, ServerPool, ServerState};
-use crate::queue::RequestQueue;
 
 impl ServerPool {
     /// Sets the evacuated data centres, also those of which no server is known yet, and returns the decisions
@@ -36,7 +35,7 @@
 
     /// Rejects the queued requests that would not be accepted if they came now.
     fn reject_unservable(&mut self, now: Micros) -> Vec<Decision> {
-        let mut queued = std::mem::replace(&mut self.queue, RequestQueue::default());
+        let queued = self.queue.take_all();
         let reason = if self.states.iter().any(ServerState::is_open) {
             Rejection::Overload
         } else {
@@ -44,7 +43,7 @@
         };
         let mut decisions = Vec::new();
         // By priority and then by arrival, so that each request is checked with those ahead of it queued.
-        while let Some(request) = queued.pop(|_| true) {
+        for request in queued {
             if reason == Rejection::NoServer
                 || !self.has_wanting_server(now, &request)
                 || self.is_wait_too_long(now, &request)
--- a/lentilcart_route/src/pool/pending_request.rs
+++ b/lentilcart_route/src/pool/pending_request.rs
@@ -3,6 +3,7 @@
 use lentilcart_util::{Micros, Name, common};
 
 use super::ServerNotice;
+use crate::queue::DEFAULT_WEIGHT;
 
 /// A request that needs a server, for its first attempt or a further one.
 #[derive(Debug, Clone)]
@@ -37,6 +38,12 @@
     /// Addresses of the servers that must not get it, such as those that it was sent to before. An address
     /// excludes every instance that is listed there, also one that is added while the request waits.
     pub excluded: Vec<SocketAddr>,
+    /// Client account; `None` for none. Accounts take turns where [`PoolConfig::fair_shares`] is set.
+    ///
+    /// [`PoolConfig::fair_shares`]: crate::PoolConfig::fair_shares
+    pub account: Option<Name>,
+    /// Limit of the account, in requests a second, by which it shares the service; `None` for no limit.
+    pub weight: Option<f64>,
 }
 
 impl PendingRequest {
@@ -55,8 +62,19 @@
             origin: None,
             sender: None,
             excluded: Vec::new(),
+            account: None,
+            weight: None,
         }
     }
+
+    /// Returns the weight by which the request's account shares the service. A limit that is not a positive
+    /// number, as from a faulty sender, counts as none.
+    pub(crate) fn get_weight(&self) -> f64 {
+        let weight = self
+            .weight
+            .filter(|weight| *weight > 0.0 && weight.is_finite());
+        weight.unwrap_or(DEFAULT_WEIGHT)
+    }
 }
 
 common! { value,
--- a/lentilcart_route/src/pool/queue_wait.rs
+++ b/lentilcart_route/src/pool/queue_wait.rs
@@ -23,7 +23,7 @@
     /// Returns whether the queued requests ahead of a new one will take longer than it can wait, or its
     /// turn by the rate limits of the servers will come too late.
     pub(super) fn is_wait_too_long(&self, now: Micros, request: &PendingRequest) -> bool {
-        let ahead = self.queue.get_ahead_count(request.priority);
+        let ahead = self.queue.get_ahead_count(request);
         let paced_wait = self.get_paced_wait(now, request, ahead);
         if ahead == 0 && paced_wait == Micros::ZERO {
             return false;
@@ -75,7 +75,7 @@
         let mut decisions = Vec::new();
         let median = self.get_median_latency();
         while let Some(request) =
-            self.pop(|pool, request| pool.get_latest_start(request, median) < now)
+            self.remove_first(|pool, request| pool.get_latest_start(request, median) < now)
         {
             decisions.push(Decision::Reject {
                 request_id: request.id,
--- a/lentilcart_route/src/pool/server_pool.rs
+++ b/lentilcart_route/src/pool/server_pool.rs
@@ -60,9 +60,11 @@
     pub fn new(config: PoolConfig, seed: u64) -> Self {
         let mut retry_tokens = TokenBucket::new(0.0, config.retry.burst, Micros::ZERO);
         retry_tokens.deposit(config.initial_retries);
+        let mut queue = RequestQueue::default();
+        queue.set_fair(config.fair_shares);
         Self {
             states: Vec::new(),
-            queue: RequestQueue::default(),
+            queue,
             evacuated: Set::default(),
             retry_tokens,
             hedger: Hedger::new(config.retry.hedge, Micros::ZERO),
@@ -87,9 +89,16 @@
     pub fn set_config(&mut self, config: PoolConfig) {
         self.retry_tokens.set_limits(0.0, config.retry.burst);
         self.hedger.set_max_share(config.retry.hedge);
+        self.queue.set_fair(config.fair_shares);
         self.config = config;
     }
 
+    /// Sets whether accounts take turns, which leaves the other settings as they are.
+    pub fn set_fair_shares(&mut self, fair: bool) {
+        self.config.fair_shares = fair;
+        self.queue.set_fair(fair);
+    }
+
     /// Replaces the list of servers.
     ///
     /// A server that is no longer listed gets no new requests. Once its last attempt has ended, a
@@ -233,6 +242,12 @@
         self.queue.len()
     }
 
+    /// Returns the number of accounts whose turns are kept, counted for each priority; 0 while nothing is queued.
+    #[must_use]
+    pub fn get_account_count(&self) -> usize {
+        self.queue.get_account_count()
+    }
+
     /// Returns the load digest of this entry: the address of each listed server, and the number of
     /// this entry's outstanding requests there.
     pub fn get_load_digest(&self) -> impl Iterator<Item = (SocketAddr, u32)> {
--- a/lentilcart_route/tests/testsuite/main.rs
+++ b/lentilcart_route/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod byte_budget;
 mod evacuation;
+mod fair_shares;
 mod hold_offs;
 mod late_paced;
 mod limits;
--- a/src/entry/grant.rs
+++ b/src/entry/grant.rs
@@ -52,6 +52,8 @@
         origin: origin_data_center,
         sender: None,
         excluded: request.excluded.clone(),
+        account: None,
+        weight: None,
     };
     match request.kind {
         AttemptKind::Hedge => dispatcher.hedge(&pending).ok_or(PermitRejection::NoBudget),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -137,6 +137,11 @@
         account_rank.unwrap_or(self.route.rank)
     }
 
+    /// Returns the limit of the client account, in requests a second, by which it shares a service.
+    fn get_weight(&self) -> Option<f64> {
+        Some(self.account.as_ref()?.limit?.rate)
+    }
+
     /// Combines the results of an attempt and its hedge. If one of them was not sent, it is taken off the
     /// attempts; if neither was, [`dispatch`] takes off the other with the result.
     fn combine_results(&mut self, first: AttemptResult, second: AttemptResult) -> AttemptResult {
@@ -200,6 +205,8 @@
             latency_objective: self.route.latency_objective,
             remaining: self.deadline - now,
             excluded: [excluded, &held_off].concat(),
+            account: self.account.as_ref().map(|account| account.name.clone()),
+            weight: self.get_weight(),
         }
     }
 
--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -92,7 +92,7 @@
 
     /// Replaces the routes in force. Services that stay keep their dispatcher and thereby their
     /// pending requests, what is known of their servers, and the configuration of their pool, which
-    /// is replaced only when the number of known entries changes.
+    /// is replaced only when the number of known entries changes; only whether accounts share it is set here.
     fn replace_routes(&self, table: RouteTable) {
         let old = self.get_active_routes();
         let get_or_create = |service: &Name| {
@@ -109,8 +109,12 @@
             .keys()
             .map(|service| (service.clone(), get_or_create(service)))
             .collect();
+        let fair = !table.accounts.is_empty();
         for dispatcher in dispatchers.values() {
             self.set_warmup_rules(&table, dispatcher);
+            if dispatcher.read_pool(|pool| pool.get_config().fair_shares) != fair {
+                dispatcher.update_pool(|pool, _| pool.set_fair_shares(fair));
+            }
         }
         let added = dispatchers
             .keys()
@@ -140,6 +144,7 @@
             return_slow_start: RETURN_SLOW_START,
             max_connections: limits.map_or(1, |limits| limits.max_connections).max(1),
             wait_share: MAX_WAIT_SHARE,
+            fair_shares: !table.accounts.is_empty(),
             initial_retries: 0.0,
             retry: RetryLimits {
                 ratio: settings.retries.ratio * RETRY_BUDGET_SHARE,
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -146,6 +146,13 @@
         /// chosen again.
         #[serde(rename = "tried")]
         pub(crate) excluded: Vec<SocketAddr>,
+        /// Client account; `None` for none, and from an entry of an earlier version.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub(crate) account: Option<Name>,
+        /// Limit of the account, in requests a second; `None` for no limit, and from an entry of an earlier
+        /// version.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub(crate) weight: Option<f64>,
     }
 }
 
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -296,6 +296,8 @@
         origin: None,
         sender: Some(sender),
         excluded: request.excluded.clone(),
+        account: request.account.clone(),
+        weight: request.weight,
     }
 }
 
