feat(route): decide load shedding by a rule that plans ahead

Cause: requests are refused when they have waited for half of their timeout, which costs their callers the time in which they could go elsewhere, and Retry-After is drawn without regard to the room that there will be.

Change: the setting servers.shedding names a rule; the default, wait-share, leaves everything as it is. The other rules go through the queue in their order whenever a request comes and at each tick, sum the work ahead of each request, and refuse those whose answer would come too late, with the time at which there is room; a request that loses its room to a later one is counted as displaced. Returns are spread by the room that there will be. The owner's refusal carries that time in an optional field. While requests wait, permits carry no hedge; bodies wait for memory only as long as an answer by the objective is possible.

Result: property tests over all rules: each request ends once, no server idles while a request waits that may get it, and no kind is served less than a quarter as often as all.

--- a/lentilcart_route/src/lib.rs
+++ b/lentilcart_route/src/lib.rs
@@ -31,6 +31,7 @@
 mod policy;
 mod pool;
 mod queue;
+mod shed;
 
 pub use self::limits::{
     ByteBudget, ByteClaim, EjectLimits, Hedger, MAX_SEND_DELAY, ProbeBudget, RetryLimits,
@@ -40,5 +41,9 @@
 pub use self::pool::{
     AttemptOutcome, Decision, LoadReport, MAX_PREFLIGHT_PROBES, NoticeSource, PendingRequest,
     PoolConfig, Rejection, Restriction, ServerConfig, ServerNotice, ServerPhase, ServerPool,
-    ServerState, ServerSummary, Shard, WarmthChange, WarmupTerm, is_latency_much_higher,
+    ServerState, ServerSummary, Shard, ShedTally, WarmthChange, WarmupTerm, is_latency_much_higher,
+};
+pub use self::shed::{
+    Candidate, ReturnTimes, SHED_RULES, ShedCause, ShedLoad, ShedRule, ShedVerdict, get_shed_rule,
+    get_shed_rule_names, plan,
 };
--- a/lentilcart_route/src/pool/config.rs
+++ b/lentilcart_route/src/pool/config.rs
@@ -4,6 +4,7 @@
 
 use crate::limits::{EjectLimits, ProbeBudget, RetryLimits};
 use crate::policy::{POLICIES, Policy};
+use crate::shed::{SHED_RULES, ShedRule};
 
 /// Settings of a server pool.
 #[derive(Debug, Clone)]
@@ -41,6 +42,8 @@
     pub max_connections: u32,
     /// Longest wait in the queue, as a share of the time from arrival to deadline.
     pub wait_share: f64,
+    /// Rule of load shedding.
+    pub shedding: &'static ShedRule,
     /// Whether the accounts with queued requests of one priority take turns by their weights, and whether an
     /// account or kind of request is served at least a quarter as often as all.
     pub fair_shares: bool,
@@ -72,6 +75,7 @@
             remote_cost: 0.0,
             max_connections: 40,
             wait_share: 0.5,
+            shedding: &SHED_RULES[0],
             fair_shares: false,
             slow_start: Micros::ZERO,
             return_slow_start: Micros::ZERO,
--- a/lentilcart_route/src/pool/dispatch.rs
+++ b/lentilcart_route/src/pool/dispatch.rs
@@ -18,6 +18,13 @@
                 request_id: request.id,
                 reason: Rejection::NoServer,
             }],
+            () if self.plans_shedding(now) && self.has_wanting_server(now, &request) => {
+                let arrival = request.id;
+                self.queue.push(request);
+                let mut decisions = self.dispatch_queue(now);
+                decisions.extend(self.shed(now, Some(arrival)));
+                decisions
+            }
             () if !self.has_wanting_server(now, &request)
                 || self.is_wait_too_long(now, &request) =>
             {
@@ -117,6 +124,10 @@
                 && available_servers
                     .any(|&(index, _)| pool.is_eligible(now, request, index, max_factor))
         };
+        if self.plans_shedding(now) {
+            let next = self.find_by_rule(now, |request| has_eligible_server(self, request))?;
+            return self.pop_by_rule(now, next);
+        }
         if self.config.policy.source != LoadSource::Reports {
             let mut queue = std::mem::take(&mut self.queue);
             let request = queue.pop(|request| has_eligible_server(self, request));
@@ -192,6 +203,7 @@
 
     /// Removes a request from the queue, and returns whether it was queued.
     pub fn cancel_queued(&mut self, request_id: u64) -> bool {
+        self.expected_waits.remove(&request_id);
         self.queue.remove(request_id)
     }
 }
--- a/lentilcart_route/src/pool/evacuation.rs
+++ b/lentilcart_route/src/pool/evacuation.rs
@@ -20,6 +20,11 @@
         }
         self.evacuated.clone_from(data_centers);
         self.mark_evacuated(now);
+        if self.plans_shedding(now) {
+            let mut decisions = self.dispatch_queue(now);
+            decisions.extend(self.shed(now, None));
+            return decisions;
+        }
         let mut decisions = self.reject_unservable(now);
         decisions.extend(self.dispatch_queue(now));
         decisions
--- a/lentilcart_route/src/pool/mod.rs
+++ b/lentilcart_route/src/pool/mod.rs
@@ -22,6 +22,7 @@
 mod server_pool;
 mod server_state;
 mod service_times;
+mod shedding;
 mod warmup;
 
 pub use self::config::{PoolConfig, ServerConfig, Shard};
@@ -31,4 +32,5 @@
 pub use self::server_phase::ServerPhase;
 pub use self::server_pool::ServerPool;
 pub use self::server_state::{ServerState, ServerSummary};
+pub use self::shedding::ShedTally;
 pub use self::warmup::{WarmthChange, WarmupTerm};
--- a/lentilcart_route/src/pool/pending_request.rs
+++ b/lentilcart_route/src/pool/pending_request.rs
@@ -4,6 +4,7 @@
 
 use super::ServerNotice;
 use crate::queue::DEFAULT_WEIGHT;
+use crate::shed::ShedCause;
 
 /// A request that needs a server, for its first attempt or a further one.
 #[derive(Debug, Clone)]
@@ -89,6 +90,13 @@
         Overload,
         /// The service has no server, or all its servers are leaving or evacuated.
         NoServer,
+        /// It was refused by a rule of load shedding that plans ahead.
+        Shed {
+            /// Time after which its caller should come back.
+            room_after: Micros,
+            /// Why.
+            cause: ShedCause,
+        },
     }
 }
 
--- a/lentilcart_route/src/pool/server_pool.rs
+++ b/lentilcart_route/src/pool/server_pool.rs
@@ -1,13 +1,15 @@
 use std::net::SocketAddr;
 
-use lentilcart_util::{Micros, Name, Rng, Set, seeded_rng};
+use lentilcart_util::{Map, Micros, Name, Rng, Set, seeded_rng};
 
 use super::service_times::ServiceTimes;
 use super::{
-    Decision, PoolConfig, ServerConfig, ServerPhase, ServerState, ServerSummary, Shard, WarmupTerm,
+    Decision, PoolConfig, ServerConfig, ServerPhase, ServerState, ServerSummary, Shard, ShedTally,
+    WarmupTerm,
 };
 use crate::limits::{Hedger, TokenBucket, WarmupRules};
 use crate::queue::RequestQueue;
+use crate::shed::ReturnTimes;
 
 /// Servers of one service as one entry knows them, the requests that it sent them, and the queue of
 /// requests that wait for a server.
@@ -49,6 +51,14 @@
     /// many requests are queued for each local server (an overload). Never set with fewer than 8
     /// local servers. A request that waits too long is rejected whether or not this is set.
     pub(super) has_reduced_limits: bool,
+    /// When the callers of requests that are shed come back.
+    pub(super) return_times: ReturnTimes,
+    /// Time since which requests have been waiting without a break; `None` while none waits.
+    pub(super) queued_since: Option<Micros>,
+    pub(super) shed_tally: ShedTally,
+    /// When each queued request was queued, and the wait that was expected then, by its id; empty unless the rule of
+    /// load shedding plans ahead.
+    pub(super) expected_waits: Map<u64, (Micros, Micros)>,
     pub(super) rng: Rng,
     /// Buffer of the indices of candidate servers, kept to save allocations.
     pub(super) candidates: Vec<usize>,
@@ -79,6 +89,10 @@
             service_times: ServiceTimes::new(),
             picks: 0,
             has_reduced_limits: false,
+            return_times: ReturnTimes::default(),
+            queued_since: None,
+            shed_tally: ShedTally::default(),
+            expected_waits: Map::default(),
             rng: seeded_rng(seed),
             candidates: Vec::new(),
             config,
@@ -285,10 +299,12 @@
     }
 
     /// Returns how long to wait for an answer before a hedge is sent; `None` while hedges are off
-    /// or [`get_latency_quantile`](Self::get_latency_quantile) has too few answers.
+    /// or [`get_latency_quantile`](Self::get_latency_quantile) has too few answers, and while requests are queued
+    /// if the rule of load shedding plans ahead: a hedge earns less than one of these.
     #[must_use]
     pub fn get_hedge_delay(&self) -> Option<Micros> {
-        self.hedger.get_delay()
+        let has_waiting = self.config.shedding.plans && self.queue.len() > 0;
+        self.hedger.get_delay().filter(|_| !has_waiting)
     }
 }
 
@@ -327,6 +343,11 @@
                 phase => phase,
             };
         }
+        if self.plans_shedding(now) {
+            let mut decisions = self.dispatch_queue(now);
+            decisions.extend(self.shed(now, None));
+            return decisions;
+        }
         let mut decisions = self.reject_expired(now);
         decisions.extend(self.dispatch_queue(now));
         decisions
--- a/lentilcart_route/src/queue/fair_share.rs
+++ b/lentilcart_route/src/queue/fair_share.rs
@@ -88,6 +88,14 @@
             .collect()
     }
 
+    /// Returns the start tag and the weight of each account.
+    pub(super) fn get_start_tags(&self) -> Map<Option<Name>, (f64, f64)> {
+        let flows = self.flows.iter();
+        flows
+            .map(|(account, flow)| (account.clone(), (flow.start, flow.weight)))
+            .collect()
+    }
+
     /// Returns the number of queued requests that go before a new one of an account, which takes its turn
     /// behind the account's own: another account has, in the meantime, turns by its weight.
     pub(super) fn get_ahead_count(&self, account: Option<&Name>, weight: f64) -> usize {
--- a/lentilcart_route/src/queue/mod.rs
+++ b/lentilcart_route/src/queue/mod.rs
@@ -159,6 +159,64 @@
         }
     }
 
+    /// Returns the requests in the order in which they are started: those for which `rate` returns true first; among
+    /// them, those that are owed a start, then by priority if `by_priority` is set, by the turns of the accounts, and by
+    /// the score that `rate` returns, the highest first.
+    pub(crate) fn get_order(
+        &self,
+        by_priority: bool,
+        rate: impl Fn(&PendingRequest) -> (bool, f64),
+    ) -> Vec<&PendingRequest> {
+        let mut rated = Vec::with_capacity(self.len);
+        for (level, queued) in self.levels.iter().enumerate() {
+            let rated_level = queued.iter().map(|request| {
+                let (first, score) = rate(request);
+                let owed = self
+                    .fairness
+                    .as_ref()
+                    .is_some_and(|fairness| fairness.served.is_owed(request));
+                let rank = if by_priority { level } else { 0 };
+                ((first, owed, rank), score, level, request)
+            });
+            rated.extend(rated_level);
+        }
+        let by_rate = |a: &Rated<'_>, b: &Rated<'_>| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1));
+        // Stable, so that requests with the same score stay in the order of arrival.
+        rated.sort_by(by_rate);
+        if let Some(fairness) = &self.fairness {
+            let mut turns = fairness.turns.each_ref().map(FairShare::get_start_tags);
+            let mut tagged: Vec<(f64, Rated<'_>)> = rated
+                .into_iter()
+                .map(|rated| {
+                    let request = rated.3;
+                    let tag = turns[rated.2].get_mut(&request.account);
+                    let tag = tag.map_or(0.0, |(tag, weight)| {
+                        std::mem::replace(tag, *tag + 1.0 / *weight)
+                    });
+                    (tag, rated)
+                })
+                .collect();
+            // Stable again: among the requests of one account the tags rise with the order above.
+            tagged.sort_by(|a, b| b.1.0.cmp(&a.1.0).then(a.0.total_cmp(&b.0)));
+            rated = tagged.into_iter().map(|(_, rated)| rated).collect();
+        }
+        rated.into_iter().map(|(.., request)| request).collect()
+    }
+
+    /// Returns whether any queued request fulfils a condition.
+    pub(crate) fn any(&self, is_wanted: impl FnMut(&PendingRequest) -> bool) -> bool {
+        self.levels.iter().flatten().any(is_wanted)
+    }
+
+    /// Removes and returns a request by its id, which is started.
+    pub(crate) fn pop_by_id(&mut self, request: (u64, u8)) -> Option<PendingRequest> {
+        let level = get_level(request.1);
+        let index = self.levels[level]
+            .iter()
+            .position(|queued| queued.id == request.0)?;
+        self.take(level, index, true)
+    }
+
     /// Removes a request by its id, and returns whether it was queued.
     pub(crate) fn remove(&mut self, request_id: u64) -> bool {
         self.remove_first(|queued| queued.id == request_id)
@@ -216,6 +274,8 @@
     }
 }
 
+/// A queued request with its place: what goes before its score, its score and its level.
+type Rated<'a> = ((bool, bool, usize), f64, usize, &'a PendingRequest);
 /// Whether a queued request may be taken.
 type Filter<'a> = dyn FnMut(&PendingRequest) -> bool + 'a;
 
--- a/lentilcart_route/tests/testsuite/main.rs
+++ b/lentilcart_route/tests/testsuite/main.rs
@@ -9,4 +9,5 @@
 mod property;
 mod rate_limits;
 mod server_pool;
+mod shedding;
 mod warmup;
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -275,6 +275,7 @@
             remote_cost: 0.0,
             max_connections: service.get_connection_limit(),
             wait_share: service.wait_share,
+            shedding: &lentilcart_route::SHED_RULES[0],
             fair_shares: false,
             slow_start: service.slow_start,
             return_slow_start: Micros::ZERO,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use lentilcart_platform::{HEADER_NAMES, decode_load_report};
-use lentilcart_route::{AttemptOutcome, Rejection, Restriction, ServerPool};
+use lentilcart_route::{AttemptOutcome, Rejection, Restriction, ServerPool, ShedCause};
 use lentilcart_state::{Account, AccountKey, KeyState, PathRoute, RequestClass};
 use lentilcart_util::{Micros, Name};
 use tokio::time::{Instant, timeout, timeout_at};
@@ -69,6 +69,8 @@
     /// Time after which a server has room again, and how the servers restrict requests, if the request was
     /// rejected for that; else `None`.
     pub(crate) restriction: Option<(Micros, Restriction)>,
+    /// Time after which its caller should come back, and why, if load shedding refused the request; else `None`.
+    pub(crate) shed: Option<(Micros, ShedCause)>,
     /// Whether a server may have run the request without a usable response having arrived.
     pub(crate) may_have_run: bool,
 }
@@ -317,7 +319,10 @@
                 count_evacuation_refusal(dispatcher, reason);
                 return inbound.finish(last, reason);
             }
-            Ok(Err(_)) => {
+            Ok(Err(rejection)) => {
+                if let Rejection::Shed { room_after, cause } = rejection {
+                    inbound.shed = Some((room_after, cause));
+                }
                 count_evacuation_refusal(dispatcher, ErrorReason::Overload);
                 inbound.queue_len = dispatcher.read_pool(ServerPool::get_queue_len);
                 let (now, sender) = (gateway.clock.now(), gateway.settings.load().listen.peer);
--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use lentilcart_route::{
-    EjectLimits, PoolConfig, RetryLimits, ServerConfig, ServerPool, get_policy,
+    EjectLimits, PoolConfig, RetryLimits, SHED_RULES, ServerConfig, ServerPool, ShedRule,
+    get_policy, get_shed_rule,
 };
 use lentilcart_state::{MirrorChange, RouteTable};
 use lentilcart_util::{Map, Micros, Name, Set};
@@ -19,6 +20,12 @@
 /// Maximum time in a queue as a share of a request's timeout.
 const MAX_WAIT_SHARE: f64 = 0.5;
 
+/// Returns whether accounts and kinds of request share a service: where there are accounts, and where load shedding
+/// plans ahead, so that no kind of request is starved.
+fn shares_service(table: &RouteTable, shedding: &ShedRule) -> bool {
+    !table.accounts.is_empty() || shedding.plans
+}
+
 impl Gateway {
     /// Applies changes of a mirrored prefix and sends a heartbeat. A removal of the routes is ignored:
     /// they stay in force. Evacuations come into force before routes that came with them.
@@ -109,10 +116,11 @@
             .keys()
             .map(|service| (service.clone(), get_or_create(service)))
             .collect();
-        let fair = !table.accounts.is_empty();
         for dispatcher in dispatchers.values() {
             self.set_warmup_rules(&table, dispatcher);
-            if dispatcher.read_pool(|pool| pool.get_config().fair_shares) != fair {
+            let config = dispatcher.read_pool(|pool| pool.get_config().clone());
+            let fair = shares_service(&table, config.shedding);
+            if config.fair_shares != fair {
                 dispatcher.update_pool(|pool, _| pool.set_fair_shares(fair));
             }
         }
@@ -134,6 +142,7 @@
         let limits = table.services.get(service);
         let entries = self.lock_members().iter().count().max(1) as f64;
         let policy = get_policy(&settings.servers.policy);
+        let shedding = get_shed_rule(&settings.servers.shedding).unwrap_or(&SHED_RULES[0]);
         PoolConfig {
             policy: policy.unwrap_or(&lentilcart_route::POLICIES[0]),
             data_center: settings.data_center.clone(),
@@ -144,7 +153,8 @@
             return_slow_start: RETURN_SLOW_START,
             max_connections: limits.map_or(1, |limits| limits.max_connections).max(1),
             wait_share: MAX_WAIT_SHARE,
-            fair_shares: !table.accounts.is_empty(),
+            shedding,
+            fair_shares: shares_service(table, shedding),
             initial_retries: 0.0,
             retry: RetryLimits {
                 ratio: settings.retries.ratio * RETRY_BUDGET_SHARE,
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use lentilcart_route::{AttemptOutcome, LoadReport, ServerNotice};
+use lentilcart_route::{AttemptOutcome, LoadReport, Rejection, ServerNotice, ShedCause};
 use lentilcart_util::{Micros, Name, common};
 
 const PERCENT_PER_UNIT: f64 = 100.0;
@@ -108,7 +108,14 @@
         },
         /// The owner rejects a permit request: `no_server` is true if the owner knows no server of the
         /// service or does not know the service, and false if no server would be free in time.
-        Deny { id: u64, no_server: bool },
+        Deny {
+            id: u64,
+            no_server: bool,
+            /// Why load shedding refuses the request, and when its caller should come back; `None` if it does not,
+            /// and from an entry of an earlier version.
+            #[serde(default, skip_serializing_if = "Option::is_none")]
+            shed: Option<ShedReply>,
+        },
         /// The requester no longer needs the permit, or withdraws its permit request; holds the
         /// identifier of the permit request and the outcome of the attempt.
         #[serde(rename = "Settle")]
@@ -120,6 +127,44 @@
     }
 }
 
+common! { message,
+    /// A refusal by load shedding.
+    #[derive(Copy)]
+    pub(crate) struct ShedReply {
+        /// Time after which the caller should come back.
+        pub(crate) room_after: Micros,
+        /// Id of the request that took the room of this one; `None` if it would have been too late.
+        pub(crate) displaced_by: Option<u64>,
+    }
+}
+
+impl ShedReply {
+    /// Returns the refusal of a rejection; `None` if it has another reason.
+    pub(crate) fn from_rejection(rejection: Rejection) -> Option<Self> {
+        let Rejection::Shed { room_after, cause } = rejection else {
+            return None;
+        };
+        let displaced_by = match cause {
+            ShedCause::TooLate => None,
+            ShedCause::Displaced(id) => Some(id),
+        };
+        Some(Self {
+            room_after,
+            displaced_by,
+        })
+    }
+
+    /// Returns the rejection that this was made from.
+    pub(crate) fn to_rejection(self) -> Rejection {
+        Rejection::Shed {
+            room_after: self.room_after,
+            cause: self
+                .displaced_by
+                .map_or(ShedCause::TooLate, ShedCause::Displaced),
+        }
+    }
+}
+
 common! { message,
     /// A request for a permit to send one attempt to a server of a service.
     pub(crate) struct PermitRequest {
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -18,7 +18,7 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-use super::datagram::{Datagram, PermitRequest};
+use super::datagram::{Datagram, PermitRequest, ShedReply};
 use super::gateway::Gateway;
 use super::on_demand_probe::acquire_local_permit;
 use super::warmup::count_held_back;
@@ -338,6 +338,7 @@
             &Datagram::Deny {
                 id,
                 no_server: true,
+                shed: None,
             },
             requester,
         );
@@ -377,6 +378,7 @@
             Err(rejection) => Datagram::Deny {
                 id,
                 no_server: *rejection == Rejection::NoServer,
+                shed: ShedReply::from_rejection(*rejection),
             },
         };
         {
@@ -434,8 +436,12 @@
         Datagram::Deny {
             id,
             no_server: true,
+            ..
         } => (id, Err(Rejection::NoServer)),
-        Datagram::Deny { id, .. } => (id, Err(Rejection::Overload)),
+        Datagram::Deny { id, shed, .. } => {
+            let rejection = shed.map_or(Rejection::Overload, ShedReply::to_rejection);
+            (id, Err(rejection))
+        }
         _ => return,
     };
     let is_grant = reply.is_ok();
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -10,7 +10,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response, Uri};
 use lentilcart_platform::HEADER_NAMES;
-use lentilcart_route::Restriction;
+use lentilcart_route::{Restriction, ServerPool, ShedCause, get_shed_rule};
 use lentilcart_state::PathRoute;
 use lentilcart_util::{Micros, Name};
 use rand::RngExt;
@@ -29,6 +29,9 @@
 
 /// Upper bound of the time until a rejected caller may retry, as a share of its remaining time.
 const RETRY_AFTER_SHARE: f64 = 0.25;
+/// Share of a request's remaining time after which there must be room again for a retry to be of use; the reply
+/// says so if there is none.
+const RETURN_SHARE: f64 = 1.0 / 3.0;
 /// Minimum time until a rejected caller may retry; less if [`RETRY_AFTER_SHARE`] of the remaining time
 /// is less.
 const MIN_RETRY_AFTER: Micros = Micros::from_millis(30);
@@ -43,6 +46,9 @@
 /// Longest wait of a request body for memory, as a share of the request's remaining time: its caller needs
 /// the rest to send it elsewhere.
 const MEMORY_WAIT_SHARE: f64 = 0.5;
+/// Shortest of these waits where load shedding plans ahead, as a share of the latency objective: a refusal in this
+/// time costs a caller nothing.
+const SHORTEST_MEMORY_WAIT_SHARE: f64 = 0.125;
 /// Time for which the bodies of rejected requests are still read and dropped once this entry, which is
 /// leaving, begins no more attempts.
 const DISCARD_GRACE: Duration = Duration::from_millis(500);
@@ -71,6 +77,8 @@
     /// How long the servers have no room by what they say of themselves, and how they restrict requests, if
     /// the request was rejected for that.
     restriction: Option<(Micros, Restriction)>,
+    /// Time after which the caller should come back, and why, if load shedding refused the request.
+    shed: Option<(Micros, ShedCause)>,
     /// Version of the routes in force.
     routes_version: u64,
     /// The request's timeout, as far as it is known, and once it was dispatched the time left until its
@@ -113,6 +121,7 @@
         attempts: 0,
         queue_len: 0,
         restriction: None,
+        shed: None,
         routes_version: 0,
         remaining: DEFAULT_REMAINING,
     };
@@ -138,7 +147,20 @@
                 ErrorReason::Evacuated => Some(EVACUATED_RETRY_AFTER),
                 _ => restriction.map(|(room_after, _)| room_after),
             };
-            reply.retry_after = Some(get_retry_after(reply.reason, summary.remaining, room_after));
+            let shed = summary
+                .shed
+                .filter(|_| reply.reason == ErrorReason::Overload);
+            reply.retry_after = Some(match shed {
+                // The times of the requests that are refused together have been spread already.
+                Some((come_back, _)) => come_back.max(room_after.unwrap_or_default()),
+                None => get_retry_after(reply.reason, summary.remaining, room_after),
+            });
+            let shed = shed.map_or("none", |(come_back, cause)| {
+                record_shed(&summary, come_back, cause, elapsed)
+            });
+            if reply.detail.is_empty() && shed != "none" {
+                shed.clone_into(&mut reply.detail);
+            }
             let restricted = restriction.map_or("none", |(_, restriction)| restriction.as_str());
             let evacuated = match reply.reason {
                 ErrorReason::Evacuated => gateway.describe_evacuations(),
@@ -154,7 +176,7 @@
             log::info!(
                 request:% = summary.id, route:% = summary.route, service:% = summary.service, account,
                 reason = reply.reason.as_str(), status = reply.reason.get_status().as_u16(),
-                sent = summary.attempts, waiting = summary.queue_len, restricted, evacuated, number = summary.routes_version, took_ms = elapsed.as_millis(),
+                sent = summary.attempts, waiting = summary.queue_len, shed, retry_after_ms = reply.retry_after.map_or(0.0, Micros::as_millis), restricted, evacuated, number = summary.routes_version, took_ms = elapsed.as_millis(),
                 detail = reply.detail.as_str();
                 "request not served"
             );
@@ -201,6 +223,34 @@
         .record(elapsed.as_secs());
 }
 
+/// Records that load shedding refused a request, and returns the cause as in logs, metrics and response bodies.
+/// `come_back` is the time after which the caller should come back, `held` that for which the request was held.
+fn record_shed(
+    summary: &RequestSummary,
+    come_back: Micros,
+    cause: ShedCause,
+    held: Micros,
+) -> &'static str {
+    let (is_displaced, has_room) = (
+        matches!(cause, ShedCause::Displaced(_)),
+        come_back <= summary.remaining.scaled(RETURN_SHARE),
+    );
+    let cause = match (is_displaced, has_room) {
+        (false, true) => "too-late",
+        (false, false) => "too-late-no-room-in-time",
+        (true, true) => "displaced",
+        (true, false) => "displaced-no-room-in-time",
+    };
+    let service = summary.service.to_string();
+    metrics::counter!(
+        "lentilcart_requests_shed_total", "service" => service.clone(), "cause" => cause
+    )
+    .increment(1);
+    metrics::histogram!("lentilcart_shed_held_seconds", "service" => service)
+        .record(held.as_secs());
+    cause
+}
+
 /// Returns the time after which a rejected caller may retry, with random jitter so that callers do not
 /// return together: almost at once if another attempt may find a server that accepts it, later if the
 /// service or this entry needs time to recover, and not before `room_after` if it is known that no server
@@ -271,7 +321,9 @@
     let limits = BodyLimits {
         bytes: routes.table.limits.body_bytes.min(gateway.max_body),
         deadline: to_instant(deadline),
-        memory_wait_end: to_instant(arrived + summary.remaining.scaled(MEMORY_WAIT_SHARE)),
+        memory_wait_end: to_instant(get_memory_wait_end(
+            gateway, routes, &route, &service, arrived, deadline,
+        )),
     };
     let (mut parts, mut body) = request.into_parts();
     let read = timeout_at(
@@ -319,16 +371,42 @@
         attempts: 0,
         queue_len: 0,
         restriction: None,
+        shed: None,
         may_have_run: false,
     };
     let result = dispatch(gateway, dispatcher, &mut inbound).await;
     summary.attempts = inbound.attempts;
     summary.queue_len = inbound.queue_len;
     summary.restriction = inbound.restriction;
+    summary.shed = inbound.shed;
     summary.remaining = deadline - gateway.clock.now();
     result
 }
 
+/// Returns the time until which the body of a request waits for memory: half of its time or, where load shedding
+/// plans ahead, as long as it can be answered by its objective after that, if that is less. A shed request must be
+/// refused early, so that its caller can send it elsewhere.
+fn get_memory_wait_end(
+    gateway: &Gateway,
+    routes: &ActiveRoutes,
+    route: &PathRoute,
+    service: &Name,
+    arrived: Micros,
+    deadline: Micros,
+) -> Micros {
+    let half = arrived + (deadline - arrived).scaled(MEMORY_WAIT_SHARE);
+    let shedding = &gateway.settings.load().servers.shedding;
+    if !get_shed_rule(shedding).is_some_and(|rule| rule.plans) {
+        return half;
+    }
+    let dispatcher = routes.dispatchers.get(service);
+    let service_time = dispatcher.and_then(|it| it.read_pool(ServerPool::get_base_service_time));
+    let objective = route.latency_objective;
+    let shortest = objective.scaled(SHORTEST_MEMORY_WAIT_SHARE);
+    let wait = shortest.max(objective - service_time.unwrap_or_default());
+    half.min(arrived + wait)
+}
+
 /// Returns the route of a request, by its host and path.
 pub(super) fn find_route<'a, B>(
     routes: &'a ActiveRoutes,
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -2,11 +2,12 @@
 use std::time::{Duration, Instant};
 
 use lentilcart_route::ServerPool;
-use lentilcart_util::Micros;
+use lentilcart_util::{Micros, Name};
 
 use super::gateway::Gateway;
 use super::on_demand_probe::probe_stale_servers;
 use super::permit_table::release_expired;
+use crate::entry::Dispatcher;
 use crate::ops::run_metrics_upkeep;
 
 /// Interval between two ticks while requests wait.
@@ -102,6 +103,7 @@
             let held_off = pool.get_held_off_servers(now, own_address);
             (pool.get_rate_limited_count(), held_off.len())
         });
+        record_shed_gauges(service, dispatcher);
         let leaving = gateway.lock_directory().get_leaving_count(service);
         let service = service.to_string();
         metrics::gauge!("lentilcart_servers_rate_limited", "service" => service.clone())
@@ -120,3 +122,32 @@
     metrics::gauge!("lentilcart_server_connections_opened")
         .set(gateway.server_client.get_opened_count() as f64);
 }
+
+/// Records what load shedding has done at this entry, as an owner or for itself, if its rule plans ahead: requests
+/// refused, and the expected and the actual waits of those that were queued and started.
+fn record_shed_gauges(service: &Name, dispatcher: &Dispatcher) {
+    let (plans, tally, accounts) = dispatcher.read_pool(|pool| {
+        let plans = pool.get_config().shedding.plans;
+        (plans, pool.get_shed_tally(), pool.get_account_count())
+    });
+    let service = service.to_string();
+    if accounts > 0 {
+        metrics::gauge!("lentilcart_queue_accounts", "service" => service.clone())
+            .set(accounts as f64);
+    }
+    if !plans {
+        return;
+    }
+    for (cause, count) in [("too-late", tally.too_late), ("displaced", tally.displaced)] {
+        metrics::counter!(
+            "lentilcart_pool_shed_total", "service" => service.clone(), "cause" => cause
+        )
+        .absolute(count);
+    }
+    metrics::counter!("lentilcart_pool_queued_total", "service" => service.clone())
+        .absolute(tally.started);
+    metrics::gauge!("lentilcart_pool_waited_seconds", "service" => service.clone())
+        .set(tally.waited.as_secs());
+    metrics::gauge!("lentilcart_pool_expected_wait_seconds", "service" => service)
+        .set(tally.expected.as_secs());
+}
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -199,6 +199,8 @@
     /// it; its range is not checked.
     #[serde(rename = "far-cost")]
     pub remote_cost: f64,
+    /// Rule by which requests wait or are refused while the servers have too little room.
+    pub shedding: Name,
     /// Largest share of the requests that may be hedged, that is, sent a second time before the
     /// first attempt was answered. Its range is not checked.
     #[serde(rename = "hedge")]
@@ -243,6 +245,7 @@
             reserve: 1,
             remote_reserve: 1,
             remote_cost: 0.25,
+            shedding: "wait-share".into(),
             hedge_ratio: 0.05,
             probe_interval: Micros::from_millis(200),
             probe_timeout: Micros::from_millis(250),
@@ -414,6 +417,7 @@
     /// Returns a message for each rule that the settings break.
     fn find_broken_rules(&self) -> Vec<String> {
         let policies = lentilcart_route::get_policy_names().join(", ");
+        let shed_rules = lentilcart_route::get_shed_rule_names().join(", ");
         let (lease, renew) = (self.store.lease_ttl, self.store.renew_interval);
         let (grace, lame_duck) = (self.shutdown.grace_period, self.shutdown.lame_duck);
         let bodies = self.memory.bodies;
@@ -495,6 +499,13 @@
                     self.servers.policy
                 ),
             ),
+            (
+                lentilcart_route::get_shed_rule(&self.servers.shedding).is_none(),
+                format!(
+                    "servers.shedding = {:?}: expected one of {shed_rules}",
+                    self.servers.shedding
+                ),
+            ),
         ];
         let broken = rules.into_iter().filter(|(is_broken, _)| *is_broken);
         broken.map(|(_, message)| message).collect()
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -89,6 +89,17 @@
     );
 }
 
+/// Guards against an unknown rule of load shedding that is taken for the default one.
+#[test]
+fn parse_rejects_unknown_shedding() {
+    check(
+        "[stop]",
+        "[servers]\nshedding = \"best\"\n[stop]",
+        &expect![[r#"
+        servers.shedding = "best": expected one of wait-share, priority, deadline, value, codel, levels, priority-value, adaptive, adaptive-objective"#]],
+    );
+}
+
 /// Guards against confirmations of watches without a pause between them.
 #[test]
 fn parse_rejects_confirmation_without_interval() {
