feat(bench): compare rules of load shedding on virtual time

Cause: it is not known which rule serves callers best when servers have too little room.

Change: lentilcart-bench shedding plays seven patterns with the real pool by each rule, with the same arrivals for all, against a bound that no dispatcher reaches.

The default stays.

--- a/lentilcart_bench/src/bin/lentilcart-bench.rs
+++ b/lentilcart_bench/src/bin/lentilcart-bench.rs
@@ -9,7 +9,9 @@
 use lentilcart_bench::ahead::{AheadOptions, SendMode, measure_ahead};
 use lentilcart_bench::cluster::{Variant, binary_path, get_firm};
 use lentilcart_bench::demo::run_demo;
-use lentilcart_bench::model::{LoadPhase, ModelConfig, simulate};
+use lentilcart_bench::model::{
+    LoadPhase, ModelConfig, PATTERNS, ShedScore, bound_value, simulate, simulate_shedding,
+};
 use lentilcart_bench::platform::PlatformStub;
 use lentilcart_bench::report::{format_table, write_plot};
 use lentilcart_bench::scenario::{
@@ -19,7 +21,7 @@
 use lentilcart_bench::servers::ServerStub;
 use lentilcart_bench::soak::{SoakOptions, SoakSize, parse_faults, run_soak};
 use lentilcart_bench::uploads::{UploadOptions, measure_uploads};
-use lentilcart_route::PoolConfig;
+use lentilcart_route::{PoolConfig, SHED_RULES, ShedRule};
 use lentilcart_util::{ByteText, Micros};
 use pico_args::Arguments;
 use tokio::signal::unix::{SignalKind, signal};
@@ -45,6 +47,8 @@
                                       shares of the capacity of the slots; a share S of the
                                       servers is in need, accepts N requests a second each,
                                       and names that limit unless --unnamed is given
+  shedding [--seeds N] [--rules A,B]  compare rules of load shedding on virtual time, each
+                                      pattern with the same arrivals over N seeds (20)
   soak --seed N --seconds S [--size small|grown] [--entries E] [--servers N] [--load SHARE]
        [--pace FACTOR] [--program PATH] [--program-share SHARE] [--faults LIST] [--logs FOLDER]
                                       run entries as separate processes before servers and a
@@ -96,6 +100,7 @@
         }
         Some("bench") => bench(args).await,
         Some("model") => model(args),
+        Some("shedding") => shedding(args),
         Some("soak") => soak(args).await,
         Some("uploads") => uploads(args).await,
         Some("ahead") => ahead(args).await,
@@ -111,6 +116,69 @@
     }
 }
 
+/// Compares rules of load shedding, and prints a Markdown table: means over the seeds, and the mean and the standard
+/// error of the paired difference of the value to the default rule.
+fn shedding(mut args: Arguments) -> Result<(), Box<dyn Error>> {
+    let seeds: u64 = args.opt_value_from_str("--seeds")?.unwrap_or(20);
+    let unfair = args.contains("--swap-shares");
+    let names: Option<String> = args.opt_value_from_str("--rules")?;
+    let is_wanted = |name: &str| match &names {
+        Some(names) => names.split(',').any(|wanted| wanted == name),
+        None => true,
+    };
+    println!(
+        "| pattern | rule | in time | late | refused | value | to today's | net | worst 2 s | worst kind | worst account | held p50 / p95 ms |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for pattern in PATTERNS {
+        let play = |rule: &'static ShedRule| -> Vec<ShedScore> {
+            // The default rule as it is today, without shares of accounts.
+            let fair = rule.plans != unfair;
+            let seeds = 1..=seeds;
+            seeds
+                .map(|seed| simulate_shedding(pattern, rule, fair, seed))
+                .collect()
+        };
+        let today = play(&SHED_RULES[0]);
+        for rule in SHED_RULES.iter().filter(|rule| is_wanted(rule.name)) {
+            let scores = play(rule);
+            let mean = |get: &dyn Fn(&ShedScore) -> f64| {
+                scores.iter().map(get).sum::<f64>() / scores.len() as f64
+            };
+            let differences = scores.iter().zip(&today);
+            let differences: Vec<f64> = differences.map(|(a, b)| a.value - b.value).collect();
+            let count = differences.len() as f64;
+            let difference = differences.iter().sum::<f64>() / count;
+            let squares = differences.iter().map(|it| (it - difference).powi(2));
+            let error = (squares.sum::<f64>() / (count - 1.0).max(1.0) / count).sqrt();
+            println!(
+                "| {} | {} | {:.3} | {:.3} | {:.3} | {:.3} | {:+.3} ± {:.3} | {:.3} | {:.3} | {:.3} | {:.3} | {:.0} / {:.0} |",
+                pattern.name,
+                rule.name,
+                mean(&|score| score.in_time),
+                mean(&|score| score.late),
+                mean(&|score| score.refused),
+                mean(&|score| score.value),
+                difference,
+                error,
+                mean(&|score| score.net),
+                mean(&|score| score.worst_window),
+                mean(&|score| score.worst_kind),
+                mean(&|score| score.worst_account),
+                mean(&|score| score.held.0.as_millis()),
+                mean(&|score| score.held.1.as_millis()),
+            );
+        }
+        let bound = (1..=seeds).map(|seed| bound_value(pattern, seed));
+        let bound = bound.sum::<f64>() / seeds as f64;
+        println!(
+            "| {} | bound | | | | {bound:.3} | | | | | | |",
+            pattern.name
+        );
+    }
+    Ok(())
+}
+
 /// Simulates the model and prints the tally of each phase as a JSON line.
 fn model(mut args: Arguments) -> Result<(), Box<dyn Error>> {
     let mut millis = |flag: &'static str, default_ms: u64| -> Result<Micros, pico_args::Error> {
--- a/lentilcart_bench/src/model/mod.rs
+++ b/lentilcart_bench/src/model/mod.rs
@@ -4,7 +4,11 @@
 //! A run takes about a second of real time and needs no network.
 
 mod server_model;
+mod shed_pattern;
+mod shed_simulation;
 mod simulation;
 
 pub use self::server_model::{Admission, ServerModel};
+pub use self::shed_pattern::{KINDS, PATTERNS, ShedKind, ShedPattern};
+pub use self::shed_simulation::{ShedScore, bound_value, simulate_shedding};
 pub use self::simulation::{LoadPhase, ModelConfig, PhaseTally, simulate};
--- a/lentilcart_bench/tests/testsuite/main.rs
+++ b/lentilcart_bench/tests/testsuite/main.rs
@@ -11,5 +11,6 @@
 mod promises;
 mod scenarios;
 mod script;
+mod shed_model;
 mod soak;
 mod whole_path;
