--- a/lentilcart_route/src/pool/dispatch.rs
+++ b/lentilcart_route/src/pool/dispatch.rs
@@ -11,12 +11,20 @@
     /// Returns the decisions that follow, also on other requests; no decision on this request means
     /// that it is queued.
     pub fn offer(&mut self, now: Micros, request: PendingRequest) -> Vec<Decision> {
+        self.queue.record_asked(now, &request);
         let has_server = self.states.iter().any(ServerState::is_open);
         match () {
             () if !has_server => vec![Decision::Reject {
                 request_id: request.id,
                 reason: Rejection::NoServer,
             }],
+            () if self.plans_shedding(now) && self.has_wanting_server(now, &request) => {
+                let arrival = request.id;
+                self.queue.push(request);
+                let mut decisions = self.dispatch_queue(now);
+                decisions.extend(self.shed(now, Some(arrival)));
+                decisions
+            }
             () if !self.has_wanting_server(now, &request)
                 || self.is_wait_too_long(now, &request) =>
             {
@@ -118,8 +126,15 @@
                 && available_servers
                     .any(|&(index, _)| pool.is_eligible(now, request, index, max_factor))
         };
+        if self.plans_shedding(now) {
+            let next = self.find_by_rule(now, |request| has_eligible_server(self, request))?;
+            return self.pop_by_rule(now, next);
+        }
         if self.config.policy.source != LoadSource::Reports {
-            return self.pop(has_eligible_server);
+            let mut queue = std::mem::take(&mut self.queue);
+            let request = queue.pop(|request| has_eligible_server(self, request));
+            self.queue = queue;
+            return request;
         }
         let service_times = &self.service_times;
         let get_service_time = |request: &PendingRequest| {
@@ -133,12 +148,13 @@
         request
     }
 
-    pub(super) fn pop(
+    /// Removes and returns the first queued request that `is_wanted` accepts, which is not started.
+    pub(super) fn remove_first(
         &mut self,
         is_wanted: impl Fn(&Self, &PendingRequest) -> bool,
     ) -> Option<PendingRequest> {
         let mut queue = std::mem::take(&mut self.queue);
-        let request = queue.pop(|request| is_wanted(self, request));
+        let request = queue.remove_first(|request| is_wanted(self, request));
         self.queue = queue;
         request
     }
@@ -189,6 +205,7 @@
 
     /// Removes a request from the queue, and returns whether it was queued.
     pub fn cancel_queued(&mut self, request_id: u64) -> bool {
+        self.expected_waits.remove(&request_id);
         self.queue.remove(request_id)
     }
 }
--- a/lentilcart_route/src/pool/evacuation.rs
+++ b/lentilcart_route/src/pool/evacuation.rs
@@ -20,6 +20,11 @@
         }
         self.evacuated.clone_from(data_centers);
         self.mark_evacuated(now);
+        if self.plans_shedding(now) {
+            let mut decisions = self.dispatch_queue(now);
+            decisions.extend(self.shed(now, None));
+            return decisions;
+        }
         let mut decisions = self.reject_unservable(now);
         decisions.extend(self.dispatch_queue(now));
         decisions
@@ -35,7 +40,7 @@
 
     /// Rejects the queued requests that would not be accepted if they came now.
     fn reject_unservable(&mut self, now: Micros) -> Vec<Decision> {
-        let mut queued = std::mem::take(&mut self.queue);
+        let queued = self.queue.take_all();
         let reason = if self.states.iter().any(ServerState::is_open) {
             Rejection::Overload
         } else {
@@ -43,7 +48,7 @@
         };
         let mut decisions = Vec::new();
         // By priority and then by arrival, so that each request is checked with those ahead of it queued.
-        while let Some(request) = queued.pop(|_| true) {
+        for request in queued {
             if reason == Rejection::NoServer
                 || !self.has_wanting_server(now, &request)
                 || self.is_wait_too_long(now, &request)
--- a/lentilcart_route/src/pool/pending_request.rs
+++ b/lentilcart_route/src/pool/pending_request.rs
@@ -3,6 +3,8 @@
 use lentilcart_util::{Micros, Name, common};
 
 use super::ServerNotice;
+use crate::queue::DEFAULT_WEIGHT;
+use crate::shed::ShedCause;
 
 /// A request that needs a server, for its first attempt or a further one.
 #[derive(Debug, Clone)]
@@ -40,6 +42,12 @@
     /// Largest number of attempts that this pool has outstanding once it starts, such as
     /// [`ServerPool::get_slot_share`](super::ServerPool::get_slot_share); `None` for no limit.
     pub max_outstanding: Option<u32>,
+    /// Client account; `None` for none. Accounts take turns where [`PoolConfig::fair_shares`] is set.
+    ///
+    /// [`PoolConfig::fair_shares`]: crate::PoolConfig::fair_shares
+    pub account: Option<Name>,
+    /// Limit of the account, in requests a second, by which it shares the service; `None` for no limit.
+    pub weight: Option<f64>,
 }
 
 impl PendingRequest {
@@ -59,8 +67,19 @@
             sender: None,
             excluded: Vec::new(),
             max_outstanding: None,
+            account: None,
+            weight: None,
         }
     }
+
+    /// Returns the weight by which the request's account shares the service. A limit that is not a positive
+    /// number, as from a faulty sender, counts as none.
+    pub(crate) fn get_weight(&self) -> f64 {
+        let weight = self
+            .weight
+            .filter(|weight| *weight > 0.0 && weight.is_finite());
+        weight.unwrap_or(DEFAULT_WEIGHT)
+    }
 }
 
 common! { value,
@@ -75,6 +94,13 @@
         Overload,
         /// The service has no server, or all its servers are leaving or evacuated.
         NoServer,
+        /// It was refused by a rule of load shedding that plans ahead.
+        Shed {
+            /// Time after which its caller should come back.
+            room_after: Micros,
+            /// Why.
+            cause: ShedCause,
+        },
     }
 }
 
--- a/src/entry/grant.rs
+++ b/src/entry/grant.rs
@@ -53,6 +53,8 @@
         sender: None,
         excluded: request.excluded.clone(),
         max_outstanding: None,
+        account: None,
+        weight: None,
     };
     match request.kind {
         AttemptKind::Hedge => dispatcher.hedge(&pending).ok_or(PermitRejection::NoBudget),
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-use super::datagram::{Datagram, PermitRequest};
+use super::datagram::{Datagram, PermitRequest, ShedReply};
 use super::gateway::Gateway;
 use super::on_demand_probe::acquire_local_permit;
 use super::warmup::count_held_back;
@@ -316,6 +316,8 @@
         sender: Some(sender),
         excluded: request.excluded.clone(),
         max_outstanding: None,
+        account: request.account.clone(),
+        weight: request.weight,
     }
 }
 
@@ -356,6 +358,7 @@
             &Datagram::Deny {
                 id,
                 no_server: true,
+                shed: None,
             },
             requester,
         );
@@ -395,6 +398,7 @@
             Err(rejection) => Datagram::Deny {
                 id,
                 no_server: *rejection == Rejection::NoServer,
+                shed: ShedReply::from_rejection(*rejection),
             },
         };
         {
@@ -452,8 +456,12 @@
         Datagram::Deny {
             id,
             no_server: true,
+            ..
         } => (id, Err(Rejection::NoServer)),
-        Datagram::Deny { id, .. } => (id, Err(Rejection::Overload)),
+        Datagram::Deny { id, shed, .. } => {
+            let rejection = shed.map_or(Rejection::Overload, ShedReply::to_rejection);
+            (id, Err(rejection))
+        }
         _ => return,
     };
     let is_grant = reply.is_ok();
