fix(state): move shares of limits without waiting for credit

After a restart of all entries, and whenever an owner changed, shares were unused for the rest of the delegation (700 ms) and of the credit (600 ms). Credit need not be waited for: what is usable was in a bucket one credit time before, or was earned since, and the cap of the buckets now allows for it. A delegation lasts 600 ms and credit 400 ms.

--- a/lentilcart_state/src/credit/rules.rs
+++ b/lentilcart_state/src/credit/rules.rs
@@ -9,10 +9,10 @@
 /// Set of groups; bit `i` stands for group `i`.
 pub type GroupSet = u8;
 /// Time for which a share is delegated, by the clock of the entry that delegates it.
-pub const DELEGATION_TTL: Micros = Micros::from_millis(700);
+pub const DELEGATION_TTL: Micros = Micros::from_millis(600);
 /// Time for which credit may be used, by the clock of the entry that holds it, from when it asked.
-pub const CREDIT_TTL: Micros = Micros::from_millis(600);
-/// Time between two messages of an entry to an owner: a delegation survives the loss of two of them.
+pub const CREDIT_TTL: Micros = Micros::from_millis(400);
+/// Time between two messages of an entry to an owner: a delegation survives the loss of one of them.
 pub const ASK_INTERVAL: Micros = Micros::from_millis(200);
 /// Part of the reserve that a bucket may hold beyond the burst, so that an account without a burst can use
 /// its rate.
@@ -46,13 +46,21 @@
     }
 
     /// Returns how much a bucket with all shares holds at most.
-    pub(super) fn get_level_cap(&self, limit: AccountLimit) -> f64 {
-        limit.burst + LEVEL_RESERVE_SHARE * self.get_reserve(limit)
+    ///
+    /// Credit that may be used at some time was in a bucket one [`CREDIT_TTL`] before, or was earned since.
+    /// So all buckets and all credit have at most this and `rate` x [`CREDIT_TTL`] together, also where
+    /// shares move before the credit from them has ended. The sum is within the total cap.
+    #[must_use]
+    pub fn get_level_cap(&self, limit: AccountLimit) -> f64 {
+        let level = limit.burst + LEVEL_RESERVE_SHARE * self.get_reserve(limit);
+        let moved = limit.rate * CREDIT_TTL.as_secs();
+        level.min(self.get_total_cap(limit) - moved).max(0.0)
     }
 
     /// Returns how much a bucket with all shares, and the credit granted from it that may still be used,
     /// have at most together.
-    pub(super) fn get_total_cap(&self, limit: AccountLimit) -> f64 {
+    #[must_use]
+    pub fn get_total_cap(&self, limit: AccountLimit) -> f64 {
         limit.burst + TOTAL_RESERVE_SHARE * self.get_reserve(limit)
     }
 }
--- a/lentilcart_state/src/credit/share.rs
+++ b/lentilcart_state/src/credit/share.rs
@@ -1,9 +1,9 @@
 use lentilcart_util::{Map, Micros, Name};
 
-use super::rules::{CREDIT_TTL, DELEGATION_TTL, GROUP_COUNT, GroupSet};
+use super::rules::{DELEGATION_TTL, GROUP_COUNT, GroupSet};
 use crate::member::rendezvous_rank;
 
-/// Time by which a delegation and the credit from it end before the registration of the entry does, for
+/// Time by which a delegation ends before the registration of the entry does, for
 /// clocks that do not run equally fast.
 const REGISTRATION_MARGIN: Micros = Micros::from_millis(200);
 /// Time without a reply after which an owner is passed over: two messages that are lost do not suffice.
@@ -92,7 +92,7 @@
             members: std::iter::once((name.clone(), own)).collect(),
             ranked: std::array::from_fn(|_| vec![name.clone()]),
             name,
-            predecessor_end: now + DELEGATION_TTL + CREDIT_TTL,
+            predecessor_end: now + DELEGATION_TTL,
             revision: None,
             announced: Map::default(),
             registered_at: None,
@@ -135,16 +135,15 @@
         }
     }
 
-    /// Returns whether another entry is counted, and nothing that this entry delegated before that is in
-    /// use any more.
+    /// Returns whether another entry is counted, and all that this entry delegated before that has ended.
     #[must_use]
     pub fn is_counted(&self, now: Micros, name: &Name) -> bool {
-        let is_free = now >= self.get_delegation_end() + CREDIT_TTL;
+        let is_free = now >= self.get_delegation_end();
         now >= self.predecessor_end
             && self
                 .members
                 .get(name)
-                .is_some_and(|entry| is_free || now >= entry.since + DELEGATION_TTL + CREDIT_TTL)
+                .is_some_and(|entry| is_free || now >= entry.since + DELEGATION_TTL)
     }
 
     fn replace_members(&mut self, now: Micros, mut members: Map<Name, u64>) {
@@ -250,7 +249,7 @@
         let is_listed = self
             .registered_at
             .is_some_and(|revision| self.has_revision(revision));
-        let end = now + DELEGATION_TTL + CREDIT_TTL + REGISTRATION_MARGIN;
+        let end = now + DELEGATION_TTL + REGISTRATION_MARGIN;
         let may_use = is_listed
             && !self.is_leaving
             && now >= self.predecessor_end
@@ -264,18 +263,18 @@
     }
 
     /// Returns the owners to exchange messages with, and for which groups. A share that was delegated to
-    /// another owner has to end first, with all credit from it.
+    /// another owner has to end first. The credit from it need not: the caps of the buckets allow for it.
     pub fn plan(&mut self, now: Micros) -> Map<Name, OwnerPlan> {
         let mut plans: Map<Name, OwnerPlan> = Map::default();
         for group in 0..GROUP_COUNT {
             let (bit, owner) = (1 << group, self.choose_owner(now, group));
             let former = self.delegations[group].take();
-            let former = former.filter(|former| now < former.end + CREDIT_TTL);
+            let former = former.filter(|former| now < former.end);
             match &former {
                 Some(former) if former.owner != owner => {
                     let suspicion = self.suspected.get(&former.owner);
                     let is_silent = suspicion.is_some_and(|suspicion| suspicion.is_silent);
-                    let is_usable = now < former.end && !is_silent;
+                    let is_usable = !is_silent;
                     plans.entry(former.owner.clone()).or_default().kept |= bit;
                     let asked = if is_usable {
                         former.owner.clone()
--- a/lentilcart_state/tests/testsuite/credit.rs
+++ b/lentilcart_state/tests/testsuite/credit.rs
@@ -1,6 +1,6 @@
 //! Limits of accounts that hold across all entries.
 
-use lentilcart_state::{AccountLimit, get_group};
+use lentilcart_state::{AccountLimit, CREDIT_TTL, get_group};
 use lentilcart_util::Micros;
 use proptest::prelude::*;
 
@@ -238,3 +238,84 @@
     let bound = RULES.get_bound(LARGE);
     assert!((bound - ((309.0 * 5.0 + 309.0) * 1.1 + 20.0)).abs() < 1e-9);
 }
+
+/// Guards against buckets so large that an account exceeds its bound when shares move before the credit
+/// from them has ended.
+#[test]
+fn credit_caps_allow_for_credit_of_shares_that_have_moved() {
+    for rate in [0.0, 0.5, 3.0, 309.0, 50_000.0] {
+        for burst in [0.0, 1.0, 309.0, 100_000.0] {
+            let limit = AccountLimit { rate, burst };
+            let held = RULES.get_level_cap(limit) + rate * CREDIT_TTL.as_secs();
+            let sum = held + rate * RULES.window.as_secs();
+            assert!(sum <= RULES.get_bound(limit), "{limit:?}: {sum}");
+            assert!(
+                held <= RULES.get_total_cap(limit) + 1e-9,
+                "{limit:?}: {held}"
+            );
+        }
+    }
+}
+
+/// Guards against a restart of all entries after which accounts are refused for longer than their former
+/// shares may be in use.
+#[test]
+fn credit_returns_after_all_entries_restart() {
+    let mut world = World::new(11, 47, LARGE);
+    world.run(START_TIME);
+    for node in &mut world.nodes {
+        node.demand = LARGE.rate * 0.77 / 47.0;
+    }
+    world.run(Micros::from_millis(3000));
+    for index in 0..47 {
+        world.kill(index);
+    }
+    world.run(Micros::from_millis(1100));
+    for index in 0..47 {
+        world.start_process(index);
+        if index % 5 == 4 {
+            world.run(Micros::from_millis(10));
+        }
+    }
+    let mut served = Vec::new();
+    for _ in 0..8 {
+        let from = world.now;
+        world.run(Micros::from_millis(250));
+        let (sent, refused) = world.count(from, world.now);
+        served.push(sent as f64 / (sent + refused).max(1) as f64);
+    }
+    println!("{served:?}");
+    let first_second = served[..4].iter().sum::<f64>() / 4.0;
+    assert!(first_second >= 0.25, "{served:?}");
+    assert!(served[4..].iter().all(|part| *part >= 0.95), "{served:?}");
+    assert_bound(&world, LARGE);
+}
+
+/// Guards against accounts below their limit that are refused while a third of the entries is cut off from
+/// the store for 9 s, or when it registers anew.
+#[test]
+fn credit_remains_while_a_third_is_cut_off_from_the_store() {
+    let mut world = World::new(12, 47, LARGE);
+    world.run(START_TIME);
+    for node in &mut world.nodes {
+        node.demand = LARGE.rate * 0.77 / 47.0;
+    }
+    world.run(Micros::from_millis(3000));
+    for node in &mut world.nodes[..16] {
+        node.store_cut = true;
+    }
+    let mut served = Vec::new();
+    for second in 0..14 {
+        if second == 9 {
+            for node in &mut world.nodes[..16] {
+                node.store_cut = false;
+            }
+        }
+        let from = world.now;
+        world.run(Micros::from_millis(1000));
+        let (sent, refused) = world.count(from, world.now);
+        served.push(sent as f64 / (sent + refused).max(1) as f64);
+    }
+    assert!(served.iter().all(|part| *part >= 0.97), "{served:?}");
+    assert_bound(&world, LARGE);
+}
