--- a/lentilcart_state/tests/testsuite/credit.rs
+++ b/lentilcart_state/tests/testsuite/credit.rs
@@ -319,3 +319,26 @@
     assert!(served.iter().all(|part| *part >= 0.97), "{served:?}");
     assert_bound(&world, LARGE);
 }
+
+/// Guards against requests beyond the bound where all entries restart again and again, and each time use
+/// shares before the credit of the former processes has ended.
+#[test]
+fn credit_bound_holds_when_all_entries_restart_repeatedly() {
+    for limit in [LARGE, SMALL] {
+        let mut world = World::new(13, 12, limit);
+        world.run(START_TIME);
+        for node in &mut world.nodes {
+            node.demand = limit.rate * 6.0 / 12.0;
+        }
+        for millis in [700, 900, 650, 1200, 300, 1000] {
+            world.run(Micros::from_millis(millis));
+            for index in 0..12 {
+                world.kill(index);
+                world.start_process(index);
+            }
+        }
+        world.run(Micros::from_millis(4000));
+        assert_bound(&world, limit);
+        assert!(world.largest_sum <= 1.0 + 1e-9, "{}", world.largest_sum);
+    }
+}
