--- a/lentilcart_bench/src/model/shed_pattern.rs
+++ b/lentilcart_bench/src/model/shed_pattern.rs
@@ -59,7 +59,7 @@
     },
 ];
 
-/// A pattern of load and servers with an incident between [`INCIDENT`].
+/// A pattern of load and servers with an incident between `INCIDENT`.
 #[derive(Debug, Clone, Copy)]
 pub struct ShedPattern {
     /// Name in the tables.
--- a/lentilcart_route/src/pool/eligibility.rs
+++ b/lentilcart_route/src/pool/eligibility.rs
@@ -73,7 +73,7 @@
     }
 
     /// Returns whether requests that may as well wait can start now: none is queued, and of the servers that
-    /// accept requests [`SPARE_SHARE`] have room for another one beside it.
+    /// accept requests a quarter has room for another one beside it.
     #[must_use]
     pub fn has_spare_room(&self, now: Micros) -> bool {
         let usable = self
