--- a/lentilcart_bench/src/soak/fault_kind.rs
+++ b/lentilcart_bench/src/soak/fault_kind.rs
@@ -115,8 +115,8 @@
 }
 
 /// Parses a list of kinds and groups of faults, separated by commas: `server`, `cold`, `copy`, `answer`,
-/// `connection`, `entry`, `route`, `evacuate` and `store` are groups, `faulty-servers` the first five of them without `cold`, `all` all
-/// and `none` none. The kinds of the group `check` show that a soak fails; `all` does not hold them.
+/// `connection`, `entry`, `route`, `evacuate` and `store` are groups, `faulty-servers` the first five of them
+/// without `cold`, `all` all and `none` none. The kinds of the group `check` show that a soak fails; `all` does not hold them.
 ///
 /// # Errors
 ///
--- a/lentilcart_bench/tests/testsuite/soak.rs
+++ b/lentilcart_bench/tests/testsuite/soak.rs
@@ -315,8 +315,8 @@
 }
 
 /// Guards against a soak that does not notice answers of other requests, planned stops that cut requests
-/// off, runs at the wrong service, old routes, or evacuations that are not obeyed: a run in which servers or the schedule are wrong on purpose
-/// must fail.
+/// off, runs at the wrong service, old routes, evacuations that are not obeyed, or cold servers that get too
+/// much: a run in which servers or the schedule are wrong on purpose must fail.
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_broken_stand_in_is_noticed() {
     for (faults, seconds, expected) in [
--- a/lentilcart_route/src/pool/queue_wait.rs
+++ b/lentilcart_route/src/pool/queue_wait.rs
@@ -1,4 +1,5 @@
-//! How soon a request can start: the wait that the queue and the rate limits of the servers impose, and the longest one allowed.
+//! How soon a request can start: the wait that the queue and the rate limits of the servers impose, and the
+//! longest one allowed.
 
 use lentilcart_util::Micros;
 
--- a/lentilcart_route/src/queue/fair_share.rs
+++ b/lentilcart_route/src/queue/fair_share.rs
@@ -1,7 +1,7 @@
 use lentilcart_util::{Map, Name};
 
 /// Weight of requests without an account and of accounts without a limit: as that of an account with this
-/// many requests a second, about the mean limit of an account in the deployments with accounts.
+/// many requests a second.
 pub(crate) const DEFAULT_WEIGHT: f64 = 20.0;
 /// Requests by which an account whose requests could not use the free servers may catch up.
 const MAX_CATCH_UP: f64 = 4.0;
--- a/src/gateway/ahead.rs
+++ b/src/gateway/ahead.rs
@@ -46,8 +46,8 @@
     })
 }
 
-/// Starts a request before its turn if it may overlap and its services have room to spare. It is served by the version of the routes by which
-/// that was decided.
+/// Starts a request before its turn if it may overlap and its services have room to spare. It is served by the
+/// version of the routes by which that was decided.
 fn start_early(
     gateway: &Arc<Gateway>,
     request: EarlyRequest,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,11 +10,12 @@
 //! a request by its key, `attempt` sends it and retries,
 //! `permit_table` gets the permit for each attempt, `on_demand_probe` probes the chosen server, if its
 //! load report is old, before the request is sent, `response` classifies what the server sends back,
-//! `notice` reads what the server says of itself there, and `error_reply` is the reply if no server's response can be passed on.
+//! `notice` reads what the server says of itself there, and `error_reply` is the reply if no server's response
+//! can be passed on.
 //!
 //! State that requests read: `mirror` watches the store, `changes` puts routes, servers and entries in
-//! force, `evacuations` the evacuations of data centres, `store_contact` tracks whether the store answers, `peers` and `datagram` exchange state with
-//! other entries, `probe` keeps the load of servers current, `register` keeps this entry listed in the
+//! force, `evacuations` the evacuations of data centres, `store_contact` tracks whether the store answers, `peers`
+//! and `datagram` exchange state with other entries, `probe` keeps the load of servers current, `register` keeps this entry listed in the
 //! store, `warmup` limits the requests of cold servers, and `tick` runs periodic work.
 //!
 //! `account_limits` takes credit for the requests of client accounts with a limit, and exchanges it with
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -44,7 +44,8 @@
 }
 
 /// Probes the servers assigned to this entry in turn, each once per period, unless its load report is
-/// younger than the period or its data centre is evacuated. The period grows with the longest base service time of their services.
+/// younger than the period or its data centre is evacuated. The period grows with the longest base service time
+/// of their services.
 pub(crate) async fn keep_probing(gateway: Arc<Gateway>) {
     let mut targets: Vec<Arc<ProbeTarget>> = Vec::new();
     let mut assigned_at: Option<Micros> = None;
