--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -19,6 +19,8 @@
 use super::datagram::{Datagram, GatewayHeartbeat, LoadUpdate};
 use super::drain::DrainSchedule;
 use super::error_reply::ErrorReason;
+use super::freshness::RoutesFreshness;
+use super::mirror_server::ServedMirrors;
 use super::permit_table::PermitTable;
 use super::store_contact::{LatestWatcher, StoreContact};
 use super::warmup::WarmupEnds;
@@ -57,6 +59,15 @@
         }
     }
 
+    /// Returns the value of the label `mirror` of metrics.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Routes => "routes",
+            Self::Servers => "servers",
+            Self::Hosts => "hosts",
+        }
+    }
+
     /// Creates the empty mirror of this kind. The routes are listed without staleness: they are in force at
     /// once, and the revision of their listing shows how old that of the servers may be. So are the entries
     /// where the right to send requests depends on which entries are registered.
@@ -157,6 +168,8 @@
     /// Whether each mirror is being fetched from another entry.
     pub(crate) is_fetching: [AtomicBool; 3],
     pub(super) store_contact: Mutex<StoreContact>,
+    pub(super) freshness: Mutex<RoutesFreshness>,
+    pub(super) served_mirrors: Mutex<ServedMirrors>,
     /// Identifier of the next attempt. It starts from the random seed, so that the identifiers of a
     /// restarted entry differ from those that it used before.
     next_id: AtomicU64,
@@ -229,6 +242,8 @@
             latest_watcher: Mutex::default(),
             is_fetching: [const { AtomicBool::new(false) }; 3],
             store_contact: Mutex::default(),
+            freshness: Mutex::default(),
+            served_mirrors: Mutex::default(),
             next_id: AtomicU64::new(random_seed << 20),
             settings: ArcSwap::from_pointee(settings),
             random_seed,
@@ -342,6 +357,7 @@
                 .expect("no panic under lock")
                 .is_overloaded(),
             servers_content: None,
+            routes_age: None,
             lease: None,
         }
     }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -72,6 +72,8 @@
         let max_wait = gateway.settings.load().store.watch_timeout;
         let call = gateway.lock_mirror(kind).next_call(max_wait);
         let name = call.as_str();
+        let sent = gateway.clock.now();
+        let is_watch = matches!(call, StoreCall::Watch { .. });
         let result = tokio::select! {
             () = gateway.stop.cancelled() => return,
             () = gateway.relist.notified() => {
@@ -93,6 +95,10 @@
                 }
                 let changes = gateway.lock_mirror(kind).record_reply(reply);
                 gateway.apply_changes(kind, changes, false);
+                if kind == MirrorKind::Routes && gateway.lock_mirror(kind).is_watching() {
+                    let confirmed = if is_watch { gateway.clock.now() } else { sent };
+                    gateway.record_routes_confirmed(confirmed);
+                }
                 // Several servers or entries often come or go at a time.
                 let is_watching = gateway.lock_mirror(kind).is_watching();
                 // A listing may still turn out to be endless.
@@ -227,6 +233,7 @@
             return result;
         }
         let confirmation = gateway.lock_mirror(kind).next_call(CONFIRMATION_WAIT);
+        let sent = gateway.clock.now();
         let reply = (gateway.store.call)(confirmation).await?;
         gateway.record_store_reply();
         match reply {
@@ -234,6 +241,7 @@
                 let reply = StoreReply::Events { events, revision };
                 gateway.lock_mirror(kind).record_reply(reply);
                 if kind == MirrorKind::Routes {
+                    gateway.record_routes_confirmed(sent);
                     gateway.store_revision.send_replace(revision);
                 }
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,9 +13,10 @@
 //! `notice` reads what the server says of itself there, and `error_reply` is the reply if no server's response
 //! can be passed on.
 //!
-//! State that requests read: `mirror` watches the store, `changes` puts routes, servers and entries in
+//! State that requests read: `mirror` watches the store, `freshness` tracks how
+//! old the knowledge is that the routes are the latest, `changes` puts routes, servers and entries in
 //! force, `evacuations` the evacuations of data centres, `store_contact` tracks whether the store answers, `peers`
-//! and `datagram` exchange state with other entries, `probe` keeps the load of servers current, `register` keeps this entry listed in the
+//! and `datagram` exchange state with other entries, `mirror_server` serves mirrors to them, `probe` keeps the load of servers current, `register` keeps this entry listed in the
 //! store, `warmup` limits the requests of cold servers, and `tick` runs periodic work.
 //!
 //! `account_limits` takes credit for the requests of client accounts with a limit, and exchanges it with
@@ -33,12 +34,14 @@
 mod drain;
 mod error_reply;
 mod evacuations;
+mod freshness;
 #[allow(clippy::module_inception)]
 mod gateway;
 mod handle;
 mod identity;
 mod listing_size;
 mod mirror;
+mod mirror_server;
 mod notice;
 mod on_demand_probe;
 mod ops;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -2,19 +2,18 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::StatusCode;
 use lentilcart_state::MirrorSnapshot;
 use lentilcart_util::{Micros, Name};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
 use super::account_limits::{handle_credit_ask, handle_credit_reply};
-use super::datagram::{Datagram, GatewayHeartbeat, encode};
+use super::datagram::{Datagram, GatewayHeartbeat};
 use super::gateway::{Gateway, MirrorKind};
 use super::permit_table::{handle_permit_request, record_owner_reply, release_permit};
 use super::remote_bytes::{RemoteTraffic, count_remote_bytes};
-use crate::http::{HttpBody, build_get, collect_body, full_body};
+use crate::http::{build_get, collect_body};
 
 /// Maximum size of a datagram that is read, in bytes; larger than any that is sent.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
@@ -74,6 +73,7 @@
         let mirror = gateway.lock_mirror(MirrorKind::Servers);
         let content = (mirror.get_revision(), mirror.get_digest());
         heartbeat.servers_content = Some(content).filter(|(revision, _)| *revision > 0);
+        heartbeat.routes_age = gateway.get_routes_age();
     }
     let mut peers = match heartbeat.watching {
         true if is_full => get_peers(gateway, usize::MAX),
@@ -215,6 +215,9 @@
         let mut found = gateway.found_peers.lock().expect("no panic under lock");
         found.push((heartbeat.name.clone(), heartbeat.peer));
     }
+    let latest_routes = heartbeat.latest_revisions[MirrorKind::Routes as usize];
+    let routes_age = heartbeat.routes_age.filter(|_| heartbeat.watching);
+    gateway.record_peer_routes(latest_routes, routes_age);
     for kind in MirrorKind::ALL {
         // The peer's latest change counts, not its revision, which also advances without changes under
         // the prefix. A mirror complete up to that change has all that the peer has.
@@ -314,7 +317,12 @@
             log::info!(peer:% = peer_name, kind:? = kind, own = own_revision, revision, changes = changes.len(); "mirror fetched from peer");
             gateway.apply_changes(kind, changes, true);
         }
-        Err(reason) => log::info!(peer:% = peer_name, kind:? = kind; "fetch failed: {reason}"),
+        Err(reason) => {
+            if kind == MirrorKind::Routes {
+                gateway.record_failed_routes_fetch();
+            }
+            log::info!(peer:% = peer_name, kind:? = kind; "fetch failed: {reason}");
+        }
     }
 }
 
@@ -336,34 +344,3 @@
     let body = collect_body(response.into_body(), MAX_MIRROR_BYTES).await?;
     ciborium::from_reader(&body[..]).map_err(|e| e.to_string())
 }
-
-/// Serves snapshots of this entry's mirrors to other entries.
-///
-/// The path is `/mirror/{index}?{after}`: the index of the mirror in [`MirrorKind::ALL`], and the
-/// revision after which changes are wanted. Without a valid revision it is 0, that is, all items.
-pub(crate) async fn serve_peer(
-    gateway: Arc<Gateway>,
-    remote: SocketAddr,
-    request: Request<Incoming>,
-) -> Response<HttpBody> {
-    let number = request.uri().path().strip_prefix("/mirror/");
-    let number = number.and_then(|number| number.parse::<usize>().ok());
-    let kind = number.and_then(|number| MirrorKind::ALL.get(number));
-    let after = request.uri().query().and_then(|after| after.parse().ok());
-    let after: u64 = after.unwrap_or_default();
-    let (status, body) = match kind {
-        Some(kind) => (
-            StatusCode::OK,
-            encode(&gateway.lock_mirror(*kind).get_snapshot(after)),
-        ),
-        None => (
-            StatusCode::NOT_FOUND,
-            b"known paths: /mirror/0 to /mirror/2\n".to_vec(),
-        ),
-    };
-    if gateway.is_remote_entry(remote.ip()) {
-        count_remote_bytes(RemoteTraffic::Mirrors, body.len());
-    }
-    let builder = Response::builder().status(status);
-    builder.body(full_body(body)).expect("the parts are valid")
-}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -151,7 +151,11 @@
                 response.headers_mut().remove(HEADER_NAMES.retry_after);
             }
             record_metrics(&summary, "answered", elapsed);
-            log::debug!(request:% = summary.id, route:% = summary.route, account, took_ms = elapsed.as_millis(); "answered");
+            log::debug!(
+                request:% = summary.id, route:% = summary.route, service:% = summary.service, account,
+                number = summary.routes_version, took_ms = elapsed.as_millis();
+                "answered"
+            );
             response
         }
         Err(mut reply) => {
