--- a/lentilcart_state/tests/testsuite/mirror.rs
+++ b/lentilcart_state/tests/testsuite/mirror.rs
@@ -230,6 +230,22 @@
     assert!(mirror.get_snapshot(5).removals.is_some());
 }
 
+/// Guards against whole mirrors that all others fetch at once from a watcher that has listed anew, since the store had
+/// dropped its history.
+#[test]
+fn snapshot_after_relisting_holds_changes_only() {
+    let mut behind = create_listed(&[("s/a", 3), ("s/b", 4)], 5);
+    let mut ahead = create_listed(&[("s/a", 3), ("s/b", 4)], 5);
+    ahead.record_reply(StoreReply::Compacted);
+    ahead.record_reply(page(&[("s/b", 4), ("s/c", 7)], false, 9));
+    let snapshot = ahead.get_snapshot(behind.get_revision());
+    assert_eq!(snapshot.items, [item("s/c", 7)]);
+    assert_eq!(snapshot.removals, Some(vec![("s/a".into(), 9)]));
+    behind.merge(snapshot);
+    assert_eq!(keys(&behind), keys(&ahead));
+    assert_eq!(behind.get_revision(), 9);
+}
+
 /// Guards against a key that comes back for good after its removal: another entry's mirror brings the removal
 /// while the reply to a watch, which has an older write, is on its way.
 #[test]
