--- a/lentilcart_state/src/mirror/mirror.rs
+++ b/lentilcart_state/src/mirror/mirror.rs
@@ -27,6 +27,15 @@
         /// keys were removed after the requested revision, each with the revision of its removal.
         #[serde(rename = "gone")]
         pub removals: Option<Vec<(Name, u64)>>,
+        /// Spans of revisions in which removals are not known: `removals` lacks the items that were written and
+        /// removed between the two revisions of a span. An item that was written in a span and is not among
+        /// `items` has been removed. Entries of an earlier version do not know of spans, and get none.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub gaps: Vec<(u64, u64)>,
+        /// Revision from which the sender has all items; see [`Mirror::is_settled`]. `None` from an entry of an
+        /// earlier version, which does not know.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub settled: Option<u64>,
         /// Prefix of the keys that `items` and `removals` cover, where entries of an earlier version cover
         /// a narrower one; `None` from these, and where there is no narrower one.
         #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -36,6 +45,8 @@
 
 /// Number of removals that a mirror remembers, so that it can send another entry only the changes.
 const MAX_REMOVALS: usize = 512;
+/// Number of gaps that a mirror remembers.
+const MAX_GAPS: usize = 64;
 /// Longest wait of the watch that confirms a stale listing: the shortest that the store knows.
 const CONFIRMATION_WAIT: Micros = Micros::from_millis(1);
 
@@ -59,9 +70,16 @@
     /// Last removals, one for each key, with its revision, in the order in which they were applied; those
     /// of keys that this mirror did not know included.
     removals: VecDeque<(Name, u64)>,
-    /// Revision up to which removals are not known: they are older than the last listing, or no
+    /// Revision up to which removals are not known: they are older than the first listing, or no
     /// longer remembered.
     forgotten_revision: u64,
+    /// Pairs of revisions, the last one at the end, at both of which this mirror or another one had all items
+    /// without having seen each change between them: the second came with a listing or a comparison. Items that
+    /// were written and removed in between are not among `removals`.
+    gaps: VecDeque<(u64, u64)>,
+    /// Revision from which the mirror has all items: a listing of several pages lacks those that were removed
+    /// while it was read.
+    settled_revision: u64,
     /// The listing in progress; `None` while the mirror watches.
     listing: Option<Listing>,
     /// Exclusive or of the hashes of all items; see [`Mirror::get_digest`].
@@ -73,6 +91,8 @@
     /// Lowest revision of a page, which is that of the first one unless the pages may be stale; later
     /// changes are reported by the watch that follows.
     lowest_revision: Option<u64>,
+    /// Highest revision of a page. Items that were removed up to it may be missing.
+    highest_revision: u64,
     /// Whether the store may answer with a state that is some seconds old.
     is_stale: bool,
     /// Whether all pages have been read. A stale listing is then held until it is confirmed.
@@ -95,6 +115,8 @@
             latest_change_revision: 0,
             removals: VecDeque::new(),
             forgotten_revision: 0,
+            gaps: VecDeque::new(),
+            settled_revision: 0,
             listing: Some(Listing::default()),
             digest: 0,
         }
@@ -172,13 +194,18 @@
             return true;
         }
         if digest == self.digest {
-            // An item that came and went in between is not among the removals.
-            self.forgotten_revision = self.forgotten_revision.max(revision);
+            self.skip_to(revision);
             self.revision = revision;
         }
         digest == self.digest
     }
 
+    /// Returns whether the mirror has all items of its revision, also those that have been removed since.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.revision >= self.settled_revision
+    }
+
     /// Returns an item by its key.
     #[must_use]
     pub fn get(&self, key: &str) -> Option<&StoreItem> {
@@ -277,14 +304,49 @@
             listing.is_complete && listing.lowest_revision.unwrap_or_default() <= snapshot.revision
         };
         self.listing.take_if(is_superseded);
+        let settled = snapshot.settled.unwrap_or(u64::MAX);
         let Some(removed_keys) = snapshot.removals else {
-            return self.replace_all(snapshot.items, snapshot.revision);
+            return self.replace_all(snapshot.items, snapshot.revision, settled);
+        };
+        for (from, to) in &snapshot.gaps {
+            if *to > self.revision {
+                self.add_gap(*from, *to);
+            }
+        }
+        self.settled_revision = self.settled_revision.max(settled);
+        // In a gap, what was written and is not in the snapshot has been removed.
+        let listed: Set<Name> = match snapshot.gaps[..] {
+            [] => Set::default(),
+            _ => snapshot.items.iter().map(|item| item.key.clone()).collect(),
         };
         let written = snapshot.items.into_iter().map(StoreEvent::Written);
         let removed = removed_keys
             .into_iter()
             .map(|(key, revision)| StoreEvent::Removed(key, revision));
-        self.apply_events(removed.chain(written), snapshot.revision)
+        let mut changes = self.apply_events(removed.chain(written), snapshot.revision);
+        for (from, to) in snapshot.gaps {
+            changes.extend(self.remove_written_between(from, to, &listed));
+        }
+        changes
+    }
+
+    /// Removes the items that were written between two revisions and are not listed, and returns the changes.
+    fn remove_written_between(
+        &mut self,
+        from: u64,
+        to: u64,
+        listed: &Set<Name>,
+    ) -> Vec<MirrorChange> {
+        let is_gone = |item: &&StoreItem| {
+            from < item.revision && item.revision < to && !listed.contains(&item.key)
+        };
+        let gone = self.items.values().filter(is_gone);
+        let gone: Vec<Name> = gone.map(|item| item.key.clone()).collect();
+        for key in &gone {
+            self.latest_change_revision = self.latest_change_revision.max(to);
+            self.remove_item(key, to);
+        }
+        gone.into_iter().map(MirrorChange::Removed).collect()
     }
 
     /// Adds the newer items of the part of the keys that entries of an earlier version mirror, and returns the
@@ -302,10 +364,40 @@
     }
 
     /// Returns a snapshot of the changes after a revision, or of all items where the removals since
-    /// then are no longer remembered or the revision is 0.
+    /// then are no longer remembered or the revision is 0. Of a revision inside a gap, it holds the changes after the
+    /// beginning of the gap.
     #[must_use]
     pub fn get_snapshot(&self, after_revision: u64) -> MirrorSnapshot {
+        let gaps = self.gaps.iter().rev();
+        let after_revision = gaps.fold(after_revision, |after, (from, to)| {
+            if *from < after && after < *to {
+                *from
+            } else {
+                after
+            }
+        });
         let is_known = after_revision >= self.forgotten_revision && after_revision > 0;
+        let mut snapshot = self.build_snapshot(after_revision, is_known);
+        if is_known {
+            let gaps = self.gaps.iter().filter(|(_, to)| *to > after_revision);
+            snapshot.gaps = gaps.copied().collect();
+        }
+        snapshot
+    }
+
+    /// Returns a snapshot as [`get_snapshot`](Self::get_snapshot) does, for an entry of an earlier version, which
+    /// would take the removals for complete: all items, if there is a gap after the revision.
+    #[must_use]
+    pub fn get_snapshot_without_gaps(&self, after_revision: u64) -> MirrorSnapshot {
+        let snapshot = self.get_snapshot(after_revision);
+        if snapshot.gaps.is_empty() {
+            return snapshot;
+        }
+        self.build_snapshot(0, false)
+    }
+
+    /// Builds a snapshot of all items, or of the changes after a revision if the removals since then are known.
+    fn build_snapshot(&self, after_revision: u64, is_known: bool) -> MirrorSnapshot {
         let is_new = |item: &&StoreItem| !is_known || item.revision > after_revision;
         let removed = self
             .removals
@@ -315,6 +407,8 @@
             revision: self.revision,
             items: self.items.values().filter(is_new).cloned().collect(),
             removals: is_known.then(|| removed.cloned().collect()),
+            gaps: Vec::new(),
+            settled: Some(self.settled_revision),
             prefix: self.earlier_prefix.as_ref().map(|_| self.prefix.clone()),
         }
     }
@@ -329,6 +423,7 @@
         let mut listing = self.listing.take().unwrap_or_default();
         let lowest = listing.lowest_revision.unwrap_or(revision).min(revision);
         listing.lowest_revision = Some(lowest);
+        listing.highest_revision = listing.highest_revision.max(revision);
         let last = items.last().map(|item| item.key.clone());
         listing.items.extend(items);
         match last {
@@ -353,7 +448,7 @@
         if revision < self.revision {
             return Vec::new();
         }
-        self.replace_all(listing.items, revision)
+        self.replace_all(listing.items, revision, listing.highest_revision)
     }
 
     /// Applies changes that are newer than what is known, and returns them. The mirror is complete
@@ -383,8 +478,13 @@
     }
 
     /// Replaces all items by a complete listing at a revision and returns the changes; items that
-    /// are newer than the listing stay.
-    fn replace_all(&mut self, items: Vec<StoreItem>, revision: u64) -> Vec<MirrorChange> {
+    /// are newer than the listing stay. The listing may lack items that were removed up to `settled`.
+    fn replace_all(
+        &mut self,
+        items: Vec<StoreItem>,
+        revision: u64,
+        settled: u64,
+    ) -> Vec<MirrorChange> {
         let listed: Set<Name> = items.iter().map(|item| item.key.clone()).collect();
         let removed_keys = self
             .items
@@ -393,10 +493,8 @@
             .map(|item| item.key.clone());
         let removed_keys: Vec<Name> = removed_keys.collect();
         let mut changes = Vec::new();
-        // An item that came and went since the last reply is not among the removals.
-        if revision > self.revision {
-            self.forgotten_revision = self.forgotten_revision.max(revision);
-        }
+        self.skip_to(revision);
+        self.settled_revision = settled;
         if !removed_keys.is_empty() {
             self.latest_change_revision = self.latest_change_revision.max(revision);
         }
@@ -411,6 +509,26 @@
         changes
     }
 
+    /// Remembers that the mirror goes on at a revision without having seen each change since its own. Which items
+    /// have been removed since is known only if it had all of its own revision.
+    fn skip_to(&mut self, revision: u64) {
+        match self.revision {
+            own if own >= revision => {}
+            own if own > 0 && self.is_settled() => self.add_gap(own, revision),
+            _ => self.forgotten_revision = self.forgotten_revision.max(revision),
+        }
+    }
+
+    /// Remembers a pair of revisions between which removals are not known.
+    fn add_gap(&mut self, from: u64, to: u64) {
+        self.gaps.push_back((from, to));
+        if self.gaps.len() > MAX_GAPS
+            && let Some((_, oldest_end)) = self.gaps.pop_front()
+        {
+            self.forgotten_revision = self.forgotten_revision.max(oldest_end);
+        }
+    }
+
     /// Removes an item unless it was written later, and remembers the removal at its revision, also if the
     /// key is not known: another mirror may have the item. Returns whether there was an item to remove.
     fn remove_item(&mut self, key: &Name, revision: u64) -> bool {
--- a/lentilcart_state/tests/testsuite/mirror.rs
+++ b/lentilcart_state/tests/testsuite/mirror.rs
@@ -181,6 +181,8 @@
         revision: 8,
         items: vec![item("s/b", 2)],
         removals: None,
+        gaps: Vec::new(),
+        settled: None,
         prefix: None,
     };
     assert!(mirror.merge(older).is_empty());
@@ -195,6 +197,8 @@
         revision: 9,
         items: vec![item("s/b", 9)],
         removals: None,
+        gaps: Vec::new(),
+        settled: None,
         prefix: None,
     });
     assert!(
@@ -246,6 +250,52 @@
     assert_eq!(behind.get_revision(), 9);
 }
 
+/// Guards against a removed item that another mirror keeps for good: it was written and removed while this one did
+/// not watch, and the other one has seen the write only.
+#[test]
+fn snapshot_between_listings_removes_what_is_gone() {
+    let mut ahead = create_listed(&[("s/a", 3)], 5);
+    ahead.restart_listing();
+    ahead.record_reply(page(&[("s/a", 3)], false, 9));
+    let mut next = create_listed(&[("s/a", 3)], 5);
+    next.merge(ahead.get_snapshot(5));
+    for mirror in [&ahead, &next] {
+        let mut behind = create_listed(&[("s/a", 3), ("s/x", 7)], 7);
+        behind.merge(mirror.get_snapshot(7));
+        assert_eq!(keys(&behind), [key("s/a", 3)]);
+    }
+}
+
+/// Guards against a removed item that a mirror keeps for good: it listed the item while changes that lack its removal
+/// were on their way.
+#[test]
+fn merge_removes_item_written_in_gap() {
+    let mut ahead = create_listed(&[("s/a", 3)], 5);
+    ahead.restart_listing();
+    ahead.record_reply(page(&[("s/a", 3)], false, 9));
+    let mut behind = create_listed(&[("s/a", 3)], 5);
+    let changes = ahead.get_snapshot(behind.get_revision());
+    behind.restart_listing();
+    behind.record_reply(page(&[("s/a", 3), ("s/x", 7)], false, 7));
+    let changes = behind.merge(changes);
+    assert_eq!(changes, [MirrorChange::Removed("s/x".into())]);
+    assert_eq!(behind.get_revision(), 9);
+    assert_eq!(keys(&behind), [key("s/a", 3)]);
+}
+
+/// Guards against an entry of an earlier version that hands on changes with removals missing: it does not know of
+/// revisions between which they are not known.
+#[test]
+fn snapshot_without_gaps_holds_all_items() {
+    let mut mirror = create_listed(&[("s/a", 3)], 5);
+    assert!(mirror.get_snapshot_without_gaps(5).removals.is_some());
+    mirror.restart_listing();
+    mirror.record_reply(page(&[("s/a", 3)], false, 9));
+    assert_eq!(mirror.get_snapshot(5).gaps, [(5, 9)]);
+    assert_eq!(mirror.get_snapshot_without_gaps(5).removals, None);
+    assert!(mirror.get_snapshot_without_gaps(9).removals.is_some());
+}
+
 /// Guards against a key that comes back for good after its removal: another entry's mirror brings the removal
 /// while the reply to a watch, which has an older write, is on its way.
 #[test]
@@ -255,6 +305,8 @@
         revision: 9,
         items: Vec::new(),
         removals: Some(vec![("s/a".into(), 8)]),
+        gaps: Vec::new(),
+        settled: None,
         prefix: None,
     });
     let late = StoreReply::Events {
--- a/src/gateway/mirror_server.rs
+++ b/src/gateway/mirror_server.rs
@@ -9,6 +9,9 @@
 use super::remote_bytes::{RemoteTraffic, count_remote_bytes};
 use crate::http::{HttpBody, full_body};
 
+/// Header of requests for a mirror from entries that know of gaps in its removals.
+pub(crate) const GAPS_HEADER: &str = "lentilcart-gaps";
+
 /// Snapshots of mirrors that this entry has served since they were last logged.
 #[derive(Debug, Default)]
 pub(crate) struct ServedMirrors {
@@ -58,7 +61,15 @@
     let after: u64 = after.unwrap_or_default();
     let (status, body) = match kind {
         Some(kind) => {
-            let snapshot = gateway.lock_mirror(*kind).get_snapshot(after);
+            let knows_gaps = request.headers().contains_key(GAPS_HEADER);
+            let snapshot = {
+                let mirror = gateway.lock_mirror(*kind);
+                if knows_gaps {
+                    mirror.get_snapshot(after)
+                } else {
+                    mirror.get_snapshot_without_gaps(after)
+                }
+            };
             let body = encode(&snapshot);
             gateway.record_served_mirror(*kind, snapshot.removals.is_none(), body.len());
             (StatusCode::OK, body)
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::Ordering;
 
 use hyper::StatusCode;
+use hyper::header::HeaderValue;
 use lentilcart_state::MirrorSnapshot;
 use lentilcart_util::{Micros, Name};
 use tokio::net::UdpSocket;
@@ -11,6 +12,7 @@
 use super::account_limits::{handle_credit_ask, handle_credit_reply};
 use super::datagram::{Datagram, GatewayHeartbeat};
 use super::gateway::{Gateway, MirrorKind};
+use super::mirror_server::GAPS_HEADER;
 use super::permit_table::{handle_permit_request, record_owner_reply, release_permit};
 use super::remote_bytes::{RemoteTraffic, count_remote_bytes};
 use crate::http::{build_get, collect_body};
@@ -72,7 +74,8 @@
     if heartbeat.watching && is_full {
         let mirror = gateway.lock_mirror(MirrorKind::Servers);
         let content = (mirror.get_revision(), mirror.get_digest());
-        heartbeat.servers_content = Some(content).filter(|(revision, _)| *revision > 0);
+        let has_all = content.0 > 0 && mirror.is_settled();
+        heartbeat.servers_content = has_all.then_some(content);
         heartbeat.routes_age = gateway.get_routes_age();
     }
     let mut peers = match heartbeat.watching {
@@ -334,7 +337,10 @@
     peer: SocketAddr,
 ) -> Result<MirrorSnapshot, String> {
     let after = gateway.lock_mirror(kind).get_revision();
-    let request = build_get(peer, &format!("/mirror/{}?{after}", kind as usize))?;
+    let mut request = build_get(peer, &format!("/mirror/{}?{after}", kind as usize))?;
+    request
+        .headers_mut()
+        .insert(GAPS_HEADER, HeaderValue::from_static("1"));
     let received = gateway.peer_client.send(peer, request).await;
     let response = received.map_err(|e| e.to_string())?.into_streamed(|_| ());
     let status = response.status();
