--- a/lentilcart_util/src/lib.rs
+++ b/lentilcart_util/src/lib.rs
@@ -6,7 +6,7 @@
 mod value;
 
 pub use self::collections::{Map, Set};
-pub use self::units::{ByteText, DurationText, Micros};
+pub use self::units::{BitRateText, ByteText, DurationText, Micros};
 pub use self::value::Name;
 
 /// Seedable random number generator, for random decisions that can be replayed from a seed.
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -20,7 +20,7 @@
 use super::drain::DrainSchedule;
 use super::error_reply::ErrorReason;
 use super::freshness::RoutesFreshness;
-use super::mirror_server::ServedMirrors;
+use super::mirror_server::{ServeBudget, ServedMirrors};
 use super::permit_table::PermitTable;
 use super::store_contact::{LatestWatcher, StoreContact};
 use super::warmup::WarmupEnds;
@@ -170,6 +170,7 @@
     pub(super) store_contact: Mutex<StoreContact>,
     pub(super) freshness: Mutex<RoutesFreshness>,
     pub(super) served_mirrors: Mutex<ServedMirrors>,
+    pub(super) serve_budget: Mutex<ServeBudget>,
     /// Identifier of the next attempt. It starts from the random seed, so that the identifiers of a
     /// restarted entry differ from those that it used before.
     next_id: AtomicU64,
@@ -244,6 +245,10 @@
             store_contact: Mutex::default(),
             freshness: Mutex::default(),
             served_mirrors: Mutex::default(),
+            serve_budget: Mutex::new(ServeBudget::new(
+                settings.limits.get_link_bytes(),
+                clock.now(),
+            )),
             next_id: AtomicU64::new(random_seed << 20),
             settings: ArcSwap::from_pointee(settings),
             random_seed,
--- a/src/gateway/mirror_server.rs
+++ b/src/gateway/mirror_server.rs
@@ -1,8 +1,10 @@
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, MutexGuard};
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use lentilcart_route::TokenBucket;
+use lentilcart_util::Micros;
 
 use super::datagram::encode;
 use super::gateway::{Gateway, MirrorKind};
@@ -12,6 +14,43 @@
 /// Header of requests for a mirror from entries that know of gaps in its removals.
 pub(crate) const GAPS_HEADER: &str = "lentilcart-gaps";
 
+/// Share of the link that serving mirrors may take; what the entry sends otherwise does not wait for long behind them.
+const LINK_SHARE: f64 = 0.25;
+/// Time for which mirrors may be served ahead of that share, in seconds.
+const BURST_SECONDS: f64 = 0.25;
+
+/// Limits the bytes of mirrors that this entry serves to what its link can bear beside its other work.
+///
+/// An entry that is refused fetches from another one. The last snapshot before a refusal may exceed what is left.
+/// Mirrors of the routes are also served when the others have used that up.
+#[derive(Debug)]
+pub(crate) struct ServeBudget {
+    /// Bytes that may be served.
+    tokens: TokenBucket,
+    burst: f64,
+}
+
+impl ServeBudget {
+    /// Creates the budget of a link, whose rate is in bytes a second.
+    pub(crate) fn new(link: f64, now: Micros) -> Self {
+        let rate = link * LINK_SHARE;
+        let burst = rate * BURST_SECONDS;
+        let mut tokens = TokenBucket::new(rate, burst, now);
+        tokens.deposit(burst);
+        Self { tokens, burst }
+    }
+
+    /// Returns whether a mirror may be served.
+    fn may_serve(&mut self, kind: MirrorKind, now: Micros) -> bool {
+        self.tokens.refill(now);
+        let reserve = match kind {
+            MirrorKind::Routes => self.burst,
+            MirrorKind::Servers | MirrorKind::Hosts => 0.0,
+        };
+        self.tokens.get_tokens() + reserve > 0.0
+    }
+}
+
 /// Snapshots of mirrors that this entry has served since they were last logged.
 #[derive(Debug, Default)]
 pub(crate) struct ServedMirrors {
@@ -19,6 +58,8 @@
     changes: usize,
     /// Snapshots of all items.
     complete: usize,
+    /// Requests that were refused.
+    refused: usize,
     bytes: usize,
 }
 
@@ -26,11 +67,33 @@
     /// Logs the snapshots that were served since the last call, if there were any.
     pub(crate) fn log_served_mirrors(&self) {
         let served = std::mem::take(&mut *self.served_mirrors.lock().expect("no panic under lock"));
-        if served.bytes > 0 {
-            log::info!(changes = served.changes, complete = served.complete, bytes = served.bytes; "mirrors served");
+        if served.bytes + served.refused > 0 {
+            let ServedMirrors {
+                changes,
+                complete,
+                refused,
+                bytes,
+            } = served;
+            log::info!(changes, complete, refused, bytes; "mirrors served");
         }
     }
 
+    fn lock_serve_budget(&self) -> MutexGuard<'_, ServeBudget> {
+        self.serve_budget.lock().expect("no panic under lock")
+    }
+
+    /// Returns whether a mirror may be served now, and counts the request if not.
+    fn may_serve_mirror(&self, kind: MirrorKind) -> bool {
+        let may_serve = self.lock_serve_budget().may_serve(kind, self.clock.now());
+        if !may_serve {
+            metrics::counter!("lentilcart_mirrors_refused_total", "mirror" => kind.as_str())
+                .increment(1);
+            let mut served = self.served_mirrors.lock().expect("no panic under lock");
+            served.refused += 1;
+        }
+        may_serve
+    }
+
     fn record_served_mirror(&self, kind: MirrorKind, is_complete: bool, bytes: usize) {
         let content = if is_complete { "complete" } else { "changes" };
         metrics::counter!(
@@ -38,6 +101,7 @@
             "mirror" => kind.as_str(), "content" => content
         )
         .increment(bytes as u64);
+        self.lock_serve_budget().tokens.force_take(bytes as f64);
         let mut served = self.served_mirrors.lock().expect("no panic under lock");
         served.changes += usize::from(!is_complete);
         served.complete += usize::from(is_complete);
@@ -48,7 +112,8 @@
 /// Serves snapshots of this entry's mirrors to other entries.
 ///
 /// The path is `/mirror/{index}?{after}`: the index of the mirror in [`MirrorKind::ALL`], and the
-/// revision after which changes are wanted. Without a valid revision it is 0, that is, all items.
+/// revision after which changes are wanted. Without a valid revision it is 0, that is, all items. The status is 503
+/// if the link of this entry has no room for more.
 pub(crate) async fn serve_peer(
     gateway: Arc<Gateway>,
     remote: SocketAddr,
@@ -60,6 +125,9 @@
     let after = request.uri().query().and_then(|after| after.parse().ok());
     let after: u64 = after.unwrap_or_default();
     let (status, body) = match kind {
+        Some(kind) if !gateway.may_serve_mirror(*kind) => {
+            (StatusCode::SERVICE_UNAVAILABLE, b"busy\n".to_vec())
+        }
         Some(kind) => {
             let knows_gaps = request.headers().contains_key(GAPS_HEADER);
             let snapshot = {
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -1,13 +1,15 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 
-use lentilcart_util::{ByteText, DurationText, Micros, Name};
+use lentilcart_util::{BitRateText, ByteText, DurationText, Micros, Name};
 use serde::Deserialize;
 use serde_with::serde_as;
 
 use crate::error::SettingsError;
 use crate::util::get_visible_memory;
 
+/// Rate of the link if the settings name none, in bits a second.
+const DEFAULT_LINK: u64 = 100_000_000;
 /// Memory for bodies as a share of the memory that the process may use, if none is set.
 const BODY_SHARE: f64 = 0.4;
 /// Largest share of that memory that may be set for bodies.
@@ -327,12 +329,24 @@
 }
 
 /// What this host may use, by which the duties of the entries are divided among them.
+#[serde_as]
 #[derive(Debug, Clone, Default, PartialEq, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
 pub struct LimitSettings {
     /// Share of a core, above 0. Without it, this entry counts like one with a whole core.
     #[serde(rename = "cpu")]
     pub cpu_share: Option<f64>,
+    /// Rate of this host's link, in bits a second. Serving mirrors to other entries takes a part of it.
+    #[serde_as(as = "Option<BitRateText>")]
+    pub link: Option<u64>,
+}
+
+impl LimitSettings {
+    /// Returns the rate of this host's link, in bytes a second.
+    #[must_use]
+    pub fn get_link_bytes(&self) -> f64 {
+        self.link.unwrap_or(DEFAULT_LINK) as f64 / 8.0
+    }
 }
 
 /// Memory of the process, and the part of it for bodies; texts with a unit, such as `"256MiB"`.
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -1,5 +1,6 @@
 use expect_test::{Expect, expect};
 use lentilcart::{GatewaySettings, MemorySettings};
+use lentilcart_util::BitRateText;
 
 /// Settings that are valid, with only the required fields.
 const VALID: &str = r#"
@@ -157,6 +158,35 @@
     );
 }
 
+#[test]
+fn parse_link_invalid() {
+    check("[stop]", "[limits]\nlink = \"10\"\n[stop]", &expect![[r#"
+        TOML parse error at line 16, column 8
+           |
+        16 | link = "10"
+           |        ^^^^
+        "10": expected a number above 0 with a unit, such as "100Mbit/s"
+    "#]]);
+    check(
+        "[stop]",
+        "[limits]\nlink = \"0Mbit/s\"\n[stop]",
+        &expect![[r#"
+            TOML parse error at line 16, column 8
+               |
+            16 | link = "0Mbit/s"
+               |        ^^^^^^^^^
+            "0Mbit/s": expected a number above 0 with a unit, such as "100Mbit/s"
+        "#]],
+    );
+}
+
+#[test]
+fn bit_rate_text_keeps_its_unit() {
+    for text in ["10.5Mbit/s", "2.5Gbit/s", "200Mbit/s", "64kbit/s", "9bit/s"] {
+        assert_eq!(BitRateText::format(BitRateText::parse(text).unwrap()), text);
+    }
+}
+
 /// Guards against a default that takes all of the memory of a small process, or too much of a large one.
 #[test]
 fn get_body_bytes_by_limit() {
@@ -195,6 +225,7 @@
         ("{{bounds.quotaOverage}}", "0.1"),
         ("{{bounds.quotaSlack}}", "20"),
         ("{{limits.cpuShare}}", "0.07"),
+        ("{{limits.linkMbps}}", "10.5"),
         ("{{limits.memoryMb}}", "112"),
     ];
     // The section of a field is left out where the platform does not name it.
@@ -202,6 +233,7 @@
         "bounds.warmupOverage",
         "bounds.quotaWindowS",
         "limits.cpuShare",
+        "limits.linkMbps",
         "limits.memoryMb",
     ];
     for has_fields in [true, false] {
@@ -219,6 +251,7 @@
         assert!(!text.contains("{{"), "{text}");
         let settings = GatewaySettings::parse(&text).unwrap();
         assert_eq!(settings.limits.cpu_share, has_fields.then_some(0.07));
+        assert_eq!(settings.limits.link, has_fields.then_some(10_500_000));
         assert_eq!(settings.memory.limit, has_fields.then_some(112_000_000));
     }
 }
