--- a/lentilcart_state/tests/testsuite/main.rs
+++ b/lentilcart_state/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod earlier_mirror;
 mod evacuations;
+mod fetch_plan;
 mod kv_service;
 mod lease_times;
 mod members;
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use lentilcart_state::{
-    EvacuationTable, LagGauge, Member, MemberTable, Mirror, PacerLease, RouteTable,
+    EvacuationTable, FetchPlan, LagGauge, Member, MemberTable, Mirror, PacerLease, RouteTable,
     ServerDirectory, get_weight,
 };
 use lentilcart_util::{Map, Micros, Name, Set};
@@ -19,7 +19,7 @@
 use super::datagram::{Datagram, GatewayHeartbeat, LoadUpdate};
 use super::drain::DrainSchedule;
 use super::error_reply::ErrorReason;
-use super::freshness::RoutesFreshness;
+use super::freshness::Freshness;
 use super::mirror_server::{ServeBudget, ServedMirrors};
 use super::permit_table::PermitTable;
 use super::store_contact::{LatestWatcher, StoreContact};
@@ -165,10 +165,10 @@
     /// Socket for datagrams to and from other entries.
     socket: Arc<UdpSocket>,
     pub(super) latest_watcher: Mutex<LatestWatcher>,
-    /// Whether each mirror is being fetched from another entry.
-    pub(crate) is_fetching: [AtomicBool; 3],
+    /// From which entries each mirror is fetched while it is behind.
+    pub(super) fetch_plans: [Mutex<FetchPlan>; 3],
     pub(super) store_contact: Mutex<StoreContact>,
-    pub(super) freshness: Mutex<RoutesFreshness>,
+    pub(super) freshness: Mutex<Freshness>,
     pub(super) served_mirrors: Mutex<ServedMirrors>,
     pub(super) serve_budget: Mutex<ServeBudget>,
     /// Identifier of the next attempt. It starts from the random seed, so that the identifiers of a
@@ -241,7 +241,7 @@
             warmup_ends: Mutex::default(),
             socket,
             latest_watcher: Mutex::default(),
-            is_fetching: [const { AtomicBool::new(false) }; 3],
+            fetch_plans: MirrorKind::ALL.map(|_| Mutex::new(FetchPlan::new(settings.name.clone()))),
             store_contact: Mutex::default(),
             freshness: Mutex::default(),
             served_mirrors: Mutex::default(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,9 +14,10 @@
 //! can be passed on.
 //!
 //! State that requests read: `mirror` watches the store, `freshness` tracks how
-//! old the knowledge is that the routes are the latest, `changes` puts routes, servers and entries in
+//! old the knowledge is that the mirrors are complete, `changes` puts routes, servers and entries in
 //! force, `evacuations` the evacuations of data centres, `store_contact` tracks whether the store answers, `peers`
-//! and `datagram` exchange state with other entries, `mirror_server` serves mirrors to them, `probe` keeps the load of servers current, `register` keeps this entry listed in the
+//! and `datagram` exchange state with other entries, `mirror_server` serves mirrors to them, `catch_up` fetches
+//! theirs, `probe` keeps the load of servers current, `register` keeps this entry listed in the
 //! store, `warmup` limits the requests of cold servers, and `tick` runs periodic work.
 //!
 //! `account_limits` takes credit for the requests of client accounts with a limit, and exchanges it with
@@ -29,6 +30,7 @@
 mod attempt;
 mod attempt_log;
 mod body_memory;
+mod catch_up;
 mod changes;
 mod datagram;
 mod drain;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,32 +1,19 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
-use hyper::StatusCode;
-use hyper::header::HeaderValue;
-use lentilcart_state::MirrorSnapshot;
-use lentilcart_util::{Micros, Name};
+use lentilcart_util::Micros;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
 use super::account_limits::{handle_credit_ask, handle_credit_reply};
+use super::catch_up::fetch_changes;
 use super::datagram::{Datagram, GatewayHeartbeat};
 use super::gateway::{Gateway, MirrorKind};
-use super::mirror_server::GAPS_HEADER;
 use super::permit_table::{handle_permit_request, record_owner_reply, release_permit};
 use super::remote_bytes::{RemoteTraffic, count_remote_bytes};
-use crate::http::{build_get, collect_body};
 
 /// Maximum size of a datagram that is read, in bytes; larger than any that is sent.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
-/// Delay before a mirror is fetched from another entry, in which this entry's own watch, or an entry of
-/// its data centre, may bring the same changes.
-const CATCH_UP_DELAY: Micros = Micros::from_millis(150);
-/// Largest snapshot of a mirror that is fetched, in bytes.
-const MAX_MIRROR_BYTES: usize = 32 * 1024 * 1024;
-/// Timeout for fetching the mirror of another entry.
-const FETCH_TIMEOUT: Micros = Micros::from_millis(1000);
-
 /// Largest number of entries found in an interval of the housekeeping that are logged one by one.
 const MAX_PEER_LINES: usize = 4;
 /// Interval at which a watcher's heartbeat goes to all entries if nothing has changed and another one watches
@@ -218,9 +205,6 @@
         let mut found = gateway.found_peers.lock().expect("no panic under lock");
         found.push((heartbeat.name.clone(), heartbeat.peer));
     }
-    let latest_routes = heartbeat.latest_revisions[MirrorKind::Routes as usize];
-    let routes_age = heartbeat.routes_age.filter(|_| heartbeat.watching);
-    gateway.record_peer_routes(latest_routes, routes_age);
     for kind in MirrorKind::ALL {
         // The peer's latest change counts, not its revision, which also advances without changes under
         // the prefix. A mirror complete up to that change has all that the peer has.
@@ -235,12 +219,17 @@
         let is_partial =
             kind == MirrorKind::Routes && gateway.is_partial_mirror(&heartbeat.name, now);
         if latest > gateway.lock_mirror(kind).get_revision() && !is_partial {
-            let gateway = gateway.clone();
-            let tasks = gateway.tasks.clone();
-            let (peer, name) = (heartbeat.peer, heartbeat.name.clone());
-            tasks.spawn(async move { catch_up(&gateway, kind, peer, &name, latest).await });
+            gateway.record_behind(kind, latest);
+            fetch_changes(gateway, kind, heartbeat, latest);
         }
     }
+    let latest = heartbeat.latest_revisions[MirrorKind::Routes as usize];
+    let routes_age = heartbeat.routes_age.filter(|_| heartbeat.watching);
+    if let Some(age) = routes_age
+        && latest <= gateway.lock_mirror(MirrorKind::Routes).get_revision()
+    {
+        gateway.record_routes_confirmed(now - age);
+    }
 }
 
 /// Logs the entries that have been found since the last call: one line for each, or one with their number if
@@ -256,97 +245,3 @@
         log::info!(peer:% = peer, address:% = address; "peer is up");
     }
 }
-
-/// Returns whether this entry fetches from `peer` at once: always if the peer is in its data centre,
-/// and from a remote peer only if this entry is the one of its data centre chosen for that; the others
-/// fetch from it.
-fn is_immediate_fetcher(gateway: &Gateway, peer: SocketAddr) -> bool {
-    let settings = gateway.settings.load();
-    let now = gateway.clock.now();
-    let members = gateway.lock_members();
-    let is_local = |name: &&Name| {
-        let member = members.get(name);
-        member.is_some_and(|member| member.data_center == settings.data_center)
-    };
-    let local: Vec<&Name> = members
-        .get_serving(now)
-        .into_iter()
-        .filter(is_local)
-        .collect();
-    let is_peer_local = local.iter().any(|name| {
-        members
-            .get(name)
-            .is_some_and(|member| member.peer_address == peer)
-    });
-    let first = members.rank("fetch", local.into_iter(), 1);
-    is_peer_local || first.first().is_some_and(|name| **name == settings.name)
-}
-
-/// Fetches the mirror of another entry unless this entry's mirror reaches revision `latest` meanwhile or
-/// is being fetched already.
-async fn catch_up(
-    gateway: &Gateway,
-    kind: MirrorKind,
-    peer: SocketAddr,
-    peer_name: &Name,
-    latest: u64,
-) {
-    // An entry that has not listed the prefix yet has no watch to wait for.
-    let own_revision = gateway.lock_mirror(kind).get_revision();
-    if own_revision > 0 && (gateway.has_to_watch() || !is_immediate_fetcher(gateway, peer)) {
-        tokio::time::sleep(CATCH_UP_DELAY.into()).await;
-    }
-    if gateway.lock_mirror(kind).get_revision() >= latest {
-        return;
-    }
-    let fetching = &gateway.is_fetching[kind as usize];
-    if fetching.swap(true, Ordering::Relaxed) {
-        return;
-    }
-    let fetched =
-        tokio::time::timeout(FETCH_TIMEOUT.into(), fetch_mirror(gateway, kind, peer)).await;
-    fetching.store(false, Ordering::Relaxed);
-    match fetched.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
-        Ok(snapshot) => {
-            let revision = snapshot.revision;
-            let (changes, is_current) = {
-                let mut mirror = gateway.lock_mirror(kind);
-                let changes = mirror.merge(snapshot);
-                (changes, mirror.get_revision() >= latest)
-            };
-            if kind == MirrorKind::Routes && !is_current {
-                gateway.record_partial_mirror(peer_name);
-            }
-            log::info!(peer:% = peer_name, kind:? = kind, own = own_revision, revision, changes = changes.len(); "mirror fetched from peer");
-            gateway.apply_changes(kind, changes, true);
-        }
-        Err(reason) => {
-            if kind == MirrorKind::Routes {
-                gateway.record_failed_routes_fetch();
-            }
-            log::info!(peer:% = peer_name, kind:? = kind; "fetch failed: {reason}");
-        }
-    }
-}
-
-/// Fetches the changes of another entry's mirror after the revision of this entry's mirror, or all
-/// items if the other entry no longer remembers the removals since then.
-async fn fetch_mirror(
-    gateway: &Gateway,
-    kind: MirrorKind,
-    peer: SocketAddr,
-) -> Result<MirrorSnapshot, String> {
-    let after = gateway.lock_mirror(kind).get_revision();
-    let mut request = build_get(peer, &format!("/mirror/{}?{after}", kind as usize))?;
-    request
-        .headers_mut()
-        .insert(GAPS_HEADER, HeaderValue::from_static("1"));
-    let received = gateway.peer_client.send(peer, request).await;
-    let response = received.map_err(|e| e.to_string())?.into_streamed(|_| ());
-    let status = response.status();
-    if status != StatusCode::OK {
-        return Err(format!("status {status}"));
-    }
-    let body = collect_body(response.into_body(), MAX_MIRROR_BYTES).await?;
-    ciborium::from_reader(&body[..]).map_err(|e| e.to_string())
-}
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -73,7 +73,7 @@
             gateway.server_client.close_expired(MAX_CONNECTION_IDLE);
             log_found_peers(&gateway);
             gateway.log_served_mirrors();
-            gateway.report_routes_freshness();
+            gateway.report_freshness();
             let known_count = gateway.lock_members().iter().count();
             if known_count != entry_count {
                 log::info!(entries = known_count, before = entry_count; "entries changed");
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -160,13 +160,17 @@
 
 #[test]
 fn parse_link_invalid() {
-    check("[stop]", "[limits]\nlink = \"10\"\n[stop]", &expect![[r#"
+    check(
+        "[stop]",
+        "[limits]\nlink = \"10\"\n[stop]",
+        &expect![[r#"
         TOML parse error at line 16, column 8
            |
         16 | link = "10"
            |        ^^^^
         "10": expected a number above 0 with a unit, such as "100Mbit/s"
-    "#]]);
+    "#]],
+    );
     check(
         "[stop]",
         "[limits]\nlink = \"0Mbit/s\"\n[stop]",
