--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -6,6 +6,8 @@
 
 /// Time for which an entry may know of a later change without having it before this is logged.
 const BEHIND_LOG_DELAY: Micros = Micros::from_millis(500);
+/// Time for which an entry fetches a later change from others before it reads it from the store as well.
+const STORE_READ_DELAY: Micros = Micros::from_millis(1000);
 
 /// How old this entry's knowledge is that its mirrors are complete.
 #[derive(Debug, Default)]
@@ -71,6 +73,18 @@
         time
     }
 
+    /// Records that the store has shown all changes of a mirror; what others have reported beyond them is not there.
+    pub(crate) fn record_store_state(&self, kind: MirrorKind) {
+        self.lock_freshness().behind[kind as usize] = Behind::default();
+    }
+
+    /// Returns whether this entry has to read the changes of a mirror from the store, also if others watch it: these
+    /// have reported changes for some time, and none was fetched from them. Which entries there are is known from
+    /// their heartbeats, so that their registrations can wait.
+    pub(crate) fn has_to_read_store(&self, kind: MirrorKind) -> bool {
+        kind != MirrorKind::Hosts && self.update_behind(kind) >= STORE_READ_DELAY
+    }
+
     /// Records the gauges of how old this entry's knowledge is, and logs the mirrors that have been behind for long.
     pub(crate) fn report_freshness(&self) {
         let age = self.get_routes_age().map_or(f64::INFINITY, Micros::as_secs);
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -27,7 +27,8 @@
 /// Interval at which that is checked.
 const REGISTRATION_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Longest wait of a watch that confirms another one: the shortest that the store knows.
+/// Longest wait of a watch that confirms another one, or of an entry that does not watch: the shortest that the store
+/// knows.
 const CONFIRMATION_WAIT: Micros = Micros::from_millis(1);
 /// Time that the reply to a watch may take from when the store is known to be ahead of the mirror.
 const REPLY_DELAY: Duration = Duration::from_millis(200);
@@ -48,12 +49,14 @@
     let mut is_first_listing = true;
     let mut is_listing_again = false;
     loop {
-        // Unless this entry has to watch, one listing is enough: later changes come from other entries.
+        // Unless this entry has to watch, one listing is enough: later changes come from other entries, or from
+        // the store where these do not answer.
         let is_idle = {
             let mirror = gateway.lock_mirror(kind);
             mirror.get_revision() > 0 && !mirror.is_unconfirmed() && !is_listing_again
         };
-        if is_idle && !gateway.has_to_watch() {
+        let has_to_watch = gateway.has_to_watch();
+        if is_idle && !has_to_watch && !gateway.has_to_read_store(kind) {
             sleep_unless_stopped(&gateway, WATCH_CHECK_INTERVAL).await;
             if gateway.stop.is_cancelled() {
                 return;
@@ -69,7 +72,11 @@
             }
             continue;
         }
-        let max_wait = gateway.settings.load().store.watch_timeout;
+        let max_wait = if has_to_watch {
+            gateway.settings.load().store.watch_timeout
+        } else {
+            CONFIRMATION_WAIT
+        };
         let call = gateway.lock_mirror(kind).next_call(max_wait);
         let name = call.as_str();
         let sent = gateway.clock.now();
@@ -84,21 +91,8 @@
         };
         match result {
             Ok(reply) => {
-                gateway.record_store_reply();
-                if let (MirrorKind::Routes, StoreReply::Page { revision, .. }) = (kind, &reply) {
-                    let revision = *revision;
-                    gateway.store_revision.send_if_modified(|known| {
-                        let is_newer = revision > *known;
-                        *known = revision.max(*known);
-                        is_newer
-                    });
-                }
-                let changes = gateway.lock_mirror(kind).record_reply(reply);
-                gateway.apply_changes(kind, changes, false);
-                if kind == MirrorKind::Routes && gateway.lock_mirror(kind).is_watching() {
-                    let confirmed = if is_watch { gateway.clock.now() } else { sent };
-                    gateway.record_routes_confirmed(confirmed);
-                }
+                let confirmed = if is_watch { gateway.clock.now() } else { sent };
+                record_reply(&gateway, kind, reply, confirmed);
                 // Several servers or entries often come or go at a time.
                 let is_watching = gateway.lock_mirror(kind).is_watching();
                 // A listing may still turn out to be endless.
@@ -127,25 +121,73 @@
                         mirror.restart_listing();
                     }
                 }
-                let delay = backoff.next_delay();
-                if gateway.is_preferred_watcher() {
-                    sleep_unless_stopped(&gateway, delay).await;
-                } else {
-                    sleep_unless_stopped(&gateway, delay * STANDBY_BACKOFF_FACTOR).await;
-                }
-                // During an outage only one of this entry's mirrors calls the store, that of the
-                // routes; the others wait for it, or for a renewal of the lease, to succeed.
-                while kind != MirrorKind::Routes && gateway.has_last_store_call_failed() {
-                    sleep_unless_stopped(&gateway, WATCH_CHECK_INTERVAL).await;
-                    if gateway.stop.is_cancelled() {
-                        return;
-                    }
-                }
+                wait_after_failure(&gateway, kind, backoff.next_delay()).await;
             }
         }
     }
 }
 
+/// Applies the reply of the store to a call of a mirror; `confirmed` is the time whose state it shows.
+fn record_reply(gateway: &Gateway, kind: MirrorKind, reply: StoreReply, confirmed: Micros) {
+    gateway.record_store_reply();
+    if let (MirrorKind::Routes, StoreReply::Page { revision, .. }) = (kind, &reply) {
+        let revision = *revision;
+        gateway.store_revision.send_if_modified(|known| {
+            let is_newer = revision > *known;
+            *known = revision.max(*known);
+            is_newer
+        });
+    }
+    let (changes, is_watching) = {
+        let mut mirror = gateway.lock_mirror(kind);
+        (mirror.record_reply(reply), mirror.is_watching())
+    };
+    gateway.apply_changes(kind, changes, false);
+    if is_watching {
+        gateway.record_store_state(kind);
+        if kind == MirrorKind::Routes {
+            gateway.record_routes_confirmed(confirmed);
+        }
+    }
+}
+
+/// Waits after a failed call: for `delay`, or longer if this entry is not a preferred watcher.
+async fn wait_after_failure(gateway: &Gateway, kind: MirrorKind, delay: Duration) {
+    if gateway.is_preferred_watcher() {
+        sleep_unless_stopped(gateway, delay).await;
+    } else {
+        wait_as_standby(gateway, kind, delay).await;
+    }
+    // During an outage only one of this entry's mirrors calls the store, that of the
+    // routes; the others wait for it, or for a renewal of the lease, to succeed.
+    while kind != MirrorKind::Routes
+        && gateway.has_last_store_call_failed()
+        && !gateway.has_to_read_store(kind)
+    {
+        sleep_unless_stopped(gateway, WATCH_CHECK_INTERVAL).await;
+        if gateway.stop.is_cancelled() {
+            return;
+        }
+    }
+}
+
+/// Waits before an entry that is not a preferred watcher calls the store again after a failure: for a multiple of
+/// `delay`, or from then on until it has to read the store itself.
+async fn wait_as_standby(gateway: &Gateway, kind: MirrorKind, delay: Duration) {
+    let start = tokio::time::Instant::now();
+    let (early, end) = (start + delay, start + delay * STANDBY_BACKOFF_FACTOR);
+    loop {
+        let now = tokio::time::Instant::now();
+        if now >= end || now >= early && gateway.has_to_read_store(kind) {
+            return;
+        }
+        sleep_unless_stopped(gateway, WATCH_CHECK_INTERVAL.min(end - now)).await;
+        if gateway.stop.is_cancelled() {
+            return;
+        }
+    }
+}
+
 /// Waits for the registration of this entry, for a limited time: a listing after it shows all entries that
 /// may have a share of the limits of accounts, so that this one can use its share at once.
 async fn wait_for_registration(gateway: &Gateway) {
@@ -240,6 +282,7 @@
             StoreReply::Events { events, revision } if events.is_empty() => {
                 let reply = StoreReply::Events { events, revision };
                 gateway.lock_mirror(kind).record_reply(reply);
+                gateway.record_store_state(kind);
                 if kind == MirrorKind::Routes {
                     gateway.record_routes_confirmed(sent);
                     gateway.store_revision.send_replace(revision);
@@ -259,7 +302,10 @@
     match kind {
         MirrorKind::Routes => loop {
             let interval = gateway.settings.load().store.confirm_interval;
-            tokio::time::sleep(interval.into()).await;
+            tokio::select! {
+                () = tokio::time::sleep(interval.into()) => {}
+                () = wait_until_behind(gateway, kind) => return,
+            }
             if gateway.is_confirming_watcher() {
                 return;
             }
@@ -267,12 +313,22 @@
         kind => {
             let mut revision = gateway.store_revision.subscribe();
             let is_ahead = |revision: &u64| *revision > gateway.lock_mirror(kind).get_revision();
-            // The sender lives as long as the gateway, so that this does not fail.
-            revision.wait_for(is_ahead).await.ok();
+            tokio::select! {
+                // The sender lives as long as the gateway, so that this does not fail.
+                _ = revision.wait_for(is_ahead) => {}
+                () = wait_until_behind(gateway, kind) => {}
+            }
         }
     }
 }
 
+/// Waits until this entry has to read the store itself.
+async fn wait_until_behind(gateway: &Gateway, kind: MirrorKind) {
+    while !gateway.has_to_read_store(kind) {
+        tokio::time::sleep(WATCH_CHECK_INTERVAL).await;
+    }
+}
+
 /// Sleeps for a time, or until the gateway stops.
 pub(super) async fn sleep_unless_stopped(gateway: &Gateway, delay: Duration) {
     tokio::select! {
