--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -73,6 +73,15 @@
         time
     }
 
+    /// Returns for how long this entry has been behind; 0 if its mirror has all reported changes.
+    fn get_behind(&self, kind: MirrorKind) -> Micros {
+        let now = self.clock.now();
+        let own = self.lock_mirror(kind).get_revision();
+        let behind = &self.lock_freshness().behind[kind as usize];
+        let since = behind.since.filter(|_| own < behind.latest);
+        since.map_or(Micros::ZERO, |since| now - since)
+    }
+
     /// Records that the store has shown all changes of a mirror; what others have reported beyond them is not there.
     pub(crate) fn record_store_state(&self, kind: MirrorKind) {
         self.lock_freshness().behind[kind as usize] = Behind::default();
@@ -82,7 +91,7 @@
     /// have reported changes for some time, and none was fetched from them. Which entries there are is known from
     /// their heartbeats, so that their registrations can wait.
     pub(crate) fn has_to_read_store(&self, kind: MirrorKind) -> bool {
-        kind != MirrorKind::Hosts && self.update_behind(kind) >= STORE_READ_DELAY
+        kind != MirrorKind::Hosts && self.get_behind(kind) >= STORE_READ_DELAY
     }
 
     /// Records the gauges of how old this entry's knowledge is, and logs the mirrors that have been behind for long.
@@ -90,12 +99,12 @@
         let age = self.get_routes_age().map_or(f64::INFINITY, Micros::as_secs);
         metrics::gauge!("lentilcart_routes_confirmed_age_seconds").set(age);
         for kind in MirrorKind::ALL {
-            let time = self.update_behind(kind);
+            let time = self.get_behind(kind);
             metrics::gauge!("lentilcart_mirror_behind_seconds", "mirror" => kind.as_str())
                 .set(time.as_secs());
             let own = self.lock_mirror(kind).get_revision();
             let behind = &self.lock_freshness().behind[kind as usize];
-            if time >= BEHIND_LOG_DELAY && behind.since.is_some() {
+            if time >= BEHIND_LOG_DELAY {
                 let (latest, failed) = (behind.latest, behind.failed_fetches);
                 log::warn!(kind:? = kind, own, latest, failed, behind_ms = time.as_millis(); "mirror behind");
             }
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -162,7 +162,7 @@
     ///
     /// These stay as they were at the start: the addresses of listeners and socket, the source address
     /// of connections, the name and data centre of this entry in the member table, the intervals of
-    /// heartbeats and load updates, the silence and connect timeouts, and the memory for bodies.
+    /// heartbeats and load updates, the silence and connect timeouts, the memory for bodies, and the rate of the link.
     ///
     /// The name, the data centre and the peer address are nevertheless read from the changed settings,
     /// for heartbeats, the registration and the choice of owners. They must therefore not change.
