--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -22,10 +22,12 @@
 /// Changes of a mirror that other entries have reported and this one does not have.
 #[derive(Debug, Default)]
 struct Behind {
-    /// Highest revision of such a change.
-    latest: u64,
-    /// When the first one was reported; `None` if there is none.
+    /// Revision of the change that has been missing for longest. Later ones may come all the time.
+    oldest: u64,
+    /// When that one was reported; `None` if no change is missing.
     since: Option<Micros>,
+    /// Highest revision of a change that was reported.
+    latest: u64,
     /// Fetches from other entries that have failed since.
     failed_fetches: u32,
 }
@@ -51,9 +53,13 @@
     /// Records that another entry has a change that this one does not have.
     pub(crate) fn record_behind(&self, kind: MirrorKind, latest: u64) {
         let now = self.clock.now();
+        let own = self.lock_mirror(kind).get_revision();
         let behind = &mut self.lock_freshness().behind[kind as usize];
         behind.latest = behind.latest.max(latest);
-        behind.since.get_or_insert(now);
+        if behind.since.is_none() || own >= behind.oldest {
+            behind.oldest = behind.latest;
+            behind.since = Some(now);
+        }
     }
 
     /// Records that a mirror was not fetched from another entry.
@@ -78,7 +84,7 @@
         let now = self.clock.now();
         let own = self.lock_mirror(kind).get_revision();
         let behind = &self.lock_freshness().behind[kind as usize];
-        let since = behind.since.filter(|_| own < behind.latest);
+        let since = behind.since.filter(|_| own < behind.oldest);
         since.map_or(Micros::ZERO, |since| now - since)
     }
 
