--- a/lentilcart_state/src/lib.rs
+++ b/lentilcart_state/src/lib.rs
@@ -55,7 +55,7 @@
 };
 pub use self::mirror::{
     FetchOutcome, FetchPlan, FetchSource, FetchStep, Mirror, MirrorChange, MirrorSnapshot,
-    Precondition, StoreCall, StoreEvent, StoreItem, StorePut, StoreReply,
+    MissingChanges, Precondition, StoreCall, StoreEvent, StoreItem, StorePut, StoreReply,
 };
 pub use self::parse::parse_ticket;
 pub use self::platform::{KvReply, KvRequest, VersionedValue};
--- a/lentilcart_state/src/mirror/mod.rs
+++ b/lentilcart_state/src/mirror/mod.rs
@@ -7,7 +7,9 @@
 mod fetch_plan;
 #[allow(clippy::module_inception)]
 mod mirror;
+mod missing_changes;
 
 pub use self::call::{Precondition, StoreCall, StoreEvent, StoreItem, StorePut, StoreReply};
 pub use self::fetch_plan::{FetchOutcome, FetchPlan, FetchSource, FetchStep};
 pub use self::mirror::{Mirror, MirrorChange, MirrorSnapshot};
+pub use self::missing_changes::MissingChanges;
--- a/lentilcart_state/tests/testsuite/main.rs
+++ b/lentilcart_state/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod lease_times;
 mod members;
 mod mirror;
+mod missing_changes;
 mod owners;
 mod pacer;
 mod parse;
--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -79,7 +79,7 @@
                 }
                 self.fit_bodies(table.limits.body_bytes);
                 self.replace_routes(table);
-                let behind_ms = self.update_behind(MirrorKind::Routes).as_millis();
+                let behind_ms = self.record_caught_up(MirrorKind::Routes).as_millis();
                 log::info!(number = version, revision, behind_ms; "routes in force");
                 metrics::gauge!("lentilcart_routes_number").set(version as f64);
             }
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -1,5 +1,6 @@
 use std::sync::MutexGuard;
 
+use lentilcart_state::MissingChanges;
 use lentilcart_util::Micros;
 
 use super::gateway::{Gateway, MirrorKind};
@@ -16,20 +17,9 @@
     /// changes of the routes, by the gateway's clock.
     routes_confirmed: Option<Micros>,
     /// What other entries have reported, by mirror.
-    behind: [Behind; 3],
-}
-
-/// Changes of a mirror that other entries have reported and this one does not have.
-#[derive(Debug, Default)]
-struct Behind {
-    /// Revision of the change that has been missing for longest. Later ones may come all the time.
-    oldest: u64,
-    /// When that one was reported; `None` if no change is missing.
-    since: Option<Micros>,
-    /// Highest revision of a change that was reported.
-    latest: u64,
-    /// Fetches from other entries that have failed since.
-    failed_fetches: u32,
+    missing: [MissingChanges; 3],
+    /// Fetches from other entries that have failed while a mirror was behind.
+    failed_fetches: [u32; 3],
 }
 
 impl Gateway {
@@ -54,43 +44,35 @@
     pub(crate) fn record_behind(&self, kind: MirrorKind, latest: u64) {
         let now = self.clock.now();
         let own = self.lock_mirror(kind).get_revision();
-        let behind = &mut self.lock_freshness().behind[kind as usize];
-        behind.latest = behind.latest.max(latest);
-        if behind.since.is_none() || own >= behind.oldest {
-            behind.oldest = behind.latest;
-            behind.since = Some(now);
-        }
+        self.lock_freshness().missing[kind as usize].record(now, own, latest);
     }
 
     /// Records that a mirror was not fetched from another entry.
     pub(crate) fn record_failed_fetch(&self, kind: MirrorKind) {
-        self.lock_freshness().behind[kind as usize].failed_fetches += 1;
+        self.lock_freshness().failed_fetches[kind as usize] += 1;
     }
 
-    /// Returns for how long this entry has been behind. Once its mirror has all reported changes, it is no longer.
-    pub(crate) fn update_behind(&self, kind: MirrorKind) -> Micros {
+    /// Records that changes of a mirror have come, and returns for how long it was behind before.
+    pub(crate) fn record_caught_up(&self, kind: MirrorKind) -> Micros {
         let now = self.clock.now();
         let own = self.lock_mirror(kind).get_revision();
-        let behind = &mut self.lock_freshness().behind[kind as usize];
-        let time = behind.since.map_or(Micros::ZERO, |since| now - since);
-        if own >= behind.latest {
-            *behind = Behind::default();
-        }
-        time
+        let mut freshness = self.lock_freshness();
+        freshness.failed_fetches[kind as usize] = 0;
+        freshness.missing[kind as usize].record_caught_up(now, own)
     }
 
     /// Returns for how long this entry has been behind; 0 if its mirror has all reported changes.
     fn get_behind(&self, kind: MirrorKind) -> Micros {
         let now = self.clock.now();
         let own = self.lock_mirror(kind).get_revision();
-        let behind = &self.lock_freshness().behind[kind as usize];
-        let since = behind.since.filter(|_| own < behind.oldest);
-        since.map_or(Micros::ZERO, |since| now - since)
+        self.lock_freshness().missing[kind as usize].get_time(now, own)
     }
 
     /// Records that the store has shown all changes of a mirror; what others have reported beyond them is not there.
     pub(crate) fn record_store_state(&self, kind: MirrorKind) {
-        self.lock_freshness().behind[kind as usize] = Behind::default();
+        let mut freshness = self.lock_freshness();
+        freshness.missing[kind as usize] = MissingChanges::default();
+        freshness.failed_fetches[kind as usize] = 0;
     }
 
     /// Returns whether this entry has to read the changes of a mirror from the store, also if others watch it: these
@@ -109,9 +91,10 @@
             metrics::gauge!("lentilcart_mirror_behind_seconds", "mirror" => kind.as_str())
                 .set(time.as_secs());
             let own = self.lock_mirror(kind).get_revision();
-            let behind = &self.lock_freshness().behind[kind as usize];
+            let freshness = self.lock_freshness();
             if time >= BEHIND_LOG_DELAY {
-                let (latest, failed) = (behind.latest, behind.failed_fetches);
+                let latest = freshness.missing[kind as usize].get_latest();
+                let failed = freshness.failed_fetches[kind as usize];
                 log::warn!(kind:? = kind, own, latest, failed, behind_ms = time.as_millis(); "mirror behind");
             }
         }
