fix(state): begin the services of a divided route at a place of each entry's own

Cause: each entry chose services by the same sequence, from its beginning with each version. The first three places belong to a service of the weight 0.75, and 210 entries get two requests of the route each. The sequence keeps the weights over the requests of one entry, not over one request each of many.

Now each route begins at a place by the entry's name, the version, its host and its prefix. With the place fixed at 0, the new test fails at version 1 with a share of 1.

--- a/lentilcart_state/src/routing/path_route.rs
+++ b/lentilcart_state/src/routing/path_route.rs
@@ -40,7 +40,8 @@
     pub max_attempts: u32,
     /// Services that serve the requests; never empty.
     pub services: Vec<WeightedService>,
-    /// Number of calls of [`PathRoute::pick_service`] so far; starts at 0.
+    /// Place in the sequence by which [`PathRoute::pick_service`] chooses, one further with each call. Entries
+    /// begin at different places; see [`RouteTable::spread_picks`](crate::RouteTable::spread_picks).
     pub pick_count: AtomicU32,
 }
 
--- a/lentilcart_state/src/routing/table.rs
+++ b/lentilcart_state/src/routing/table.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use lentilcart_util::{Map, Micros, Name};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{AccountTable, CallerLimits, PathRoute};
 
@@ -40,6 +42,19 @@
 }
 
 impl RouteTable {
+    /// Lets each route choose services from a place in their sequence that depends on the name of the entry and
+    /// the version, so that all entries together keep the weights, however few requests each of them gets.
+    pub fn spread_picks(&self, entry: &str) {
+        let entry_seed = xxh3_64_with_seed(entry.as_bytes(), self.version);
+        for (host, routes) in &self.hosts {
+            let seed = xxh3_64_with_seed(host.as_bytes(), entry_seed);
+            for (prefix, route) in routes {
+                let place = xxh3_64_with_seed(prefix.as_bytes(), seed) as u32;
+                route.pick_count.store(place, Ordering::Relaxed);
+            }
+        }
+    }
+
     /// Returns the host's route with the longest prefix that matches the path.
     ///
     /// `host` is compared without the last colon and what follows it, the port, and without regard
--- a/lentilcart_state/tests/testsuite/routing.rs
+++ b/lentilcart_state/tests/testsuite/routing.rs
@@ -73,3 +73,27 @@
         assert!((share - expected).abs() < 0.02, "{weights:?} {share}");
     }
 }
+
+/// Guards against many entries with few requests each that all begin with the same service, so that a part of the
+/// weight 0.75 gets nearly all requests of its route.
+#[test]
+fn pick_service_by_weight_across_entries() {
+    const ENTRIES: usize = 210;
+    const REQUESTS: usize = 2;
+    for version in 1..20 {
+        let picks = (0..ENTRIES).flat_map(|entry| {
+            let route = Arc::new(route("/", &[3.0, 1.0]));
+            let routes = [(Name::from("/"), route.clone())].into_iter().collect();
+            let table = RouteTable {
+                version,
+                hosts: [(Name::from("shop.example"), routes)].into_iter().collect(),
+                ..RouteTable::default()
+            };
+            table.spread_picks(&format!("entry-{entry}"));
+            (0..REQUESTS).map(move |_| route.pick_service().clone())
+        });
+        let first = picks.filter(|service| &**service == "s0").count();
+        let share = first as f64 / (ENTRIES * REQUESTS) as f64;
+        assert!((share - 0.75).abs() < 0.1, "version {version}: {share}");
+    }
+}
--- a/src/gateway/changes.rs
+++ b/src/gateway/changes.rs
@@ -78,6 +78,7 @@
                     return;
                 }
                 self.fit_bodies(table.limits.body_bytes);
+                table.spread_picks(&self.settings.load().name);
                 self.replace_routes(table);
                 let behind_ms = self.record_caught_up(MirrorKind::Routes).as_millis();
                 log::info!(number = version, revision, behind_ms; "routes in force");
