feat(gateway): show with each request how old the knowledge of the routes is

Whether a request that is handled by an old version was served by an entry that knew how old its routes are (hypothesis 3), or by one that took them for current (4), could not be told from logs: the age was a gauge only. Now `answered` and `request not served` have `routes_age_ms` beside the version. Not measured: one lock and two fields for each line.

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -144,6 +144,8 @@
     let result = handle_request(&gateway, &routes, request, started, &mut summary).await;
     let elapsed = gateway.clock.now() - started;
     let account = summary.account.as_deref().unwrap_or("none");
+    // That of the knowledge that there are no later routes; -1 if it was never confirmed.
+    let routes_age_ms = gateway.get_routes_age().map_or(-1.0, Micros::as_millis);
     let mut response = match result {
         Ok(mut response) => {
             if is_refusal(response.status()) {
@@ -153,7 +155,7 @@
             record_metrics(&summary, "answered", elapsed);
             log::debug!(
                 request:% = summary.id, route:% = summary.route, service:% = summary.service, account,
-                number = summary.routes_version, took_ms = elapsed.as_millis();
+                number = summary.routes_version, routes_age_ms, took_ms = elapsed.as_millis();
                 "answered"
             );
             response
@@ -196,7 +198,7 @@
             log::info!(
                 request:% = summary.id, route:% = summary.route, service:% = summary.service, account,
                 reason = reply.reason.as_str(), status = reply.reason.get_status().as_u16(),
-                sent = summary.attempts, waiting = summary.queue_len, shed, retry_after_ms = reply.retry_after.map_or(0.0, Micros::as_millis), restricted, evacuated, number = summary.routes_version, took_ms = elapsed.as_millis(),
+                sent = summary.attempts, waiting = summary.queue_len, shed, retry_after_ms = reply.retry_after.map_or(0.0, Micros::as_millis), restricted, evacuated, number = summary.routes_version, routes_age_ms, took_ms = elapsed.as_millis(),
                 detail = reply.detail.as_str();
                 "request not served"
             );
