fix(platform): wait for a reply of the store as long as it goes on arriving

A call to the store failed 600 ms after it was sent, whatever had arrived by then.

Now the head of a reply has that time, the body must go on arriving, with no gap longer than it, and must be complete within 2 s. A reply that stops is given up as soon as before.

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -8,6 +9,7 @@
 use hyper::Request;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::HOST;
+use tokio::time::timeout;
 
 /// Error of any layer that reads or writes a body.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -90,6 +92,53 @@
         })
 }
 
+/// Times within which a body must arrive.
+#[derive(Debug, Clone, Copy)]
+pub struct BodyTimes {
+    /// Longest time without any part of it.
+    pub gap: Duration,
+    /// Longest time in all.
+    pub total: Duration,
+}
+
+/// Reads a body as [`collect_body`] does, if it goes on arriving: a large one may take long on a small link, and one
+/// that stops is given up at once.
+///
+/// # Errors
+///
+/// Fails as [`collect_body`] does, and if the body does not arrive within its `times`.
+pub async fn collect_arriving_body<B>(
+    body: B,
+    max_bytes: usize,
+    times: BodyTimes,
+) -> Result<Bytes, String>
+where
+    B: Body<Data = Bytes>,
+    B::Error: std::fmt::Display,
+{
+    let mut body = pin!(body);
+    let mut read = BytesMut::new();
+    let arrival = async {
+        loop {
+            let frame = timeout(times.gap, body.frame()).await;
+            let frame = frame.map_err(|_| format!("no more of the body within {:?}", times.gap))?;
+            let Some(frame) = frame else {
+                return Ok(());
+            };
+            let Ok(data) = frame.map_err(|error| error.to_string())?.into_data() else {
+                continue;
+            };
+            read.extend_from_slice(&data);
+            if read.len() > max_bytes {
+                return Err(format!("more than {max_bytes} bytes"));
+            }
+        }
+    };
+    let arrived = timeout(times.total, arrival).await;
+    arrived.unwrap_or_else(|_| Err(format!("no whole body within {:?}", times.total)))?;
+    Ok(read.freeze())
+}
+
 /// How a body ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyEnd {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -17,8 +17,8 @@
 mod request_head;
 
 pub use self::body::{
-    BodyEnd, BoxError, HttpBody, NotifyOnEnd, build_get, collect_body, empty_body, full_body,
-    stream_body,
+    BodyEnd, BodyTimes, BoxError, HttpBody, NotifyOnEnd, build_get, collect_arriving_body,
+    collect_body, empty_body, full_body, stream_body,
 };
 pub use self::connect::{ConnectTimeouts, connect};
 pub use self::headers::{
--- a/src/platform/http_platform.rs
+++ b/src/platform/http_platform.rs
@@ -174,7 +174,8 @@
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), String> {
         CallCounters::increment(counter);
-        let result = self.transport.call(method, path, body, timeout).await;
+        let gap = self.timeout;
+        let result = self.transport.call(method, path, body, timeout, gap).await;
         if result.is_err() {
             CallCounters::increment(&self.call_counters.unanswered);
         }
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -34,8 +34,8 @@
 
 /// Creates a client of the store at `address` that connects from the local address `source`.
 ///
-/// Nothing is sent until the first call. A call must be answered within `timeout`, a watch within its
-/// longest wait plus `timeout`.
+/// Nothing is sent until the first call. The answer to a call must begin within `timeout`, that to a watch within its
+/// longest wait plus `timeout`, and go on arriving then.
 #[must_use]
 pub fn create_store_client(
     address: SocketAddr,
@@ -66,6 +66,7 @@
     timeout: Duration,
     call: &StoreCall,
 ) -> Result<StoreReply, String> {
+    let gap = timeout;
     let timeout = match call {
         StoreCall::Watch { max_wait, .. } => timeout + Duration::from(*max_wait),
         _ => timeout,
@@ -73,7 +74,9 @@
     let request = encode_call(call);
     let method = Method::from_bytes(request.method.as_bytes()).map_err(|e| e.to_string())?;
     let body = Bytes::from(request.body);
-    let response = transport.call(method, &request.path, body, timeout).await;
+    let response = transport
+        .call(method, &request.path, body, timeout, gap)
+        .await;
     let result = response.and_then(|(status, body)| {
         decode_reply(call, status.as_u16(), &body).map_err(|e| e.to_string())
     });
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -4,10 +4,12 @@
 use bytes::Bytes;
 use hyper::{Method, Request, StatusCode};
 
-use crate::http::{HttpClient, collect_body, full_body};
+use crate::http::{BodyTimes, HttpClient, collect_arriving_body, full_body};
 
 /// Largest body of a response, in bytes: many times that of a page of a listing, which is about 1 MB.
 const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
+/// Time within which a body that goes on arriving must be complete: 600 KB at a quarter of 10 Mbit/s.
+const MAX_BODY_TIME: Duration = Duration::from_secs(2);
 
 /// Makes HTTP calls to one address of the platform.
 pub(super) struct Transport {
@@ -18,13 +20,15 @@
 impl Transport {
     /// Makes a call and returns the status and the whole body of the response.
     ///
-    /// Fails with the reason if these did not arrive within `timeout`.
+    /// Fails with the reason if the status did not arrive within `timeout`, or no part of the body within `gap`, or not
+    /// all of it within [`MAX_BODY_TIME`].
     pub(super) async fn call(
         &self,
         method: Method,
         path: &str,
         body: Bytes,
         timeout: Duration,
+        gap: Duration,
     ) -> Result<(StatusCode, Bytes), String> {
         let mut request = Request::builder()
             .method(method)
@@ -35,18 +39,19 @@
         }
         let request = request.body(full_body(body)).map_err(|e| e.to_string())?;
         let exchange = async {
-            let response = self
-                .http_client
-                .send(self.address, request)
-                .await
-                .map_err(|e| e.to_string())?;
-            let response = response.into_streamed(|_| ());
+            let sending = self.http_client.send(self.address, request);
+            let response = tokio::time::timeout(timeout, sending).await;
+            let response = response.map_err(|_| format!("no response within {timeout:?}"))?;
+            let response = response.map_err(|e| e.to_string())?.into_streamed(|_| ());
             let status = response.status();
-            let body = collect_body(response.into_body(), MAX_BODY_BYTES).await;
+            let times = BodyTimes {
+                gap,
+                total: MAX_BODY_TIME,
+            };
+            let body = collect_arriving_body(response.into_body(), MAX_BODY_BYTES, times).await;
             Ok((status, body?))
         };
-        let result = tokio::time::timeout(timeout, exchange).await;
-        let result = result.unwrap_or_else(|_| Err(format!("no response within {timeout:?}")));
+        let result: Result<_, String> = exchange.await;
         result.map_err(|reason| format!("platform {}: {reason}", self.address))
     }
 }
