fix(gateway): compress the mirrors that entries fetch from each other

With 1,400 routes more, a change of one route sent 221 KB to each of 209 entries (46 MB in all): 177 ms of a link of 10 Mbit/s, 0.7 s of the quarter that an entry may serve.

An entry that accepts it now gets mirrors compressed (gzip, by flate2, which was in the tree already), from the last body that its peer has compressed. What a mirror unpacks to is bounded like its size; a fetch waits as long as its body goes on arriving, and no longer than 2 s. Entries of earlier versions ask for no encoding and get none, and ignore the header of others.

--- a/src/gateway/catch_up.rs
+++ b/src/gateway/catch_up.rs
@@ -5,26 +5,32 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use hyper::StatusCode;
-use hyper::header::HeaderValue;
+use hyper::header::{ACCEPT_ENCODING, CONTENT_ENCODING, HeaderValue};
 use lentilcart_state::{
     DEFAULT_WEIGHT, FetchOutcome, FetchPlan, FetchSource, FetchStep, MirrorSnapshot,
 };
 use lentilcart_util::{Micros, Name};
 use tokio::time::timeout;
 
+use super::compression::{ENCODING, decompress};
 use super::datagram::GatewayHeartbeat;
 use super::gateway::{Gateway, MirrorKind};
 use super::mirror::sleep_unless_stopped;
 use super::mirror_server::GAPS_HEADER;
-use crate::http::{build_get, collect_body};
+use crate::http::{BodyTimes, build_get, collect_arriving_body, get_header_text};
 
 /// Delay before a mirror is fetched from another entry, in which this entry's own watch, or an entry of
 /// its data centre, may bring the same changes.
 const CATCH_UP_DELAY: Micros = Micros::from_millis(150);
 /// Largest snapshot of a mirror that is fetched, in bytes.
 const MAX_MIRROR_BYTES: usize = 32 * 1024 * 1024;
-/// Timeout for fetching the mirror of another entry.
+/// Time within which the answer to a fetch must begin.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Times within which its body must arrive.
+const FETCH_BODY_TIMES: BodyTimes = BodyTimes {
+    gap: Duration::from_millis(500),
+    total: Duration::from_secs(2),
+};
 /// Interval at which the next step is looked for while fetches are in flight or peers are passed over.
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -161,9 +167,8 @@
             FetchStep::Done => return,
             FetchStep::Wait => {}
             FetchStep::Fetch(source) => in_flight.push(async move {
-                let fetched = timeout(FETCH_TIMEOUT, fetch_mirror(gateway, kind, source.address));
-                let late = Err(FetchError::Failed("no answer in time".to_owned()));
-                (source, fetched.await.unwrap_or(late))
+                let fetched = fetch_mirror(gateway, kind, source.address).await;
+                (source, fetched)
             }),
         }
         tokio::select! {
@@ -182,16 +187,27 @@
 ) -> Result<MirrorSnapshot, FetchError> {
     let after = gateway.lock_mirror(kind).get_revision();
     let mut request = build_get(peer, &format!("/mirror/{}?{after}", kind as usize))?;
-    request
-        .headers_mut()
-        .insert(GAPS_HEADER, HeaderValue::from_static("1"));
-    let received = gateway.peer_client.send(peer, request).await;
+    let headers = request.headers_mut();
+    headers.insert(GAPS_HEADER, HeaderValue::from_static("1"));
+    headers.insert(ACCEPT_ENCODING, HeaderValue::from_static(ENCODING));
+    let received = timeout(FETCH_TIMEOUT, gateway.peer_client.send(peer, request)).await;
+    let received = received.map_err(|_| "no answer in time".to_owned())?;
     let response = received.map_err(|e| e.to_string())?.into_streamed(|_| ());
     match response.status() {
         StatusCode::OK => {}
         StatusCode::SERVICE_UNAVAILABLE => return Err(FetchError::Busy),
         status => return Err(format!("status {status}").into()),
     }
-    let body = collect_body(response.into_body(), MAX_MIRROR_BYTES).await?;
+    let encoding = get_header_text(response.headers(), CONTENT_ENCODING.as_str());
+    let is_compressed = match encoding {
+        None => false,
+        Some(ENCODING) => true,
+        Some(other) => return Err(format!("unknown encoding {other:?}").into()),
+    };
+    let body = response.into_body();
+    let mut body = collect_arriving_body(body, MAX_MIRROR_BYTES, FETCH_BODY_TIMES).await?;
+    if is_compressed {
+        body = decompress(&body, MAX_MIRROR_BYTES)?.into();
+    }
     ciborium::from_reader(&body[..]).map_err(|e| e.to_string().into())
 }
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -16,6 +16,7 @@
 
 use super::account_limits::AccountLimits;
 use super::body_memory::BodyMemory;
+use super::compression::Compressor;
 use super::datagram::{Datagram, GatewayHeartbeat, LoadUpdate};
 use super::drain::DrainSchedule;
 use super::error_reply::ErrorReason;
@@ -171,6 +172,8 @@
     pub(super) freshness: Mutex<Freshness>,
     pub(super) served_mirrors: Mutex<ServedMirrors>,
     pub(super) serve_budget: Mutex<ServeBudget>,
+    /// Compresses the mirrors that are served, one for each.
+    pub(super) compressors: [Mutex<Compressor>; 3],
     /// Identifier of the next attempt. It starts from the random seed, so that the identifiers of a
     /// restarted entry differ from those that it used before.
     next_id: AtomicU64,
@@ -245,6 +248,7 @@
             store_contact: Mutex::default(),
             freshness: Mutex::default(),
             served_mirrors: Mutex::default(),
+            compressors: Default::default(),
             serve_budget: Mutex::new(ServeBudget::new(
                 settings.limits.get_link_bytes(),
                 clock.now(),
--- a/src/gateway/mirror_server.rs
+++ b/src/gateway/mirror_server.rs
@@ -1,15 +1,18 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, MutexGuard};
 
+use bytes::Bytes;
 use hyper::body::Incoming;
+use hyper::header::{ACCEPT_ENCODING, CONTENT_ENCODING, HeaderMap};
 use hyper::{Request, Response, StatusCode};
 use lentilcart_route::TokenBucket;
 use lentilcart_util::Micros;
 
+use super::compression::ENCODING;
 use super::datagram::encode;
 use super::gateway::{Gateway, MirrorKind};
 use super::remote_bytes::{RemoteTraffic, count_remote_bytes};
-use crate::http::{HttpBody, full_body};
+use crate::http::{HttpBody, full_body, get_header_text};
 
 /// Header of requests for a mirror from entries that know of gaps in its removals.
 pub(crate) const GAPS_HEADER: &str = "lentilcart-gaps";
@@ -94,6 +97,13 @@
         may_serve
     }
 
+    fn compress_mirror(&self, kind: MirrorKind, body: &Bytes) -> Option<Bytes> {
+        let mut compressor = self.compressors[kind as usize]
+            .lock()
+            .expect("no panic under lock");
+        compressor.compress(body)
+    }
+
     fn record_served_mirror(&self, kind: MirrorKind, is_complete: bool, bytes: usize) {
         let content = if is_complete { "complete" } else { "changes" };
         metrics::counter!(
@@ -112,8 +122,8 @@
 /// Serves snapshots of this entry's mirrors to other entries.
 ///
 /// The path is `/mirror/{index}?{after}`: the index of the mirror in [`MirrorKind::ALL`], and the
-/// revision after which changes are wanted. Without a valid revision it is 0, that is, all items. The status is 503
-/// if the link of this entry has no room for more.
+/// revision after which changes are wanted. Without a valid revision it is 0, that is, all items. The snapshot is
+/// compressed if the request accepts that. The status is 503 if the link of this entry has no room for more.
 pub(crate) async fn serve_peer(
     gateway: Arc<Gateway>,
     remote: SocketAddr,
@@ -124,9 +134,10 @@
     let kind = number.and_then(|number| MirrorKind::ALL.get(number));
     let after = request.uri().query().and_then(|after| after.parse().ok());
     let after: u64 = after.unwrap_or_default();
+    let mut builder = Response::builder();
     let (status, body) = match kind {
         Some(kind) if !gateway.may_serve_mirror(*kind) => {
-            (StatusCode::SERVICE_UNAVAILABLE, b"busy\n".to_vec())
+            (StatusCode::SERVICE_UNAVAILABLE, Bytes::from("busy\n"))
         }
         Some(kind) => {
             let knows_gaps = request.headers().contains_key(GAPS_HEADER);
@@ -138,18 +149,30 @@
                     mirror.get_snapshot_without_gaps(after)
                 }
             };
-            let body = encode(&snapshot);
+            let mut body = Bytes::from(encode(&snapshot));
+            if accepts_compression(request.headers())
+                && let Some(compressed) = gateway.compress_mirror(*kind, &body)
+            {
+                body = compressed;
+                builder = builder.header(CONTENT_ENCODING, ENCODING);
+            }
             gateway.record_served_mirror(*kind, snapshot.removals.is_none(), body.len());
             (StatusCode::OK, body)
         }
         None => (
             StatusCode::NOT_FOUND,
-            b"known paths: /mirror/0 to /mirror/2\n".to_vec(),
+            Bytes::from("known paths: /mirror/0 to /mirror/2\n"),
         ),
     };
     if gateway.is_remote_entry(remote.ip()) {
         count_remote_bytes(RemoteTraffic::Mirrors, body.len());
     }
-    let builder = Response::builder().status(status);
-    builder.body(full_body(body)).expect("the parts are valid")
+    let response = builder.status(status).body(full_body(body));
+    response.expect("the parts are valid")
+}
+
+/// Returns whether the sender of a request can read a compressed response.
+fn accepts_compression(headers: &HeaderMap) -> bool {
+    let accepted = get_header_text(headers, ACCEPT_ENCODING.as_str()).unwrap_or_default();
+    accepted.split(',').any(|name| name.trim() == ENCODING)
 }
