fix(gateway): bound the age of the routes that an entry serves by

Cause, as a class: an entry served by what it had however old it knew that to be, so that each path by which a change may be late was a case of its own. Ages were measured, went out every 0.9 s from watchers only, counted from when a reply or a heartbeat was read, and nothing acted on them.

Now each entry knows an upper bound of the age of its knowledge, and acts on it alone: the entries ask the store in the order of the watchers, each at an age of its own, the strongest first; whoever gets an answer tells the others; an entry that knows of a change which it has not got for nine tenths of the bound (store.apply, from the platform's settings) rejects requests and is not ready. Ages count from when a call was sent, and from when the socket was last empty. Every heartbeat names one.

--- a/lentilcart_state/src/lib.rs
+++ b/lentilcart_state/src/lib.rs
@@ -54,8 +54,9 @@
     get_renewal_interval, get_weight, rendezvous_rank, weighted_rank,
 };
 pub use self::mirror::{
-    FetchOutcome, FetchPlan, FetchSource, FetchStep, Mirror, MirrorChange, MirrorSnapshot,
-    MissingChanges, Precondition, StoreCall, StoreEvent, StoreItem, StorePut, StoreReply,
+    FetchOutcome, FetchPlan, FetchSource, FetchStep, Freshness, FreshnessLimits, FreshnessStage,
+    Mirror, MirrorChange, MirrorSnapshot, MissingChanges, Precondition, StoreCall, StoreEvent,
+    StoreItem, StorePut, StoreReply,
 };
 pub use self::parse::parse_ticket;
 pub use self::platform::{KvReply, KvRequest, VersionedValue};
--- a/lentilcart_state/src/member/member_table.rs
+++ b/lentilcart_state/src/member/member_table.rs
@@ -225,6 +225,21 @@
         weighted_rank(key, names.map(|name| (name, get_weight(name))), count)
     }
 
+    /// Returns some entries in the order in which they take on a duty of one of them for all: those of the largest
+    /// weight first, and among equals as they rank for a key.
+    pub fn rank_strongest<'a>(
+        &self,
+        key: &str,
+        names: impl Iterator<Item = &'a Name>,
+    ) -> Vec<&'a Name> {
+        let mut ranked = rendezvous_rank(key, names, usize::MAX);
+        ranked.sort_by_key(|name| {
+            let weight = self.members.get(*name).map_or(DEFAULT_WEIGHT, |m| m.weight);
+            std::cmp::Reverse(weight)
+        });
+        ranked
+    }
+
     /// Returns the number of entries of a data centre that are listed or were heard.
     #[must_use]
     pub fn get_count(&self, data_center: &Name) -> usize {
--- a/lentilcart_state/src/mirror/missing_changes.rs
+++ b/lentilcart_state/src/mirror/missing_changes.rs
@@ -34,6 +34,14 @@
         self.latest
     }
 
+    /// Records that a mirror had all changes at a time, so that what had been reported until then and is not there
+    /// does not exist.
+    pub fn record_complete(&mut self, at: Micros) {
+        if self.oldest.is_some_and(|(_, since)| since <= at) {
+            *self = Self::default();
+        }
+    }
+
     /// Takes over a mirror at `revision`, and returns for how long it had lacked a change before.
     pub fn record_caught_up(&mut self, now: Micros, revision: u64) -> Micros {
         let time = self.oldest.map_or(Micros::ZERO, |(_, since)| now - since);
--- a/lentilcart_state/tests/testsuite/main.rs
+++ b/lentilcart_state/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod earlier_mirror;
 mod evacuations;
 mod fetch_plan;
+mod freshness;
 mod kv_service;
 mod lease_times;
 mod members;
--- a/src/gateway/compression.rs
+++ b/src/gateway/compression.rs
@@ -12,6 +12,11 @@
 /// Size below which compression saves no packet, in bytes.
 const MIN_BYTES: usize = 1024;
 
+/// Largest factor by which a large body may grow when it is unpacked: several times that of a configuration.
+const MAX_RATIO: usize = 200;
+/// Size to which any body may grow, in bytes.
+const SMALL_BYTES: usize = 1 << 20;
+
 /// Compresses bodies, and remembers the last one: after a change, many entries fetch the same.
 #[derive(Debug, Default)]
 pub(crate) struct Compressor {
@@ -41,8 +46,10 @@
 ///
 /// # Errors
 ///
-/// Fails with the reason if the body is malformed or unpacks to more than `max_bytes` bytes.
+/// Fails with the reason if the body is malformed, unpacks to more than `max_bytes` bytes, or grows by more than
+/// [`MAX_RATIO`].
 pub(super) fn decompress(body: &[u8], max_bytes: usize) -> Result<Vec<u8>, String> {
+    let max_bytes = max_bytes.min(SMALL_BYTES.max(body.len() * MAX_RATIO));
     let mut plain = Vec::new();
     let mut decoder = GzDecoder::new(body).take(max_bytes as u64 + 1);
     let unpacked = decoder.read_to_end(&mut plain);
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -48,8 +48,8 @@
         /// did not see itself.
         #[serde(rename = "content", default, skip_serializing_if = "Option::is_none")]
         pub(crate) servers_content: Option<(u64, u64)>,
-        /// Time since the entry is known to have had all changes of the routes. Only watchers send it, with
-        /// `servers_content`.
+        /// Time since the entry is known to have had all changes of the routes; `None` in registrations, and if that
+        /// was never known. Only watchers of an earlier version send it, with `servers_content`.
         #[serde(rename = "age", default, skip_serializing_if = "Option::is_none")]
         pub(crate) routes_age: Option<Micros>,
         /// In a registration: identifier and duration of its lease. An entry that starts again soon
--- a/src/gateway/error_reply.rs
+++ b/src/gateway/error_reply.rs
@@ -20,8 +20,8 @@
         NoRoutes,
         /// No route in force matches.
         UnknownRoute,
-        /// No route in force matches, or the key is not in force, and a live entry has newer routes that this
-        /// one has yet to get.
+        /// A live entry has newer routes that this one has yet to get, and no route in force matches, or the key is
+        /// not in force, or those in force have expired.
         RoutesBehind,
         /// The route is not public, and the key of a client account is missing, malformed or not in force.
         UnknownKey,
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 
 use arc_swap::ArcSwap;
+use futures::FutureExt;
 use lentilcart_state::{
     EvacuationTable, FetchPlan, LagGauge, Member, MemberTable, Mirror, PacerLease, RouteTable,
     ServerDirectory, get_weight,
@@ -20,7 +21,7 @@
 use super::datagram::{Datagram, GatewayHeartbeat, LoadUpdate};
 use super::drain::DrainSchedule;
 use super::error_reply::ErrorReason;
-use super::freshness::Freshness;
+use super::freshness::MirrorFreshness;
 use super::mirror_server::{ServeBudget, ServedMirrors};
 use super::permit_table::PermitTable;
 use super::store_contact::{LatestWatcher, StoreContact};
@@ -169,7 +170,9 @@
     /// From which entries each mirror is fetched while it is behind.
     pub(super) fetch_plans: [Mutex<FetchPlan>; 3],
     pub(super) store_contact: Mutex<StoreContact>,
-    pub(super) freshness: Mutex<Freshness>,
+    pub(super) freshness: Mutex<MirrorFreshness>,
+    /// Time by the gateway's clock, in microseconds, at which the socket had no datagram to be read.
+    socket_drained: AtomicU64,
     pub(super) served_mirrors: Mutex<ServedMirrors>,
     pub(super) serve_budget: Mutex<ServeBudget>,
     /// Compresses the mirrors that are served, one for each.
@@ -246,7 +249,8 @@
             latest_watcher: Mutex::default(),
             fetch_plans: MirrorKind::ALL.map(|_| Mutex::new(FetchPlan::new(settings.name.clone()))),
             store_contact: Mutex::default(),
-            freshness: Mutex::default(),
+            freshness: Mutex::new(MirrorFreshness::new(clock.now())),
+            socket_drained: AtomicU64::new(0),
             served_mirrors: Mutex::default(),
             compressors: Default::default(),
             serve_budget: Mutex::new(ServeBudget::new(
@@ -307,11 +311,14 @@
         self.trigger_heartbeat();
     }
 
-    /// Returns whether this entry should get new connections: it is not leaving, and has routes and
-    /// servers.
+    /// Returns whether this entry should get new connections: it is not leaving, and has servers and routes that
+    /// have not expired.
     pub(crate) fn is_ready(&self) -> bool {
         let routes = self.get_active_routes();
-        !self.is_leaving() && routes.table.version > 0 && !self.lock_directory().is_empty()
+        !self.is_leaving()
+            && routes.table.version > 0
+            && !self.lock_directory().is_empty()
+            && !self.is_expired()
     }
 
     /// Makes the next heartbeat due at once.
@@ -335,6 +342,21 @@
         }
     }
 
+    /// Records the time if the socket has no datagram to be read. It must be called by a task that a timer has woken:
+    /// the runtime has looked at the socket then as well.
+    pub(crate) fn record_drained_socket(&self) {
+        if self.socket.readable().now_or_never().is_none() {
+            self.socket_drained
+                .store(self.clock.now().0, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns a time by the gateway's clock after which a datagram that is read now has arrived, however long this
+    /// process has not read any.
+    pub(crate) fn get_earliest_arrival(&self) -> Micros {
+        Micros(self.socket_drained.load(Ordering::Relaxed))
+    }
+
     pub(crate) fn lock_directory(&self) -> MutexGuard<'_, ServerDirectory> {
         self.directory.lock().expect("no panic under lock")
     }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -48,6 +48,8 @@
     }
     let mut is_first_listing = true;
     let mut is_listing_again = false;
+    // When the first page of the listing in progress was asked for.
+    let mut listing_sent = Micros::ZERO;
     loop {
         // Unless this entry has to watch, one listing is enough: later changes come from other entries, or from
         // the store where these do not answer.
@@ -80,7 +82,9 @@
         let call = gateway.lock_mirror(kind).next_call(max_wait);
         let name = call.as_str();
         let sent = gateway.clock.now();
-        let is_watch = matches!(call, StoreCall::Watch { .. });
+        if !matches!(&call, StoreCall::List { after: Some(_), .. }) {
+            listing_sent = sent;
+        }
         let result = tokio::select! {
             () = gateway.stop.cancelled() => return,
             () = gateway.relist.notified() => {
@@ -90,9 +94,9 @@
             result = call_store(&gateway, kind, call, &mut listing_size) => result,
         };
         match result {
-            Ok(reply) => {
-                let confirmed = if is_watch { gateway.clock.now() } else { sent };
-                record_reply(&gateway, kind, reply, confirmed);
+            Ok((reply, confirmed_sent)) => {
+                let sent = confirmed_sent.unwrap_or(listing_sent);
+                record_reply(&gateway, kind, reply, sent);
                 // Several servers or entries often come or go at a time.
                 let is_watching = gateway.lock_mirror(kind).is_watching();
                 // A listing may still turn out to be endless.
@@ -127,8 +131,9 @@
     }
 }
 
-/// Applies the reply of the store to a call of a mirror; `confirmed` is the time whose state it shows.
-fn record_reply(gateway: &Gateway, kind: MirrorKind, reply: StoreReply, confirmed: Micros) {
+/// Applies the reply of the store to a call of a mirror, which was sent at a time. The reply to a watch may have been
+/// on its way for long, so that only the state when it was sent is known to be complete.
+fn record_reply(gateway: &Gateway, kind: MirrorKind, reply: StoreReply, sent: Micros) {
     gateway.record_store_reply();
     if let (MirrorKind::Routes, StoreReply::Page { revision, .. }) = (kind, &reply) {
         let revision = *revision;
@@ -144,9 +149,9 @@
     };
     gateway.apply_changes(kind, changes, false);
     if is_watching {
-        gateway.record_store_state(kind);
+        gateway.record_store_state(kind, sent);
         if kind == MirrorKind::Routes {
-            gateway.record_routes_confirmed(confirmed);
+            gateway.record_routes_confirmed(sent);
         }
     }
 }
@@ -240,13 +245,13 @@
 }
 
 /// Makes a call to the store; a watch is confirmed while it waits. A listing that is too large is begun anew,
-/// and the call fails.
+/// and the call fails. Returns the reply and, if it is one to a confirmation, when that was sent.
 async fn call_store(
     gateway: &Gateway,
     kind: MirrorKind,
     call: StoreCall,
     listing_size: &mut ListingSize,
-) -> Result<StoreReply, String> {
+) -> Result<(StoreReply, Option<Micros>), String> {
     if let StoreCall::Watch { .. } = &call {
         return confirm_watch(gateway, kind, (gateway.store.call)(call)).await;
     }
@@ -255,24 +260,26 @@
         gateway.lock_mirror(kind).restart_listing();
         return Err(reason);
     }
-    Ok(reply)
+    Ok((reply, None))
 }
 
 /// Waits for the reply to a watch, and confirms it meanwhile by watches that do not wait: if one of them has
-/// changes, the reply to the first has been lost, and the changes are returned in its place.
+/// changes, the reply to the first has been lost, and the changes are returned in its place, with the time at which the
+/// confirmation was sent.
 async fn confirm_watch(
     gateway: &Gateway,
     kind: MirrorKind,
     mut watch: BoxFuture<'static, Result<StoreReply, String>>,
-) -> Result<StoreReply, String> {
+) -> Result<(StoreReply, Option<Micros>), String> {
     loop {
         tokio::select! {
-            result = &mut watch => return result,
+            result = &mut watch => return result.map(|reply| (reply, None)),
             () = wait_for_confirmation(gateway, kind) => {}
         }
-        // The changes may be on their way.
-        if let Ok(result) = timeout(REPLY_DELAY, &mut watch).await {
-            return result;
+        // The changes may be on their way, unless it is only time for a confirmation.
+        let is_regular = kind == MirrorKind::Routes && gateway.has_to_confirm_routes();
+        if !is_regular && let Ok(result) = timeout(REPLY_DELAY, &mut watch).await {
+            return result.map(|reply| (reply, None));
         }
         let confirmation = gateway.lock_mirror(kind).next_call(CONFIRMATION_WAIT);
         let sent = gateway.clock.now();
@@ -282,7 +289,7 @@
             StoreReply::Events { events, revision } if events.is_empty() => {
                 let reply = StoreReply::Events { events, revision };
                 gateway.lock_mirror(kind).record_reply(reply);
-                gateway.record_store_state(kind);
+                gateway.record_store_state(kind, sent);
                 if kind == MirrorKind::Routes {
                     gateway.record_routes_confirmed(sent);
                     gateway.store_revision.send_replace(revision);
@@ -290,26 +297,17 @@
             }
             reply => {
                 log::warn!(prefix = kind.get_prefix(); "reply to a watch lost");
-                return Ok(reply);
+                return Ok((reply, Some(sent)));
             }
         }
     }
 }
 
-/// Waits until a watch that waits has to be confirmed by this entry: that of the routes at an interval, the
-/// others when the store is ahead of their mirror.
+/// Waits until a watch that waits has to be confirmed by this entry: that of the routes when the knowledge of them is
+/// too old, the others when the store is ahead of their mirror.
 async fn wait_for_confirmation(gateway: &Gateway, kind: MirrorKind) {
     match kind {
-        MirrorKind::Routes => loop {
-            let interval = gateway.settings.load().store.confirm_interval;
-            tokio::select! {
-                () = tokio::time::sleep(interval.into()) => {}
-                () = wait_until_behind(gateway, kind) => return,
-            }
-            if gateway.is_confirming_watcher() {
-                return;
-            }
-        },
+        MirrorKind::Routes => wait_until_behind(gateway, kind).await,
         kind => {
             let mut revision = gateway.store_revision.subscribe();
             let is_ahead = |revision: &u64| *revision > gateway.lock_mirror(kind).get_revision();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -16,9 +16,9 @@
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 /// Largest number of entries found in an interval of the housekeeping that are logged one by one.
 const MAX_PEER_LINES: usize = 4;
-/// Interval at which a watcher's heartbeat goes to all entries if nothing has changed and another one watches
-/// too: every second one. Three watchers send each to all entries of other data centres, 157 at deployment N.
-const FULL_INTERVAL: Micros = Micros::from_millis(900);
+/// Interval at which a watcher's heartbeat goes to all entries if nothing has changed, the store has not confirmed the
+/// routes to it, and another one watches too. Three watchers send each to all entries of other data centres.
+const FULL_INTERVAL: Micros = Micros::from_millis(1100);
 
 /// Sends heartbeats to the other entries, at a fixed interval and whenever one is due.
 pub(crate) async fn send_heartbeats(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
@@ -27,6 +27,7 @@
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut changed = gateway.heartbeat_due.subscribe();
     let mut last_full = None;
+    let mut announced = None;
     loop {
         tokio::select! {
             () = gateway.stop.cancelled() => break,
@@ -39,8 +40,10 @@
         let is_due = last_full
             .as_ref()
             .is_none_or(|(sent, before)| now - *sent >= FULL_INTERVAL || *before != heartbeat);
-        let is_full = is_due || !gateway.has_other_watcher();
+        let confirmed = gateway.get_own_confirmation();
+        let is_full = is_due || confirmed > announced || !gateway.has_other_watcher();
         if is_full {
+            announced = confirmed;
             last_full = Some((now, heartbeat.clone()));
         }
         send_heartbeat(&gateway, &socket, heartbeat, is_full).await;
@@ -51,7 +54,8 @@
 
 /// Sends a heartbeat to the entries of this entry's data centre, or to all entries if this one watches
 /// the store on their behalf and `is_full` is true; also to the other watchers, and to the seeds while no
-/// other entry is known. A full heartbeat of a watcher says what its mirror of the servers holds.
+/// other entry is known. A full heartbeat of a watcher says what its mirror of the servers holds, and each one how old
+/// the knowledge of the routes is.
 async fn send_heartbeat(
     gateway: &Gateway,
     socket: &UdpSocket,
@@ -63,8 +67,8 @@
         let content = (mirror.get_revision(), mirror.get_digest());
         let has_all = content.0 > 0 && mirror.is_settled();
         heartbeat.servers_content = has_all.then_some(content);
-        heartbeat.routes_age = gateway.get_routes_age();
     }
+    heartbeat.routes_age = gateway.get_routes_age();
     let mut peers = match heartbeat.watching {
         true if is_full => get_peers(gateway, usize::MAX),
         true => [get_peers(gateway, 0), gateway.get_remote_watchers()].concat(),
@@ -224,11 +228,10 @@
         }
     }
     let latest = heartbeat.latest_revisions[MirrorKind::Routes as usize];
-    let routes_age = heartbeat.routes_age.filter(|_| heartbeat.watching);
-    if let Some(age) = routes_age
+    if let Some(age) = heartbeat.routes_age
         && latest <= gateway.lock_mirror(MirrorKind::Routes).get_revision()
     {
-        gateway.record_routes_confirmed(now - age);
+        gateway.record_relayed_confirmation(gateway.get_earliest_arrival() - age);
     }
 }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -39,7 +39,8 @@
 /// Maximum time until a rejected caller may retry.
 const MAX_RETRY_AFTER: Micros = Micros::from_millis(250);
 /// Minimum time until a retry if another attempt may succeed at once: after [`ErrorReason::NotRun`],
-/// [`ErrorReason::NoBudget`], [`ErrorReason::Unreachable`] and [`ErrorReason::Stopping`]. Less if [`RETRY_AFTER_SHARE`] of the
+/// [`ErrorReason::NoBudget`], [`ErrorReason::Unreachable`], [`ErrorReason::Stopping`] and
+/// [`ErrorReason::RoutesBehind`]. Less if [`RETRY_AFTER_SHARE`] of the
 /// remaining time is less.
 const MIN_QUICK_RETRY_AFTER: Micros = Micros::from_millis(2);
 /// Maximum time until a retry in that case.
@@ -282,7 +283,8 @@
         ErrorReason::NotRun
         | ErrorReason::NoBudget
         | ErrorReason::Unreachable
-        | ErrorReason::Stopping => (MIN_QUICK_RETRY_AFTER, MAX_QUICK_RETRY_AFTER),
+        | ErrorReason::Stopping
+        | ErrorReason::RoutesBehind => (MIN_QUICK_RETRY_AFTER, MAX_QUICK_RETRY_AFTER),
         _ => (MIN_RETRY_AFTER, MAX_RETRY_AFTER),
     };
     let longest = remaining.scaled(RETRY_AFTER_SHARE).min(longest);
@@ -318,6 +320,9 @@
     let host = get_host(&request);
     let route = match routes.table.find_route(&host, request.uri().path()) {
         _ if routes.table.version == 0 => return Err(ErrorReply::new(ErrorReason::NoRoutes, "")),
+        _ if gateway.is_expired() => {
+            return Err(ErrorReply::new(ErrorReason::RoutesBehind, "expired"));
+        }
         Some(route) => route.clone(),
         None => {
             let reason = gateway.get_missing_reason(routes, ErrorReason::UnknownRoute);
--- a/src/gateway/store_contact.rs
+++ b/src/gateway/store_contact.rs
@@ -169,25 +169,26 @@
             .collect()
     }
 
-    /// Returns this entry's rank, from 0, in the rendezvous order in which entries watch the store: the
-    /// first ones do, and the others step in, one after the other, while no watcher sends heartbeats.
-    /// Entries of an earlier version have no place in it, since they do not watch all keys of the operator.
-    pub(crate) fn get_watch_rank(&self) -> usize {
+    /// Returns this entry's rank, from 0, in the order in which entries watch the store, and the number of entries
+    /// in it: the first ones do, and the others step in, one after the other, while no watcher sends heartbeats.
+    /// Strong entries come first, as their links and cores take the least time for a large change. Entries of an
+    /// earlier version have no place in it, since they do not watch all keys of the operator.
+    pub(crate) fn get_watch_rank(&self) -> (usize, usize) {
         let members = self.lock_members();
         let earlier = self.lock_earlier_entries();
         let names = members.iter().map(|(name, _)| name);
         let names = names.filter(|name| !earlier.contains(*name));
-        let ranked = members.rank("watch", names, usize::MAX);
+        let ranked = members.rank_strongest("watch", names);
         let own = ranked
             .iter()
             .position(|name| *name == members.get_own_name());
-        own.unwrap_or(0)
+        (own.unwrap_or(0), ranked.len())
     }
 
     /// Returns whether this entry is one of the [`PREFERRED_WATCHERS`] preferred watchers, the first in
-    /// the rendezvous order.
+    /// the order.
     pub(crate) fn is_preferred_watcher(&self) -> bool {
-        self.get_watch_rank() < PREFERRED_WATCHERS
+        self.get_watch_rank().0 < PREFERRED_WATCHERS
     }
 
     /// Returns whether this entry has to watch the store itself now: always if it is a preferred
@@ -198,7 +199,7 @@
         if now < START_WATCH_DELAY {
             return false;
         }
-        let rank = self.get_watch_rank();
+        let (rank, _) = self.get_watch_rank();
         if rank < PREFERRED_WATCHERS {
             return true;
         }
@@ -214,23 +215,6 @@
         now - watcher.updated > timeout + takeover_delay
     }
 
-    /// Returns whether this entry confirms the watches: it is the first in the rendezvous order that the
-    /// store answers, as far as the heartbeats of the others say. Changes that it finds reach the others
-    /// with its next heartbeat.
-    pub(crate) fn is_confirming_watcher(&self) -> bool {
-        let now = self.clock.now();
-        let members = self.lock_members();
-        let watchers = self.latest_watcher.lock().expect("no panic under lock");
-        let earlier = self.lock_earlier_entries();
-        let names = members.iter().map(|(name, _)| name);
-        let names = names.filter(|name| !earlier.contains(*name));
-        let ranked = members.rank("watch", names, usize::MAX);
-        let first = ranked
-            .into_iter()
-            .find(|name| *name == members.get_own_name() || watchers.is_answering(name, now));
-        first == Some(members.get_own_name())
-    }
-
     /// Returns whether the last call to the store failed. Unlike [`Self::is_store_reachable`], it does
     /// not consider how old the last reply is.
     pub(crate) fn has_last_store_call_failed(&self) -> bool {
--- a/src/gateway/tick.rs
+++ b/src/gateway/tick.rs
@@ -49,6 +49,7 @@
             () = gateway.stop.cancelled() => return,
             () = tokio::time::sleep(interval) => {}
         }
+        gateway.record_drained_socket();
         let gap = last_tick.elapsed();
         last_tick = Instant::now();
         record_lag(&gateway, gap.saturating_sub(interval));
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -18,6 +18,9 @@
 const MAX_DEFAULT_BODIES: u64 = 256 << 20;
 /// Smallest memory for bodies that may be set, in bytes.
 const MIN_BODIES: u64 = 1 << 20;
+/// Smallest time within which changes can be required to be in force: several calls to the store, and what entries tell
+/// each other between them.
+const MIN_APPLY_BOUND: Micros = Micros::from_millis(500);
 /// Memory that the process may use if neither the settings nor the system name any, in bytes.
 const DEFAULT_MEMORY: u64 = 512 << 20;
 
@@ -127,10 +130,15 @@
     #[serde_as(as = "DurationText")]
     #[serde(rename = "watch", default = "default_watch_timeout")]
     pub watch_timeout: Micros,
+    /// Time within which a change of the operator's keys must be in force at every entry. An entry that has not
+    /// got a change for nine tenths of it rejects requests until it has.
+    #[serde_as(as = "DurationText")]
+    #[serde(rename = "apply", default = "default_apply_bound")]
+    pub apply_bound: Micros,
     /// Time between two confirmations of a waiting watch of the routes, by a call that does not wait: the
     /// reply to the watch may have been lost, which its connection does not show. The watches of servers
     /// and entries are confirmed whenever that shows a newer revision of the store. One of the watching
-    /// entries does it for all.
+    /// entries does it for all, at least as often as `apply` requires.
     #[serde_as(as = "DurationText")]
     #[serde(rename = "confirm", default = "default_confirm_interval")]
     pub confirm_interval: Micros,
@@ -144,6 +152,35 @@
     pub renew_interval: Micros,
 }
 
+impl StoreSettings {
+    /// Returns whether each rule on these settings is broken, and its message.
+    fn get_rules(&self) -> Vec<(bool, String)> {
+        let (lease, renew) = (self.lease_ttl, self.renew_interval);
+        vec![
+            (
+                lease < renew + renew,
+                format!(
+                    "store.lease = {:?}: expected at least twice store.renew ({:?})",
+                    DurationText::format(lease),
+                    DurationText::format(renew)
+                ),
+            ),
+            (
+                self.confirm_interval == Micros::ZERO,
+                "store.confirm = \"0ms\": expected a time above 0".to_owned(),
+            ),
+            (
+                self.apply_bound < MIN_APPLY_BOUND,
+                format!(
+                    "store.apply = {:?}: expected at least {:?}",
+                    DurationText::format(self.apply_bound),
+                    DurationText::format(MIN_APPLY_BOUND)
+                ),
+            ),
+        ]
+    }
+}
+
 const fn default_timeout() -> Micros {
     Micros::from_millis(600)
 }
@@ -152,6 +189,10 @@
     Micros::from_millis(25_000)
 }
 
+const fn default_apply_bound() -> Micros {
+    Micros::from_millis(2000)
+}
+
 const fn default_confirm_interval() -> Micros {
     Micros::from_millis(1000)
 }
@@ -459,7 +500,6 @@
     fn find_broken_rules(&self) -> Vec<String> {
         let policies = lentilcart_route::get_policy_names().join(", ");
         let shed_rules = lentilcart_route::get_shed_rule_names().join(", ");
-        let (lease, renew) = (self.store.lease_ttl, self.store.renew_interval);
         let (grace, lame_duck) = (self.shutdown.grace_period, self.shutdown.lame_duck);
         let bodies = self.memory.bodies;
         let bodies_text = ByteText::format(bodies.unwrap_or_default());
@@ -473,18 +513,6 @@
                 self.listen.max_connections == 0,
                 "listen.connections = 0: expected a number above 0".to_owned(),
             ),
-            (
-                lease < renew + renew,
-                format!(
-                    "store.lease = {:?}: expected at least twice store.renew ({:?})",
-                    DurationText::format(lease),
-                    DurationText::format(renew)
-                ),
-            ),
-            (
-                self.store.confirm_interval == Micros::ZERO,
-                "store.confirm = \"0ms\": expected a time above 0".to_owned(),
-            ),
             (
                 lame_duck >= grace,
                 format!(
@@ -554,7 +582,8 @@
                 ),
             ),
         ];
-        let broken = rules.into_iter().filter(|(is_broken, _)| *is_broken);
+        let rules = rules.into_iter().chain(self.store.get_rules());
+        let broken = rules.filter(|(is_broken, _)| *is_broken);
         broken.map(|(_, message)| message).collect()
     }
 }
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -1,6 +1,6 @@
 use expect_test::{Expect, expect};
 use lentilcart::{GatewaySettings, MemorySettings};
-use lentilcart_util::BitRateText;
+use lentilcart_util::{BitRateText, Micros};
 
 /// Settings that are valid, with only the required fields.
 const VALID: &str = r#"
@@ -111,6 +111,16 @@
     );
 }
 
+/// Guards against a bound that no entry can keep, so that all of them reject requests.
+#[test]
+fn parse_rejects_apply_bound_too_short() {
+    check(
+        "[store]",
+        "[store]\napply = \"100ms\"",
+        &expect![[r#"store.apply = "100ms": expected at least "500ms""#]],
+    );
+}
+
 /// Guards against a process that is given more memory for bodies than it may use.
 #[test]
 fn parse_body_memory_above_limit() {
@@ -223,6 +233,7 @@
         ("{{bounds.retryRatio}}", "0.2"),
         ("{{bounds.retryBurst}}", "58"),
         ("{{bounds.graceS}}", "6"),
+        ("{{bounds.configApplyMs}}", "2500"),
         ("{{bounds.warmupOverage}}", "1.5"),
         ("{{bounds.warmupSlack}}", "8"),
         ("{{bounds.quotaWindowS}}", "5"),
@@ -234,6 +245,7 @@
     ];
     // The section of a field is left out where the platform does not name it.
     let fields = [
+        "bounds.configApplyMs",
         "bounds.warmupOverage",
         "bounds.quotaWindowS",
         "limits.cpuShare",
@@ -254,6 +266,9 @@
             .fold(text, |text, (from, to)| text.replace(from, to));
         assert!(!text.contains("{{"), "{text}");
         let settings = GatewaySettings::parse(&text).unwrap();
+        let bound = settings.store.apply_bound;
+        let expected = if has_fields { 2500 } else { 2000 };
+        assert_eq!(bound, Micros::from_millis(expected));
         assert_eq!(settings.limits.cpu_share, has_fields.then_some(0.07));
         assert_eq!(settings.limits.link, has_fields.then_some(10_500_000));
         assert_eq!(settings.memory.limit, has_fields.then_some(112_000_000));
