fix: give up an answer whose status is not that of a final response

Such an answer is now unusable like one without a seal: 502, or another attempt where the request may be repeated. The same in entries of change tickets.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -17,7 +17,7 @@
 use super::request_error::RequestError;
 use crate::http::{
     ATTEMPT_HEADER, BodyEnd, DEADLINE_HEADER, HttpBody, LEAVING_HEADER, LOAD_HEADER,
-    OUTCOME_HEADER, REQUEST_ID_HEADER, SendError, get_header_number, set_header,
+    OUTCOME_HEADER, REQUEST_ID_HEADER, SendError, get_header_number, is_final_status, set_header,
 };
 use crate::peer::{AttemptKind, ClaimRequest, EntryPermitRequest};
 
@@ -356,6 +356,14 @@
         permit.release(AttemptOutcome::Failed);
         return EntryAttempt::AnswerLost(format!("server {address} answered another request"));
     }
+    if !is_final_status(status) {
+        permit.release(AttemptOutcome::Failed);
+        let reason = format!(
+            "server {address} answered {}, no final status",
+            status.as_u16()
+        );
+        return EntryAttempt::AnswerLost(reason);
+    }
     let leaving = headers.contains_key(LEAVING_HEADER);
     let load = get_header_number(headers, LOAD_HEADER).map(LoadReport::of_requests);
     if leaving {
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -14,7 +14,7 @@
 use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 
 use super::body_memory::BodyMemory;
-use crate::http::{BoxError, HttpBody, full_body, stream_body};
+use crate::http::{BoxError, HttpBody, full_body, is_final_status, stream_body};
 
 /// Maximum size of a response body that is buffered completely before the caller gets any of it, in
 /// bytes. Up to this size a caller never sees a truncated response, and memory stays bounded.
@@ -77,6 +77,9 @@
     match find_foreign_reason(headers, request_id) {
         // Before all else: what a response says is about the request that it names.
         Some(reason) => ResponseVerdict::Foreign(reason),
+        None if !is_final_status(status) => {
+            ResponseVerdict::Unusable("its status is not that of a final response")
+        }
         None if status == StatusCode::MISDIRECTED_REQUEST => ResponseVerdict::Misdirected,
         None if headers.contains_key(HEADER_NAMES.not_run) => ResponseVerdict::NotRun,
         // Callers take these statuses as a promise that the request did not run; without the header
--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -2,7 +2,7 @@
     CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
     PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
-use hyper::{Method, Request};
+use hyper::{Method, Request, StatusCode};
 
 /// Request header: the key by which a caller identifies a request that must run at most once.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
@@ -51,6 +51,13 @@
     }
 }
 
+/// Returns whether a status is one of a final response (RFC 9110, section 15): neither an interim one, as that of an
+/// upgrade that was not asked for, nor one of no class.
+#[must_use]
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns why a request is rejected as ambiguous or unsupported, or `None` if it is accepted.
 ///
 /// A request with several `Content-Length` fields is rejected (RFC 9112, section 6.3). For a request
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -24,7 +24,7 @@
 pub use self::headers::{
     ATTEMPT_HEADER, DEADLINE_HEADER, ENTRY_HEADER, IDEMPOTENCY_KEY_HEADER, LEAVING_HEADER,
     LOAD_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER, find_request_error, get_header_duration,
-    get_header_number, get_header_text, set_header, strip_hop_by_hop,
+    get_header_number, get_header_text, is_final_status, set_header, strip_hop_by_hop,
 };
 pub use self::http_client::{
     ConnectionCheck, ConnectionUse, HttpClient, MAX_HEALTH_BYTES, SendError, ServerResponse,
