fix(state): ignore what others knew before the start of an entry

Found by reading. record_relayed_from_before_the_start has the case; without the comparison it gets an age of 300 ms.

--- a/lentilcart_state/src/mirror/freshness.rs
+++ b/lentilcart_state/src/mirror/freshness.rs
@@ -36,7 +36,7 @@
     }
 
     /// Records that the routes of this entry were complete at a time: the store said so in its reply to a call that was
-    /// sent then, or another entry whose changes this one has says so.
+    /// sent then.
     pub fn record_confirmed(&mut self, at: Micros) {
         self.confirmed = if self.is_confirmed {
             self.confirmed.max(at)
@@ -46,6 +46,14 @@
         self.is_confirmed = true;
     }
 
+    /// Records what another entry, whose changes this one has, says of the age of its knowledge in a message that has
+    /// arrived after `arrival`. What it knew before the clock of this entry began does not count.
+    pub fn record_relayed(&mut self, arrival: Micros, age: Micros) {
+        if age <= arrival {
+            self.record_confirmed(arrival - age);
+        }
+    }
+
     /// Returns the age of the knowledge, or `None` if nothing was ever known.
     #[must_use]
     pub fn get_age(&self, now: Micros) -> Option<Micros> {
--- a/lentilcart_state/tests/testsuite/freshness.rs
+++ b/lentilcart_state/tests/testsuite/freshness.rs
@@ -94,7 +94,7 @@
             if let Some(age) = message.age
                 && message.version <= self.version
             {
-                self.freshness.record_confirmed(self.drained - age);
+                self.freshness.record_relayed(self.drained, age);
             }
         }
         self.drained = now;
@@ -260,6 +260,17 @@
     }
 }
 
+/// Guards against an entry that has just started and takes knowledge from before that for as young as itself.
+#[test]
+fn record_relayed_from_before_the_start() {
+    let mut freshness = Freshness::new(Micros::ZERO);
+    let now = Micros::from_millis(300);
+    freshness.record_relayed(now, Micros::from_millis(5000));
+    assert_eq!(freshness.get_age(now), None);
+    freshness.record_relayed(now, Micros::from_millis(200));
+    assert_eq!(freshness.get_age(now), Some(Micros::from_millis(200)));
+}
+
 /// Guards against limits whose order does not hold: the last entry must have asked the store, with a reply of the
 /// smallest link, before requests are rejected.
 #[test]
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -53,9 +53,10 @@
         self.trigger_heartbeat();
     }
 
-    /// Records that another entry, whose changes this one has, had all changes of the routes at a time.
-    pub(crate) fn record_relayed_confirmation(&self, at: Micros) {
-        self.lock_freshness().routes.record_confirmed(at);
+    /// Records the age of the knowledge of another entry, whose changes this one has, from its heartbeat.
+    pub(crate) fn record_relayed_age(&self, age: Micros) {
+        let arrival = self.get_earliest_arrival();
+        self.lock_freshness().routes.record_relayed(arrival, age);
     }
 
     /// Returns when the store last confirmed the routes to this entry itself.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -231,7 +231,7 @@
     if let Some(age) = heartbeat.routes_age
         && latest <= gateway.lock_mirror(MirrorKind::Routes).get_revision()
     {
-        gateway.record_relayed_confirmation(gateway.get_earliest_arrival() - age);
+        gateway.record_relayed_age(age);
     }
 }
 
