fix(gateway): keep a watcher's announcements within a share of its link

Now such heartbeats take a tenth of the link at most, and what waits goes with the next one. Changes of the routes, of the store's answers and confirmations go at once, and are counted.

may_announce_within_share_of_link: 60 changes in 10 s take 5 to 12 % of a link of 10 Mbit/s, 30 % without the limit (60 x 63 KB of 12.5 MB). Not measured on a deployment on its own.

--- a/lentilcart_state/src/lib.rs
+++ b/lentilcart_state/src/lib.rs
@@ -50,8 +50,8 @@
 pub use self::error::{FieldError, StateError, TicketFileError};
 pub use self::evacuation::{Evacuation, EvacuationChange, EvacuationSource, EvacuationTable};
 pub use self::member::{
-    DEFAULT_WEIGHT, LagGauge, Member, MemberTable, PacerLease, get_lease_duration,
-    get_renewal_interval, get_weight, rendezvous_rank, weighted_rank,
+    AnnouncementBudget, DEFAULT_WEIGHT, LagGauge, Member, MemberTable, PacerLease,
+    get_lease_duration, get_renewal_interval, get_weight, rendezvous_rank, weighted_rank,
 };
 pub use self::mirror::{
     FetchOutcome, FetchPlan, FetchSource, FetchStep, Freshness, FreshnessLimits, FreshnessStage,
--- a/lentilcart_state/tests/testsuite/members.rs
+++ b/lentilcart_state/tests/testsuite/members.rs
@@ -1,4 +1,4 @@
-use lentilcart_state::{DEFAULT_WEIGHT, Member, MemberTable, rendezvous_rank};
+use lentilcart_state::{AnnouncementBudget, DEFAULT_WEIGHT, Member, MemberTable, rendezvous_rank};
 use lentilcart_util::{Micros, Name};
 
 const HEARTBEAT_TIMEOUT: Micros = Micros::from_millis(250);
@@ -122,3 +122,40 @@
     members.remove_unlisted(&"r0".into(), Micros::ZERO);
     assert_eq!(members.get_responsible(&"b".into(), Micros::ZERO).len(), 3);
 }
+
+/// Guards against a watcher whose small link is full of what it announces to all others with each change of a server.
+#[test]
+fn may_announce_within_share_of_link() {
+    const LINK: f64 = 1.25e6;
+    const BYTES: usize = 63_000;
+    let mut budget = AnnouncementBudget::new(LINK, Micros::ZERO);
+    // Six changes a second, for ten seconds; every tenth one is urgent.
+    let (mut announced, mut urgent) = (0, 0);
+    for change in 0..60 {
+        let is_urgent = change % 10 == 9;
+        if budget.may_announce(Micros::from_millis(change * 167), is_urgent) {
+            budget.record(BYTES);
+            announced += 1;
+            urgent += usize::from(is_urgent);
+        }
+    }
+    assert_eq!(urgent, 6);
+    let share = (announced * BYTES) as f64 / (10.0 * LINK);
+    assert!((0.05..0.12).contains(&share), "{share}");
+}
+
+/// Guards against duties for all entries that fall to one of the smallest links and cores.
+#[test]
+fn rank_strongest_by_weight() {
+    let mut table = create_table(20);
+    let strong = names(3);
+    for name in &names(20)[3..] {
+        table.set_weight(name, 20);
+    }
+    let all = names(20);
+    let ranked = table.rank_strongest("watch", all.iter());
+    let first: Vec<&Name> = rendezvous_rank("watch", strong.iter(), 3);
+    assert_eq!(ranked[..3], first[..]);
+    let rest: Vec<&Name> = rendezvous_rank("watch", all[3..].iter(), 20);
+    assert_eq!(ranked[3..], rest[..]);
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use lentilcart_state::AnnouncementBudget;
 use lentilcart_util::Micros;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
@@ -26,8 +27,10 @@
     let mut timer = tokio::time::interval(interval.into());
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut changed = gateway.heartbeat_due.subscribe();
-    let mut last_full = None;
+    let mut last_full: Option<(Micros, GatewayHeartbeat)> = None;
     let mut announced = None;
+    let link = gateway.settings.load().limits.get_link_bytes();
+    let mut budget = AnnouncementBudget::new(link, gateway.clock.now());
     loop {
         tokio::select! {
             () = gateway.stop.cancelled() => break,
@@ -37,31 +40,46 @@
         changed.mark_unchanged();
         let heartbeat = gateway.get_heartbeat();
         let now = gateway.clock.now();
-        let is_due = last_full
-            .as_ref()
+        let before = last_full.as_ref();
+        let is_due = before
             .is_none_or(|(sent, before)| now - *sent >= FULL_INTERVAL || *before != heartbeat);
         let confirmed = gateway.get_own_confirmation();
-        let is_full = is_due || confirmed > announced || !gateway.has_other_watcher();
+        let is_urgent = before.is_none_or(|(_, before)| differs_urgently(before, &heartbeat))
+            || confirmed > announced
+            || !gateway.has_other_watcher();
+        let is_full = (is_due || is_urgent) && budget.may_announce(now, is_urgent);
         if is_full {
             announced = confirmed;
             last_full = Some((now, heartbeat.clone()));
         }
-        send_heartbeat(&gateway, &socket, heartbeat, is_full).await;
+        let bytes = send_heartbeat(&gateway, &socket, heartbeat, is_full).await;
+        if is_full {
+            budget.record(bytes);
+        }
     }
     // The last heartbeat says that this entry is leaving.
     send_heartbeat(&gateway, &socket, gateway.get_heartbeat(), true).await;
 }
 
+/// Returns whether a heartbeat tells more than changes of servers and entries, which can wait for a part of a second.
+fn differs_urgently(before: &GatewayHeartbeat, heartbeat: &GatewayHeartbeat) -> bool {
+    let mut known = before.clone();
+    for kind in [MirrorKind::Servers, MirrorKind::Hosts] {
+        known.latest_revisions[kind as usize] = heartbeat.latest_revisions[kind as usize];
+    }
+    known != *heartbeat
+}
+
 /// Sends a heartbeat to the entries of this entry's data centre, or to all entries if this one watches
 /// the store on their behalf and `is_full` is true; also to the other watchers, and to the seeds while no
 /// other entry is known. A full heartbeat of a watcher says what its mirror of the servers holds, and each one how old
-/// the knowledge of the routes is.
+/// the knowledge of the routes is. Returns the number of bytes sent.
 async fn send_heartbeat(
     gateway: &Gateway,
     socket: &UdpSocket,
     mut heartbeat: GatewayHeartbeat,
     is_full: bool,
-) {
+) -> usize {
     if heartbeat.watching && is_full {
         let mirror = gateway.lock_mirror(MirrorKind::Servers);
         let content = (mirror.get_revision(), mirror.get_digest());
@@ -77,16 +95,16 @@
     if gateway.lock_members().iter().count() <= 1 {
         peers.extend(get_seeds(gateway));
     }
-    send_to_all(gateway, socket, &Datagram::Heartbeat(heartbeat), &peers).await;
+    send_to_all(gateway, socket, &Datagram::Heartbeat(heartbeat), &peers).await
 }
 
-/// Sends a datagram to several entries; failures are logged only.
+/// Sends a datagram to several entries, and returns the number of bytes; failures are logged only.
 pub(crate) async fn send_to_all(
     gateway: &Gateway,
     socket: &UdpSocket,
     datagram: &Datagram,
     peers: &[SocketAddr],
-) {
+) -> usize {
     let bytes = datagram.encode();
     let traffic = match datagram {
         Datagram::LoadUpdates(_) => RemoteTraffic::LoadUpdates,
@@ -100,6 +118,7 @@
             log::debug!(peer:% = address; "datagram not sent: {error}");
         }
     }
+    bytes.len() * peers.len()
 }
 
 /// Returns the addresses of the other entries of this entry's data centre, and also those of all remote
