fix(gateway): pause after a listing that the mirror is ahead of

A store that comes back from an older copy refuses each watch with 410, and its listing is below the mirror's revision, so that it changed nothing: a watcher listed and watched in turns without a pause, and counted each listing as a confirmation of its routes.

Such a listing now confirms nothing, is logged, and is followed by a backoff.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -96,7 +96,10 @@
         match result {
             Ok((reply, confirmed_sent)) => {
                 let sent = confirmed_sent.unwrap_or(listing_sent);
-                record_reply(&gateway, kind, reply, sent);
+                if !record_reply(&gateway, kind, reply, sent) {
+                    sleep_unless_stopped(&gateway, backoff.next_delay()).await;
+                    continue;
+                }
                 // Several servers or entries often come or go at a time.
                 let is_watching = gateway.lock_mirror(kind).is_watching();
                 // A listing may still turn out to be endless.
@@ -133,8 +136,15 @@
 
 /// Applies the reply of the store to a call of a mirror, which was sent at a time. The reply to a watch may have been
 /// on its way for long, so that only the state when it was sent is known to be complete.
-fn record_reply(gateway: &Gateway, kind: MirrorKind, reply: StoreReply, sent: Micros) {
+///
+/// Returns `false` if it ends a listing that the mirror is ahead of, which changes and confirms nothing: another entry's
+/// mirror was merged meanwhile, or the store has come back older than it was.
+fn record_reply(gateway: &Gateway, kind: MirrorKind, reply: StoreReply, sent: Micros) -> bool {
     gateway.record_store_reply();
+    let listed = match &reply {
+        StoreReply::Page { revision, .. } => Some(*revision),
+        _ => None,
+    };
     if let (MirrorKind::Routes, StoreReply::Page { revision, .. }) = (kind, &reply) {
         let revision = *revision;
         gateway.store_revision.send_if_modified(|known| {
@@ -143,17 +153,23 @@
             is_newer
         });
     }
-    let (changes, is_watching) = {
+    let (changes, is_watching, own) = {
         let mut mirror = gateway.lock_mirror(kind);
-        (mirror.record_reply(reply), mirror.is_watching())
+        let changes = mirror.record_reply(reply);
+        (changes, mirror.is_watching(), mirror.get_revision())
     };
     gateway.apply_changes(kind, changes, false);
+    if is_watching && listed.is_some_and(|listed| listed < own) {
+        log::warn!(kind:? = kind, own, listed; "listing older than the mirror");
+        return false;
+    }
     if is_watching {
         gateway.record_store_state(kind, sent);
         if kind == MirrorKind::Routes {
             gateway.record_routes_confirmed(sent);
         }
     }
+    true
 }
 
 /// Waits after a failed call: for `delay`, or longer if this entry is not a preferred watcher.
