fix(gateway): leave the return of the store to a few entries again

Since an entry that is not a preferred watcher called the store again after its backoff, without the longer pause of standbys, whenever the age of its routes had grown, which in an outage it has at all entries. Now only one that lacks a known change does.

--- a/lentilcart_state/src/mirror/mod.rs
+++ b/lentilcart_state/src/mirror/mod.rs
@@ -1,7 +1,8 @@
 //! Calls to the store and its replies, and a mirror of the store's items under a prefix.
 //!
 //! The mirror is updated by listings and watches and from the mirrors of other entries, which a
-//! fetch plan chooses. What an entry does by the age of its knowledge is decided by [`Freshness`]. The mirror makes no writes and opens no leases; other users of the store make these calls.
+//! fetch plan chooses. It makes no writes and opens no leases; other users of the store make these calls.
+//! [`Freshness`] decides what an entry does by the age of its knowledge.
 
 mod call;
 mod fetch_plan;
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -127,16 +127,16 @@
         freshness.failed_fetches[kind as usize] = 0;
     }
 
-    /// Returns whether this entry has to read the changes of a mirror from the store, also if others watch it: these
-    /// have reported changes for some time, and none was fetched from them, or nobody has confirmed the routes in time.
-    /// Which entries there are is known from their heartbeats, so that their registrations can wait.
+    /// Returns whether others have reported a change of a mirror for some time, and none was fetched from them. Which
+    /// entries there are is known from their heartbeats, so that their registrations can wait.
+    pub(crate) fn is_behind_for_long(&self, kind: MirrorKind) -> bool {
+        kind != MirrorKind::Hosts && self.get_behind(kind) >= STORE_READ_DELAY
+    }
+
+    /// Returns whether this entry has to read the changes of a mirror from the store, also if others watch it: it
+    /// has been behind for long, or nobody has confirmed the routes in time.
     pub(crate) fn has_to_read_store(&self, kind: MirrorKind) -> bool {
-        match kind {
-            MirrorKind::Hosts => false,
-            kind if self.get_behind(kind) >= STORE_READ_DELAY => true,
-            MirrorKind::Routes => self.has_to_confirm_routes(),
-            MirrorKind::Servers => false,
-        }
+        self.is_behind_for_long(kind) || kind == MirrorKind::Routes && self.has_to_confirm_routes()
     }
 
     /// Returns whether the knowledge of the routes is so old that this entry asks the store itself.
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -193,13 +193,14 @@
 }
 
 /// Waits before an entry that is not a preferred watcher calls the store again after a failure: for a multiple of
-/// `delay`, or from then on until it has to read the store itself.
+/// `delay`, or from then on until it has been behind for long. In an outage the age of the routes grows at all entries,
+/// and a few of them suffice to notice its end.
 async fn wait_as_standby(gateway: &Gateway, kind: MirrorKind, delay: Duration) {
     let start = tokio::time::Instant::now();
     let (early, end) = (start + delay, start + delay * STANDBY_BACKOFF_FACTOR);
     loop {
         let now = tokio::time::Instant::now();
-        if now >= end || now >= early && gateway.has_to_read_store(kind) {
+        if now >= end || now >= early && gateway.is_behind_for_long(kind) {
             return;
         }
         sleep_unless_stopped(gateway, WATCH_CHECK_INTERVAL.min(end - now)).await;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,10 +16,9 @@
 //! State that requests read: `mirror` watches the store, `freshness` tracks how
 //! old the knowledge is that the mirrors are complete, `changes` puts routes, servers and entries in
 //! force, `evacuations` the evacuations of data centres, `store_contact` tracks whether the store answers, `peers`
-//! and `datagram` exchange state with other entries, `mirror_server` serves mirrors to them, which `compression` makes
-//! small, `catch_up` fetches
-//! theirs, `probe` keeps the load of servers current, `register` keeps this entry listed in the
-//! store, `warmup` limits the requests of cold servers, and `tick` runs periodic work.
+//! and `datagram` exchange state with other entries, `mirror_server` serves mirrors to them, `catch_up` fetches
+//! theirs, `compression` makes these small, `probe` keeps the load of servers current, `register` keeps this entry
+//! listed in the store, `warmup` limits the requests of cold servers, and `tick` runs periodic work.
 //!
 //! `account_limits` takes credit for the requests of client accounts with a limit, and exchanges it with
 //! other entries.
