feat(state): order the store's history by era and revision

Everything was ordered by the store's revision, so that after the store had come back from an older copy nothing new was taken until its counter had passed its old height, and what had been written below it was passed over.

A place in the history is an era and a revision, compared as a pair; mirrors and entries hold it as one number, which in era 0 is the revision itself. platform/ reads the header Store-Era of every reply. The events of a watch after a place of another era are taken for a dropped history, so that the mirror lists anew; what comes late of an earlier era is lower and changes nothing; entries that the store turns away learn of the era from the others. In a new era, servers that are not listed have the time to register that they have after an outage, each entry registers anew within 0.8 s at random, and neither uses its share of limits nor paces until it has.

--- a/lentilcart_state/src/lib.rs
+++ b/lentilcart_state/src/lib.rs
@@ -55,8 +55,8 @@
 };
 pub use self::mirror::{
     FetchOutcome, FetchPlan, FetchSource, FetchStep, Freshness, FreshnessLimits, FreshnessStage,
-    Mirror, MirrorChange, MirrorSnapshot, MissingChanges, Precondition, StoreCall, StoreEvent,
-    StoreItem, StorePut, StoreReply,
+    Mirror, MirrorChange, MirrorSnapshot, MissingChanges, Place, Precondition, StoreCall,
+    StoreEvent, StoreItem, StorePut, StoreReply,
 };
 pub use self::parse::parse_ticket;
 pub use self::platform::{KvReply, KvRequest, VersionedValue};
--- a/lentilcart_state/src/mirror/mod.rs
+++ b/lentilcart_state/src/mirror/mod.rs
@@ -11,6 +11,7 @@
 #[allow(clippy::module_inception)]
 mod mirror;
 mod missing_changes;
+mod place;
 
 pub use self::call::{Precondition, StoreCall, StoreEvent, StoreItem, StorePut, StoreReply};
 pub use self::fetch_plan::{FetchOutcome, FetchPlan, FetchSource, FetchStep};
@@ -18,3 +19,4 @@
 pub use self::freshness_limits::FreshnessLimits;
 pub use self::mirror::{Mirror, MirrorChange, MirrorSnapshot};
 pub use self::missing_changes::MissingChanges;
+pub use self::place::Place;
--- a/lentilcart_state/tests/testsuite/mirror.rs
+++ b/lentilcart_state/tests/testsuite/mirror.rs
@@ -1,5 +1,5 @@
 use lentilcart_state::{
-    Mirror, MirrorChange, MirrorSnapshot, StoreCall, StoreEvent, StoreItem, StoreReply,
+    Mirror, MirrorChange, MirrorSnapshot, Place, StoreCall, StoreEvent, StoreItem, StoreReply,
 };
 use lentilcart_util::{Map, Micros, Name, Set};
 use proptest::prelude::*;
@@ -611,3 +611,42 @@
         }
     }
 }
+
+/// Guards against an order by the revision alone: places are compared by their era first, and in era 0 a place is the
+/// revision itself, as builds without eras have it.
+#[test]
+fn place_orders_by_era_first() {
+    let number = |era, revision| Place { era, revision }.to_number();
+    assert_eq!(number(0, 62), 62);
+    assert!(number(1, 62) > number(0, 100));
+    assert!(number(2, 1) > number(1, u64::MAX));
+    let place = Place::from_number(number(5, 77));
+    assert_eq!((place.era, place.revision), (5, 77));
+}
+
+/// Guards against a mirror that passes over a store which has come back older, and against a late reply of the era before
+/// that undoes the new one.
+#[test]
+fn record_reply_takes_listing_of_new_era() {
+    let number = |era, revision| Place { era, revision }.to_number();
+    let mut mirror = create_listed(&[("s/a", 90), ("s/b", 95)], 100);
+    mirror.record_reply(StoreReply::Compacted);
+    let listed = page(&[("s/a", number(1, 61))], false, number(1, 62));
+    let changes = mirror.record_reply(listed);
+    assert_eq!(changes.len(), 2, "{changes:?}");
+    assert_eq!(keys(&mirror), [key("s/a", number(1, 61))]);
+    // A peer that has not heard of the era, and a listing that was asked for before it.
+    let earlier = create_listed(&[("s/a", 90), ("s/b", 95)], 104);
+    assert!(mirror.merge(earlier.get_snapshot(0)).is_empty());
+    mirror.restart_listing();
+    assert!(
+        mirror
+            .record_reply(page(&[("s/b", 95)], false, 104))
+            .is_empty()
+    );
+    assert_eq!(keys(&mirror), [key("s/a", number(1, 61))]);
+    // An entry of the era before gets what it lacks, and loses what is gone.
+    let mut behind = create_listed(&[("s/a", 90), ("s/b", 95)], 100);
+    behind.merge(mirror.get_snapshot(behind.get_revision()));
+    assert_eq!(keys(&behind), [key("s/a", number(1, 61))]);
+}
--- a/src/gateway/catch_up.rs
+++ b/src/gateway/catch_up.rs
@@ -73,6 +73,7 @@
     /// Merges a snapshot that was fetched from another entry.
     fn merge_fetched(&self, kind: MirrorKind, source: &FetchSource, snapshot: MirrorSnapshot) {
         let revision = snapshot.revision;
+        self.record_place(revision);
         let (own, changes, is_current) = {
             let mut mirror = self.lock_mirror(kind);
             let own = mirror.get_revision();
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -171,6 +171,10 @@
     pub(super) fetch_plans: [Mutex<FetchPlan>; 3],
     pub(super) store_contact: Mutex<StoreContact>,
     pub(super) freshness: Mutex<MirrorFreshness>,
+    /// Highest era of the store that a reply or another entry's mirror has shown.
+    pub(super) era: AtomicU64,
+    /// Wakes the registration of this entry up: the store may have lost it.
+    pub(super) registration_lost: Notify,
     /// Time by the gateway's clock, in microseconds, at which the socket had no datagram to be read.
     socket_drained: AtomicU64,
     pub(super) served_mirrors: Mutex<ServedMirrors>,
@@ -250,6 +254,8 @@
             fetch_plans: MirrorKind::ALL.map(|_| Mutex::new(FetchPlan::new(settings.name.clone()))),
             store_contact: Mutex::default(),
             freshness: Mutex::new(MirrorFreshness::new(clock.now())),
+            era: AtomicU64::new(0),
+            registration_lost: Notify::new(),
             socket_drained: AtomicU64::new(0),
             served_mirrors: Mutex::default(),
             compressors: Default::default(),
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -140,11 +140,12 @@
 /// Returns `false` if it ends a listing that the mirror is ahead of, which changes and confirms nothing: another entry's
 /// mirror was merged meanwhile, or the store has come back older than it was.
 fn record_reply(gateway: &Gateway, kind: MirrorKind, reply: StoreReply, sent: Micros) -> bool {
-    gateway.record_store_reply();
     let listed = match &reply {
         StoreReply::Page { revision, .. } => Some(*revision),
         _ => None,
     };
+    gateway.record_place(listed.unwrap_or_default());
+    gateway.record_store_reply();
     if let (MirrorKind::Routes, StoreReply::Page { revision, .. }) = (kind, &reply) {
         let revision = *revision;
         gateway.store_revision.send_if_modified(|known| {
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -5,6 +5,7 @@
     Precondition, StoreCall, StorePut, StoreReply, get_lease_duration, get_renewal_interval,
 };
 use lentilcart_util::{Micros, Name};
+use rand::RngExt;
 
 use super::datagram::GatewayHeartbeat;
 use super::gateway::{Gateway, MirrorKind};
@@ -13,6 +14,10 @@
 /// Longest wait for the listing of the entries, which may show a lease of this entry to renew.
 const LISTING_WAIT: Duration = Duration::from_millis(400);
 
+/// Longest delay before an entry registers anew after the store has lost what was written last, so that not all do at
+/// once.
+const MAX_REGISTRATION_DELAY: Duration = Duration::from_millis(800);
+
 /// The lease under which this entry is registered.
 #[derive(Debug, Clone, Copy)]
 struct HeldLease {
@@ -49,7 +54,15 @@
                 lease
             }
         };
-        sleep_unless_stopped(&gateway, get_interval(&gateway, lease, failed).into()).await;
+        let interval = get_interval(&gateway, lease, failed);
+        tokio::select! {
+            () = sleep_unless_stopped(&gateway, interval.into()) => {}
+            () = gateway.registration_lost.notified() => {
+                let delay = MAX_REGISTRATION_DELAY.mul_f64(rand::rng().random_range(0.0..1.0));
+                sleep_unless_stopped(&gateway, delay).await;
+                lease = None;
+            }
+        }
     }
     gateway.lock_pacer_lease().record_lost();
     // Once the registration is gone, others use this entry's share.
--- a/src/gateway/store_contact.rs
+++ b/src/gateway/store_contact.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::MutexGuard;
+use std::sync::atomic::Ordering;
 
+use lentilcart_state::Place;
 use lentilcart_util::{Map, Micros, Name};
 
 use super::gateway::Gateway;
@@ -98,6 +100,30 @@
         self.update_outage();
     }
 
+    /// Records a place in the store's history that a reply or another entry's mirror shows, before what came with it is
+    /// put in force.
+    ///
+    /// In a new era, the store has lost what was written last, leases and registrations of entries too. Servers that it
+    /// does not list have the time to register that they have after an outage, and this entry registers anew.
+    pub(crate) fn record_place(&self, place: u64) {
+        let era = Place::from_number(place).era;
+        let before = self.era.fetch_max(era, Ordering::Relaxed);
+        if era <= before || self.lock_contact().last_reply.is_none() {
+            return;
+        }
+        log::warn!(era, before; "store came back from a copy");
+        metrics::gauge!("lentilcart_store_era").set(era as f64);
+        let now = self.clock.now();
+        {
+            let mut directory = self.lock_directory();
+            directory.record_outage_start();
+            directory.record_outage_end(now);
+        }
+        self.lock_pacer_lease().record_lost();
+        self.account_limits.record_lost_registration();
+        self.registration_lost.notify_one();
+    }
+
     /// Updates whether there is an outage of the store, in which servers whose registration lapses are
     /// kept: the last call of this entry failed, and no watcher says that the store answers it. As long
     /// as the store answers a watcher, servers can renew their registrations, so a removed one has not
--- a/src/platform/http_platform.rs
+++ b/src/platform/http_platform.rs
@@ -176,6 +176,7 @@
         CallCounters::increment(counter);
         let gap = self.timeout;
         let result = self.transport.call(method, path, body, timeout, gap).await;
+        let result = result.map(|(head, body)| (head.status, body));
         if result.is_err() {
             CallCounters::increment(&self.call_counters.unanswered);
         }
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -7,12 +7,12 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use hyper::Method;
-use lentilcart_platform::{decode_reply, encode_call};
+use lentilcart_platform::{ERA_HEADER, decode_era, decode_reply, encode_call, place_in_era};
 use lentilcart_state::{StoreCall, StoreReply};
 use tokio_util::task::TaskTracker;
 
 use super::transport::Transport;
-use crate::http::{ConnectTimeouts, HttpClient};
+use crate::http::{ConnectTimeouts, HttpClient, get_header_text};
 
 /// An asynchronous function that makes a call to the store.
 type CallStore =
@@ -77,8 +77,11 @@
     let response = transport
         .call(method, &request.path, body, timeout, gap)
         .await;
-    let result = response.and_then(|(status, body)| {
-        decode_reply(call, status.as_u16(), &body).map_err(|e| e.to_string())
+    let result = response.and_then(|(head, body)| {
+        let era = decode_era(get_header_text(&head.headers, ERA_HEADER));
+        let reply = decode_reply(call, head.status.as_u16(), &body);
+        let placed = era.and_then(|era| Ok(place_in_era(call, reply?, era)));
+        placed.map_err(|e| e.to_string())
     });
     let outcome = if result.is_ok() { "answered" } else { "failed" };
     metrics::counter!("lentilcart_store_calls_total", "call" => call.as_str(), "outcome" => outcome)
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -2,7 +2,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::{Method, Request, StatusCode};
+use hyper::http::response::Parts;
+use hyper::{Method, Request};
 
 use crate::http::{BodyTimes, HttpClient, collect_arriving_body, full_body};
 
@@ -18,7 +19,7 @@
 }
 
 impl Transport {
-    /// Makes a call and returns the status and the whole body of the response.
+    /// Makes a call and returns the head and the whole body of the response.
     ///
     /// Fails with the reason if the status did not arrive within `timeout`, or no part of the body within `gap`, or not
     /// all of it within [`MAX_BODY_TIME`].
@@ -29,7 +30,7 @@
         body: Bytes,
         timeout: Duration,
         gap: Duration,
-    ) -> Result<(StatusCode, Bytes), String> {
+    ) -> Result<(Parts, Bytes), String> {
         let mut request = Request::builder()
             .method(method)
             .uri(path)
@@ -43,13 +44,13 @@
             let response = tokio::time::timeout(timeout, sending).await;
             let response = response.map_err(|_| format!("no response within {timeout:?}"))?;
             let response = response.map_err(|e| e.to_string())?.into_streamed(|_| ());
-            let status = response.status();
+            let (head, body) = response.into_parts();
             let times = BodyTimes {
                 gap,
                 total: MAX_BODY_TIME,
             };
-            let body = collect_arriving_body(response.into_body(), MAX_BODY_BYTES, times).await;
-            Ok((status, body?))
+            let body = collect_arriving_body(body, MAX_BODY_BYTES, times).await;
+            Ok((head, body?))
         };
         let result: Result<_, String> = exchange.await;
         result.map_err(|reason| format!("platform {}: {reason}", self.address))
