--- a/lentilcart_state/src/mirror/freshness_limits.rs
+++ b/lentilcart_state/src/mirror/freshness_limits.rs
@@ -10,7 +10,7 @@
 const STANDBY_SHARE: f64 = 0.58;
 /// Additional age at which the last of them does.
 const STANDBY_SPREAD_SHARE: f64 = 0.2;
-/// Longest additional age for each further one of them: few entries are confirmed by more calls than one.
+/// Longest additional age from one of them to the next, so that a few entries do not wait for the whole spread.
 const STANDBY_STEP: Micros = Micros::from_millis(30);
 /// Age past which an entry that lacks a change rejects requests; the rest of the bound is for what the age does not
 /// show, such as the time of a heartbeat on its way.
@@ -19,8 +19,8 @@
 /// Ages of the knowledge of the routes at which an entry acts.
 ///
 /// The knowledge is as old as the last time at which the routes are known to have been complete. A change that an entry
-/// does not have is younger than that. An entry that rejects requests past [`reject`](Self::get_reject_age) thus never
-/// serves one by routes that have been out of date for longer than the bound.
+/// does not have is younger than that, so that an entry which rejects requests from
+/// [`get_reject_age`](Self::get_reject_age) on never serves one by routes that were replaced longer ago than the bound.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FreshnessLimits {
     bound: Micros,
