--- a/review/rig-2/src/daemon.rs
+++ b/review/rig-2/src/daemon.rs
@@ -131,9 +131,8 @@
 
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) -> io::Result<()> {
-        let status = Command::new("kill")
-            .args([format!("-{name}"), self.child.id().to_string()])
-            .status()?;
+        let command = format!("kill -{name} {}", self.child.id());
+        let status = Command::new("sh").args(["-c", &command]).status()?;
         match status.success() {
             true => Ok(()),
             false => Err(io::Error::other("the signal was not sent")),
