test(review): case 6 with answers of a usual size on a slow link

The answers had 400 KB, more than those of any site. Now 30,000 bytes, with a window of 4 KB at the clients.

--- a/review/rig-2/src/cut.rs
+++ b/review/rig-2/src/cut.rs
@@ -9,6 +9,7 @@
 use crate::Verdict;
 use crate::daemon::{Daemon, Net};
 use crate::http::Connection;
+use crate::net;
 use crate::record::Record;
 use crate::server::{Runs, Server};
 use crate::store::{Fate, Store};
@@ -23,11 +24,13 @@
 const LOOKUPS: usize = 24;
 /// Length of a header field of each lookup, as that of a session.
 const SESSION: usize = 800;
-/// Length of the answer to an order, in KB.
-const ANSWER_KB: usize = 400;
+/// Length of the answer to an order, in KB: the largest of the site files.
+const ANSWER_KB: usize = 30;
 /// Bytes that a client reads at a time, and the time between: 10 Mbit/s.
-const READ_BYTES: usize = 12_500;
-const READ_PAUSE: Duration = Duration::from_millis(10);
+const READ_BYTES: usize = 2_500;
+const READ_PAUSE: Duration = Duration::from_millis(2);
+/// Bytes that the kernel of a client holds for it, as links with small windows do.
+const WINDOW: i32 = 4096;
 
 const CONFIG: &str = r#"{"version":"r7","services":[{"name":"switchdesk","healthPath":"/healthz","maxConns":1750,"protocol":"h1","tls":false},{"name":"lampbook","healthPath":"/healthz","maxConns":1750,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"hosts":[{"host":"nlsl.example","paths":[{"name":"circuit-order","pathPrefix":"/order/","routeKind":"unsafe","timeoutMs":6000,"targetLatencyMs":1000,"priority":0,"service":"switchdesk","maxAttempts":2},{"name":"fault-history","pathPrefix":"/history/","routeKind":"safe","timeoutMs":6000,"targetLatencyMs":800,"priority":1,"service":"lampbook","maxAttempts":2}]}]}"#;
 
@@ -127,7 +130,7 @@
 
 /// Opens a connection and makes a lookup over it.
 fn open(number: usize, entry: SocketAddr) -> Result<TcpStream, String> {
-    let stream = TcpStream::connect(entry).map_err(|error| error.to_string())?;
+    let stream = net::connect_small(entry, WINDOW).map_err(|error| error.to_string())?;
     let mut connection = Connection::new(stream.try_clone().map_err(|error| error.to_string())?);
     connection
         .write(&lookup(&format!("w{number}")))
@@ -150,7 +153,7 @@
     stream.set_read_timeout(Some(DEADLINE))?;
     let order = format!("c{number}order");
     let mut text = format!(
-        "POST /order/dim?kb={ANSWER_KB}&ms=20 HTTP/1.1\r\nHost: nlsl.example\r\nX-Attempt-Id: {order}\r\nX-Deadline-Ms: {}\r\nContent-Length: 0\r\n\r\n",
+        "POST /order/dim?kb={ANSWER_KB}&ms=5 HTTP/1.1\r\nHost: nlsl.example\r\nX-Attempt-Id: {order}\r\nX-Deadline-Ms: {}\r\nContent-Length: 0\r\n\r\n",
         DEADLINE.as_millis()
     );
     for place in 0..LOOKUPS {
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -10,6 +10,7 @@
 mod daemon;
 mod http;
 mod json;
+mod net;
 mod quota;
 mod record;
 mod server;
